--- /dev/null
+++ b/packages/support/include/waxwing/support/log.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include <string>
+#include <string_view>
+
+/// Structured log: one JSON object a line, written by log4cplus on its own thread.
+namespace waxwing::log
+{
+
+enum class Level {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// @brief Where the log goes and how much of it.
+struct Options
+{
+    std::string process; ///< name of the process, a field of every line
+    std::string file; ///< path of the log file; standard error when empty
+    Level level = Level::Info;
+    unsigned queueLength = 10'000; ///< lines that wait for the log thread
+};
+
+/// @brief Starts the log. Without it, lines are dropped.
+void start(const Options &options);
+
+/// @brief Writes the lines that wait and stops the log thread.
+void stop();
+
+/// @brief Writes one line.
+/// @param level severity
+/// @param event what happened, a fixed text without variable parts
+/// @param fields further fields, e.g. request and session identifiers
+void write(Level level, std::string_view event, boost::json::object fields = {});
+
+/// @brief Tells whether lines of this level are written, to spare the work of building fields.
+bool isEnabled(Level level);
+
+} // namespace waxwing::log
--- /dev/null
+++ b/packages/support/include/waxwing/support/settings.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <waxwing/support/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief Range and default of a whole number or a duration in its unit.
+struct SettingRange
+{
+    std::int64_t low = 0;
+    std::int64_t high = 0;
+    std::int64_t fallback = 0;
+};
+
+/// @brief Checked access to a TOML settings file.
+///
+/// Reads never fail; each problem (missing key, wrong type, out of range, unknown key) is added to errors() with file
+/// and line. Keys are dotted paths such as `proxy.listen`. Keys that hold a duration end in their unit, `_ms`.
+class Settings
+{
+public:
+    /// @brief Parses a file.
+    /// @param path path of the TOML file
+    static Settings load(const std::string &path);
+
+    /// @brief Parses text.
+    /// @param text TOML text
+    /// @param name name of the source in error messages
+    static Settings parse(std::string_view text, std::string_view name);
+
+    Settings(Settings &&) noexcept;
+    Settings &operator=(Settings &&) noexcept;
+    ~Settings();
+
+    /// @brief Reads a text that must be present.
+    std::string text(std::string_view key);
+
+    /// @brief Reads a text that may be absent.
+    std::string text(std::string_view key, std::string_view fallback);
+
+    /// @brief Reads one of a set of words.
+    /// @param choices allowed words; the first is the default
+    std::string choice(std::string_view key, std::span<const std::string_view> choices);
+
+    /// @brief Reads a list of texts.
+    std::vector<std::string> texts(std::string_view key);
+
+    /// @brief Reads a whole number.
+    std::int64_t integer(std::string_view key, const SettingRange &range);
+
+    /// @brief Reads a duration in milliseconds; @p key must end in `_ms`.
+    Duration milliseconds(std::string_view key, const SettingRange &range);
+
+    /// @brief Reads a real number.
+    double real(std::string_view key, double low, double high, double fallback);
+
+    /// @brief Reads a yes or no.
+    bool boolean(std::string_view key, bool fallback);
+
+    /// @brief Adds an error for each key that was never read; call after all reads.
+    void refuseUnknownKeys();
+
+    /// @brief Problems found so far, one sentence each, with file and line.
+    const std::vector<std::string> &errors() const;
+
+private:
+    Settings();
+
+    struct Data;
+    std::unique_ptr<Data> m_data;
+};
+
+} // namespace waxwing
