--- a/packages/coordination/include/waxwing/coordination/endpoint_state.h
+++ b/packages/coordination/include/waxwing/coordination/endpoint_state.h
@@ -17,7 +17,7 @@
 /// @brief What decisions need to know about one database of a group.
 struct EndpointState
 {
-    std::string name;
+    std::string name {};
     bool isUsable = false; ///< announced, connected, neither leaving nor ejected
     std::size_t running = 0; ///< statements that hold a slot
     std::size_t limit = 0; ///< statements that may run at a time now; at most the slots
--- /dev/null
+++ b/packages/coordination/include/waxwing/coordination/fingerprint.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace waxwing
+{
+
+/// @brief Text that statements of the same shape share: numbers, quoted strings and words after the second become `?`.
+std::string fingerprintText(std::string_view statement);
+
+/// @brief Hash of the fingerprint of a statement.
+std::uint64_t fingerprint(std::string_view statement);
+
+} // namespace waxwing
--- a/packages/coordination/include/waxwing/coordination/read_routing.h
+++ b/packages/coordination/include/waxwing/coordination/read_routing.h
@@ -34,8 +34,8 @@
 {
     FreshnessMode mode = FreshnessMode::Session;
     Duration maxAge {}; ///< for MaxAge
-    std::optional<SessionPosition> session; ///< for Session; without it, the primary serves the read
-    TimePoint arrivedAt; ///< from which the session wait is counted
+    std::optional<SessionPosition> session {}; ///< for Session; without it, the primary serves the read
+    TimePoint arrivedAt {}; ///< from which the session wait is counted
 };
 
 /// @brief State of a group in which reads are routed.
@@ -57,8 +57,8 @@
     };
 
     Kind kind = Kind::Wait;
-    EndpointSet preferred;
-    EndpointSet overflow;
+    EndpointSet preferred {};
+    EndpointSet overflow {};
     TimePoint recheckAt = TimePoint::max();
     RefusalReason reason = RefusalReason::NoPrimary; ///< for Refuse, and for Wait when the deadline passes
 };
--- a/packages/coordination/include/waxwing/coordination/session_token.h
+++ b/packages/coordination/include/waxwing/coordination/session_token.h
@@ -16,7 +16,7 @@
 /// @brief Latest write that a session has seen in one service.
 struct SessionPosition
 {
-    TermPosition seen;
+    TermPosition seen {};
     bool uncertain = false; ///< a write of the session may have run; only the primary may serve its reads
 
     bool operator==(const SessionPosition &other) const = default;
--- /dev/null
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <waxwing/coordination/admission_queue.h>
+#include <waxwing/coordination/decaying_sum.h>
+#include <waxwing/coordination/endpoint_state.h>
+#include <waxwing/coordination/read_routing.h>
+#include <waxwing/support/time.h>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace waxwing
+{
+
+class Random;
+
+struct SlotScheduleOptions
+{
+    /// Part of the slot time that long work gets at least while it waits.
+    double longShare = 0.2;
+    /// Half-life of the slot time by which the share is measured.
+    Duration shareHalfLife = 2s;
+};
+
+/// @brief Where a statement may run: on a preferred endpoint, or on an overflow one if no preferred one has a free slot.
+struct RunPlaces
+{
+    EndpointSet preferred {};
+    EndpointSet overflow {};
+};
+
+/// @brief A statement that starts now.
+struct Assignment
+{
+    std::uint64_t statement = 0;
+    std::size_t endpoint = 0; ///< index into the endpoints
+};
+
+/// @brief Largest number of slots of an endpoint that long work may hold.
+/// @param limit statements that may run at a time
+constexpr std::size_t longSlots(std::size_t limit)
+{
+    // With a single slot, long work could otherwise never run.
+    return limit > 1 ? limit - 1 : limit;
+}
+
+/// @brief Decides which waiting statement goes to which endpoint.
+class SlotSchedule
+{
+public:
+    explicit SlotSchedule(SlotScheduleOptions options = {});
+
+    /// @brief Chooses the next statement to start.
+    /// @param queue waiting statements; the caller removes the chosen one
+    /// @param places callable that returns the RunPlaces of a QueuedStatement now
+    /// @return nothing if no statement can start
+    template<class Queue, class Places>
+    std::optional<Assignment> next(const Queue &queue, std::span<const EndpointState> endpoints, Places places, Random &random, TimePoint now) const
+    {
+        if constexpr (!Queue::OrderType::separatesClasses) {
+            return choose(queue, WorkClass::Short, endpoints, places, random);
+        }
+        std::array classes {WorkClass::Short, WorkClass::Long};
+        if (isLongOwed(now)) {
+            std::swap(classes[0], classes[1]);
+        }
+        for (const auto workClass : classes) {
+            if (const auto assignment = choose(queue, workClass, endpoints, places, random)) {
+                return assignment;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// @brief Adds slot time that a statement used while it ran; called when it finishes and, for long work, at each reclassification.
+    /// @param longWaits whether long work waits; slot time while none waits does not count towards its share
+    void recordUse(WorkClass workClass, Duration slotTime, bool longWaits, TimePoint now);
+
+    /// @brief Tells whether long work has had less than its share.
+    bool isLongOwed(TimePoint now) const;
+
+    /// @brief Slots that a class can use on the databases that a statement can run on.
+    /// @param primary index of the primary, or the number of endpoints if none is known
+    static double slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
+
+private:
+    static EndpointSet free(EndpointSet set, WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
+
+    template<class Queue, class Places>
+    std::optional<Assignment> choose(const Queue &queue, WorkClass workClass, std::span<const EndpointState> endpoints, Places &places, Random &random) const
+    {
+        EndpointSet chosen;
+        const auto *statement = queue.first(workClass, [&](const QueuedStatement &candidate) {
+            const RunPlaces where = places(candidate);
+            auto set = free(where.preferred, candidate.workClass, Queue::OrderType::separatesClasses, endpoints);
+            if (set.none()) {
+                set = free(where.overflow, candidate.workClass, Queue::OrderType::separatesClasses, endpoints);
+            }
+            if (set.any()) {
+                chosen = set;
+            }
+            return set.any();
+        });
+        if (statement == nullptr) {
+            return std::nullopt;
+        }
+        const auto endpoint = chooseOfTwo(chosen, endpoints, random);
+        return endpoint ? std::optional(Assignment {statement->id, *endpoint}) : std::nullopt;
+    }
+
+    SlotScheduleOptions m_options;
+    DecayingSum m_longUse;
+    DecayingSum m_totalUse;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
@@ -0,0 +1,59 @@
+#include <waxwing/coordination/slot_schedule.h>
+
+namespace waxwing
+{
+
+SlotSchedule::SlotSchedule(SlotScheduleOptions options)
+    : m_options(options)
+    , m_longUse(options.shareHalfLife)
+    , m_totalUse(options.shareHalfLife)
+{
+}
+
+EndpointSet SlotSchedule::free(EndpointSet set, WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints)
+{
+    set = withFreeSlot(set, endpoints);
+    if (separatesClasses && workClass == WorkClass::Long) {
+        for (std::size_t i = 0; i < set.size(); ++i) {
+            if (set.test(i) && endpoints[i].runningLong >= longSlots(endpoints[i].limit)) {
+                set.reset(i);
+            }
+        }
+    }
+    return set;
+}
+
+void SlotSchedule::recordUse(WorkClass workClass, Duration slotTime, bool longWaits, TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(slotTime).count();
+    if (workClass == WorkClass::Long) {
+        m_longUse.add(seconds, now);
+        m_totalUse.add(seconds, now);
+    } else if (longWaits) {
+        m_totalUse.add(seconds, now);
+    }
+}
+
+bool SlotSchedule::isLongOwed(TimePoint now) const
+{
+    return m_longUse.value(now) < m_options.longShare * m_totalUse.value(now);
+}
+
+double SlotSchedule::slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary)
+{
+    double slots = 0.0;
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+        const auto &endpoint = endpoints[i];
+        if (!endpoint.isUsable || (statement.requiresPrimary && i != primary)) {
+            continue;
+        }
+        if (statement.workClass == WorkClass::Long) {
+            slots += static_cast<double>(longSlots(endpoint.limit));
+        } else {
+            slots += static_cast<double>(endpoint.limit - std::min(endpoint.limit, endpoint.runningLong));
+        }
+    }
+    return slots;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule_test.cpp
@@ -0,0 +1,135 @@
+#include <waxwing/coordination/slot_schedule.h>
+#include <waxwing/support/random.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace waxwing;
+
+namespace
+{
+
+const TimePoint start = TimePoint(100s);
+
+QueuedStatement statement(std::uint64_t id, WorkClass workClass, bool requiresPrimary = false)
+{
+    return {
+        .id = id,
+        .workClass = workClass,
+        .requiresPrimary = requiresPrimary,
+        .caller = "a",
+        .weight = 1.0,
+        .predictedCost = workClass == WorkClass::Long ? Duration(100ms) : Duration(2ms),
+        .arrivedAt = start,
+        .deadline = start + 10s,
+    };
+}
+
+EndpointState endpoint(std::string name, std::size_t running, std::size_t runningLong, std::size_t limit = 3)
+{
+    return {.name = std::move(name), .isUsable = true, .running = running, .limit = limit, .runningLong = runningLong};
+}
+
+RunPlaces anywhere(const QueuedStatement &)
+{
+    return {.preferred = EndpointSet(0b111), .overflow = {}};
+}
+
+} // namespace
+
+class SlotScheduleTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SlotScheduleTest);
+    CPPUNIT_TEST(longWorkLeavesOneSlot);
+    CPPUNIT_TEST(longWorkGetsItsShare);
+    CPPUNIT_TEST(overflowOnlyWithoutFreePreferredSlot);
+    CPPUNIT_TEST(statementsThatCanNotRunAreSkipped);
+    CPPUNIT_TEST(fifoLetsLongWorkHoldAllSlots);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against long work that holds all slots of a database.
+    void longWorkLeavesOneSlot()
+    {
+        AdmissionQueue<DensityOrder> queue;
+        queue.admit(statement(1, WorkClass::Long), 2, start);
+        const SlotSchedule schedule;
+        Random random(1);
+        const std::vector full {endpoint("a", 2, 2), endpoint("b", 2, 2), endpoint("c", 2, 2)};
+        CPPUNIT_ASSERT(!schedule.next(queue, full, anywhere, random, start));
+        const std::vector room {endpoint("a", 2, 2), endpoint("b", 2, 1), endpoint("c", 2, 2)};
+        const auto chosen = schedule.next(queue, room, anywhere, random, start);
+        CPPUNIT_ASSERT(chosen && chosen->endpoint == 1);
+        const std::vector single {endpoint("a", 0, 0, 1)};
+        CPPUNIT_ASSERT(schedule.next(queue, single, anywhere, random, start));
+    }
+
+    // Guards against long work that starves while short work keeps arriving.
+    void longWorkGetsItsShare()
+    {
+        SlotSchedule schedule({.longShare = 0.2});
+        Random random(1);
+        const std::vector one {endpoint("a", 0, 0)};
+        double longTime = 0.0;
+        double allTime = 0.0;
+        auto now = start;
+        for (std::uint64_t id = 1; id < 5'000; id += 2) {
+            AdmissionQueue<DensityOrder> queue;
+            queue.admit(statement(id, WorkClass::Short), 3, now);
+            queue.admit(statement(id + 1, WorkClass::Long), 2, now);
+            const auto chosen = schedule.next(queue, one, anywhere, random, now);
+            CPPUNIT_ASSERT(chosen);
+            const bool isLong = chosen->statement == id + 1;
+            const Duration used = isLong ? 100ms : 2ms;
+            now += used;
+            schedule.recordUse(isLong ? WorkClass::Long : WorkClass::Short, used, true, now);
+            longTime += isLong ? 100.0 : 0.0;
+            allTime += isLong ? 100.0 : 2.0;
+        }
+        CPPUNIT_ASSERT(longTime >= 0.18 * allTime);
+        CPPUNIT_ASSERT(longTime <= 0.3 * allTime);
+    }
+
+    // Guards against reads on the primary while a suitable replica is free.
+    void overflowOnlyWithoutFreePreferredSlot()
+    {
+        AdmissionQueue<DensityOrder> queue;
+        queue.admit(statement(1, WorkClass::Short), 3, start);
+        const SlotSchedule schedule;
+        Random random(1);
+        const auto places = [](const QueuedStatement &) {
+            return RunPlaces {.preferred = EndpointSet(0b110), .overflow = EndpointSet(0b001)};
+        };
+        const std::vector busy {endpoint("a", 0, 0), endpoint("b", 3, 0), endpoint("c", 2, 0)};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), schedule.next(queue, busy, places, random, start)->endpoint);
+        const std::vector full {endpoint("a", 0, 0), endpoint("b", 3, 0), endpoint("c", 3, 0)};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), schedule.next(queue, full, places, random, start)->endpoint);
+    }
+
+    // Guards against a write without a primary, or a read that waits for a replica, that blocks the statements behind it.
+    void statementsThatCanNotRunAreSkipped()
+    {
+        AdmissionQueue<DensityOrder> queue;
+        queue.admit(statement(1, WorkClass::Short, true), 3, start);
+        queue.admit(statement(2, WorkClass::Short), 3, start);
+        const SlotSchedule schedule;
+        Random random(1);
+        const std::vector one {endpoint("a", 2, 0)};
+        const auto places = [](const QueuedStatement &candidate) {
+            return RunPlaces {.preferred = candidate.requiresPrimary ? EndpointSet() : EndpointSet(0b1), .overflow = {}};
+        };
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), schedule.next(queue, one, places, random, start)->statement);
+    }
+
+    // Guards against a baseline that has the limit for long work built in.
+    void fifoLetsLongWorkHoldAllSlots()
+    {
+        AdmissionQueue<FifoOrder> queue({.predictsDeadlines = false});
+        queue.admit(statement(1, WorkClass::Long), 3, start);
+        const SlotSchedule schedule;
+        Random random(1);
+        const std::vector one {endpoint("a", 2, 2)};
+        CPPUNIT_ASSERT(schedule.next(queue, one, anywhere, random, start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SlotScheduleTest);
