--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/hedge_policy.cpp
@@ -0,0 +1,27 @@
+#include <waxwing/coordination/hedge_policy.h>
+
+#include <algorithm>
+
+namespace waxwing
+{
+
+HedgePolicy::HedgePolicy(HedgeOptions options)
+    : m_options(options)
+{
+}
+
+std::optional<TimePoint> HedgePolicy::hedgeAt(const RunningStatement &statement) const
+{
+    // A second attempt of a long read doubles the most expensive work.
+    if (!statement.isRead || statement.inTransaction || statement.workClass == WorkClass::Long || statement.attempts != 1) {
+        return std::nullopt;
+    }
+    const auto stuckAfter = std::chrono::duration_cast<Duration>(statement.predictedCost * m_options.factor);
+    const auto at = statement.startedAt + std::max(stuckAfter, m_options.minDelay);
+    if (at + statement.predictedCost >= statement.deadline) {
+        return std::nullopt;
+    }
+    return at;
+}
+
+} // namespace waxwing
