--- /dev/null
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -0,0 +1,487 @@
+#pragma once
+
+#include <waxwing/coordination/disk_writer.h>
+#include <waxwing/coordination/log_membership.h>
+#include <waxwing/coordination/log_types.h>
+#include <waxwing/state/posix_file_system.h>
+#include <waxwing/state/state_machine.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/identifier.h>
+#include <waxwing/support/invariant.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief Member of a replicated log: drives a RaftNode and applies committed commands to a state machine.
+///
+/// Runs on the thread of its context; the disk has a second thread. `propose`, `read`, `changeMembership` and `receive`
+/// may be called on any thread; everything else, and all handlers, belong to the context's thread. Handlers may call the
+/// host again. The host must be destroyed on the context's thread or after the context has stopped; handlers that still
+/// wait are then dropped.
+template<StateMachine Machine, LogPeers Peers, FileSystem Files = PosixFileSystem>
+class LogHost
+{
+public:
+    /// @brief Creates a member that does not run yet.
+    /// @param context its thread runs the host; must outlive it
+    /// @param peers way to the other members; must outlive the host
+    /// @param machine empty state machine, owned by the host
+    LogHost(boost::asio::io_context &context, Peers &peers, Machine machine, LogHostOptions options, Files files = Files())
+        : m_context(context)
+        , m_peers(peers)
+        , m_machine(std::move(machine))
+        , m_options(std::move(options))
+        , m_files(std::move(files))
+        , m_timer(context)
+        , m_upkeepTimer(context)
+        , m_members(m_options.address, m_options.initialMembers)
+    {
+    }
+
+    LogHost(const LogHost &) = delete;
+    LogHost &operator=(const LogHost &) = delete;
+
+    ~LogHost()
+    {
+        m_writer.reset();
+    }
+
+    /// @brief Reads the disk, restores the snapshot and starts to take part.
+    /// @return an error that names the file and, for corruption, the offset; the process should then stop
+    StateResult<void> start()
+    {
+        BOOST_OUTCOME_TRY(auto store, RaftStore<Files>::open(std::move(m_files), m_options.folder));
+        if (store->truncatedBytes() != 0) {
+            log::write(log::Level::Warning, "torn tail of the log truncated", {{"folder", m_options.folder}, {"bytes", store->truncatedBytes()}});
+        }
+        m_node.emplace(store->id(), m_options.raft, store->takeState(), randomIdentifier(), Clock::now());
+        if (!restore(m_node->takeOutput(Clock::now()).restore)) {
+            return StateError {StateErrorCode::Corrupt, m_options.folder + "/snapshot: the state machine can't read it"};
+        }
+        m_writer = std::make_unique<DiskWriter<Files>>(
+            std::move(store), [this](std::uint64_t sequence) { post([this, sequence] { stored(sequence); }); },
+            [this](StateError error) { post([this, error = std::move(error)] { fail(error); }); });
+        m_members.start(m_node->id());
+        log::write(log::Level::Info, "log member started",
+                   {{"folder", m_options.folder}, {"member", toHex(m_node->id())}, {"term", m_node->term()}, {"last_index", m_node->log().lastIndex()}});
+        upkeep();
+        process();
+        return boost::outcome_v2::success();
+    }
+
+    /// @brief Adds a command to the log.
+    /// @param command bytes for Machine::apply
+    /// @param handler called once; on the calling thread if the outcome is Overloaded, else on the context's thread
+    void propose(std::string command, ProposeHandler handler)
+    {
+        if (!admit()) {
+            handler({LogOutcome::Overloaded, 0, {}, {}});
+            return;
+        }
+        post([this, command = std::move(command), handler = std::move(handler)]() mutable {
+            const auto index = m_node->propose(std::move(command));
+            if (!index) {
+                release();
+                handler({LogOutcome::NotLeader, 0, {}, leaderAddress()});
+                return;
+            }
+            m_proposals.emplace(*index, std::move(handler));
+            scheduleProcess();
+        });
+    }
+
+    /// @brief Reads the state machine at a moment when it holds every command that was acknowledged before the call.
+    /// @param handler called once, and may use machine() if the outcome is Done; on the calling thread if it is Overloaded
+    void read(ReadHandler handler)
+    {
+        if (!admit()) {
+            handler({LogOutcome::Overloaded, 0, {}});
+            return;
+        }
+        post([this, handler = std::move(handler)]() mutable {
+            if (m_node->role() != RaftNode::Role::Leader) {
+                release();
+                handler({LogOutcome::NotLeader, 0, leaderAddress()});
+                return;
+            }
+            m_reads.push_back(std::move(handler));
+            scheduleProcess();
+        });
+    }
+
+    /// @brief Changes one member; only one change runs at a time.
+    /// @param handler called once, with Done when the change is committed
+    void changeMembership(RaftMembershipChange change, MembershipHandler handler)
+    {
+        post([this, change = std::move(change), handler = std::move(handler)]() mutable {
+            LogIndex index = 0;
+            const auto error = m_node->changeMembership(Clock::now(), change, index);
+            if (error == RaftChangeError::NotLeader) {
+                handler({LogOutcome::NotLeader, error, leaderAddress()});
+            } else if (error != RaftChangeError::None) {
+                handler({LogOutcome::Refused, error, {}});
+            } else {
+                m_changes.emplace(index, std::move(handler));
+                scheduleProcess();
+            }
+        });
+    }
+
+    /// @brief Takes a packet that a peer sent.
+    void receive(std::string packet)
+    {
+        post([this, packet = std::move(packet)] { receiveNow(packet); });
+    }
+
+    /// @brief Calls back after each applied entry, and after a snapshot was restored, with the index.
+    void observe(std::function<void(LogIndex index)> callback)
+    {
+        m_observers.push_back(std::move(callback));
+    }
+
+    /// @brief Calls back when this member has become leader and its machine is up to date (true), and when it no longer
+    /// leads (false).
+    void observeLeadership(std::function<void(bool leads, LogTerm term)> callback)
+    {
+        m_leadershipObservers.push_back(std::move(callback));
+    }
+
+    /// @brief Calls back once after a disk error; the member no longer takes part, and the process should stop.
+    void observeFailure(std::function<void(const StateError &error)> callback)
+    {
+        m_failureObservers.push_back(std::move(callback));
+    }
+
+    /// @brief Tells whether this member leads with a valid lease, so that no other member can be leader now.
+    bool isLeader() const
+    {
+        return m_node && m_leads && m_node->canRead(Clock::now());
+    }
+
+    /// @brief Applied state. Up to date only in a handler of read(); on other members it may lag.
+    const Machine &machine() const
+    {
+        return m_machine;
+    }
+
+    /// @brief Present state of this member.
+    LogStatus status() const
+    {
+        LogStatus status;
+        status.address = m_options.address;
+        if (m_node) {
+            status.id = m_node->id();
+            status.role = m_node->role();
+            status.term = m_node->term();
+            status.leader = m_node->leader();
+            status.leaderAddress = leaderAddress();
+            status.commitIndex = m_node->commitIndex();
+            status.appliedIndex = m_appliedIndex;
+            status.snapshotIndex = m_node->snapshotIndex();
+            status.membership = m_node->log().membership();
+            status.ready = isLeader();
+            status.failed = m_node->hasFailed();
+        }
+        return status;
+    }
+
+private:
+    template<class Function>
+    void post(Function function)
+    {
+        boost::asio::post(m_context, [alive = std::weak_ptr<int>(m_alive), function = std::move(function)]() mutable {
+            if (!alive.expired()) {
+                function();
+            }
+        });
+    }
+
+    bool admit()
+    {
+        if (m_admitted.fetch_add(1) < m_options.proposalLimit) {
+            return true;
+        }
+        release();
+        Metrics::instance().counter("waxwing_log_refusals_total", "reason", "overloaded").add();
+        return false;
+    }
+
+    void release()
+    {
+        m_admitted.fetch_sub(1);
+    }
+
+    std::string leaderAddress() const
+    {
+        return m_node->leader() == 0 ? std::string() : m_members.address(m_node->leader());
+    }
+
+    void receiveNow(const std::string &bytes)
+    {
+        wire::RaftPacket packet;
+        if (!m_node || !packet.ParseFromString(bytes)) {
+            Metrics::instance().counter("waxwing_log_refusals_total", "reason", "unreadable-packet").add();
+            return;
+        }
+        if (packet.has_message()) {
+            m_members.learnAddress(packet.message().from(), packet.from_address());
+            m_node->receive(Clock::now(), packet.message());
+            scheduleProcess();
+        } else {
+            sendPackets(m_members.receive(packet, m_node->log().membership(), m_node->term() == 0 && m_node->log().lastIndex() == 0));
+        }
+    }
+
+    void stored(std::uint64_t sequence)
+    {
+        m_writer->pushOverflow();
+        m_node->stored(Clock::now(), sequence);
+        scheduleProcess();
+    }
+
+    void fail(const StateError &error)
+    {
+        log::write(log::Level::Error, "log member stopped after a disk error", {{"folder", m_options.folder}, {"error", error.message}});
+        Metrics::instance().counter("waxwing_log_disk_failures_total").add();
+        m_node->fail();
+        process();
+        for (const auto &observer : m_failureObservers) {
+            observer(error);
+        }
+    }
+
+    /// Several events that wait on the context share one step, so that their entries share messages and fsyncs.
+    void scheduleProcess()
+    {
+        if (!std::exchange(m_processScheduled, true)) {
+            post([this] { process(); });
+        }
+    }
+
+    void process()
+    {
+        m_processScheduled = false;
+        const auto now = Clock::now();
+        m_node->tick(now);
+        auto output = m_node->takeOutput(now);
+        for (const auto &message : output.messages) {
+            sendMessage(message);
+        }
+        for (auto &write : output.writes) {
+            m_writer->add(std::move(write));
+        }
+        if (!restore(output.restore)) {
+            fail({StateErrorCode::Corrupt, m_options.folder + ": the state machine can't read the leader's snapshot"});
+            return;
+        }
+        applyCommitted();
+        finishLost();
+        answerReads();
+        noteLeadership();
+        if (m_appliedIndex >= m_node->snapshotIndex() + m_options.snapshotEvery && !m_node->isCompacting()) {
+            const auto state = m_machine.snapshot();
+            m_node->compact(m_appliedIndex, std::string(reinterpret_cast<const char *>(state.data()), state.size()));
+            scheduleProcess();
+        }
+        armTimer();
+    }
+
+    bool restore(const std::shared_ptr<const RaftSnapshot> &snapshot)
+    {
+        if (!snapshot) {
+            return true;
+        }
+        wire::RaftSnapshot message;
+        if (!message.ParseFromString(snapshot->encoded) || !m_machine.restore(std::as_bytes(std::span(message.state())))) {
+            return false;
+        }
+        m_appliedIndex = snapshot->index;
+        notify();
+        return true;
+    }
+
+    void notify()
+    {
+        for (const auto &observer : m_observers) {
+            observer(m_appliedIndex);
+        }
+    }
+
+    void applyCommitted()
+    {
+        while (m_appliedIndex < m_node->commitIndex()) {
+            const auto &entry = m_node->log().at(m_appliedIndex + 1);
+            std::vector<std::byte> result;
+            if (entry.kind == wire::RAFT_ENTRY_KIND_COMMAND) {
+                result = m_machine.apply(m_appliedIndex + 1, std::as_bytes(std::span(entry.data)));
+            }
+            ++m_appliedIndex;
+            notify();
+            if (auto proposal = m_proposals.extract(m_appliedIndex)) {
+                release();
+                proposal.mapped()({LogOutcome::Done, m_appliedIndex, std::move(result), {}});
+            } else if (auto change = m_changes.extract(m_appliedIndex)) {
+                change.mapped()({LogOutcome::Done, RaftChangeError::None, {}});
+            }
+        }
+    }
+
+    /// Handlers wait only while this member leads: an entry of a lost term may be replaced.
+    void finishLost()
+    {
+        if (m_node->role() == RaftNode::Role::Leader && m_node->term() == m_pendingTerm) {
+            return;
+        }
+        m_pendingTerm = m_node->term();
+        for (auto &[index, handler] : std::exchange(m_proposals, {})) {
+            release();
+            handler({LogOutcome::Unknown, 0, {}, leaderAddress()});
+        }
+        for (auto &[index, handler] : std::exchange(m_changes, {})) {
+            handler({LogOutcome::Unknown, RaftChangeError::None, leaderAddress()});
+        }
+        for (auto &handler : std::exchange(m_reads, {})) {
+            release();
+            handler({LogOutcome::NotLeader, 0, leaderAddress()});
+        }
+    }
+
+    void answerReads()
+    {
+        while (!m_reads.empty() && m_node->canRead(Clock::now())) {
+            auto handler = std::move(m_reads.front());
+            m_reads.pop_front();
+            release();
+            handler({LogOutcome::Done, m_appliedIndex, {}});
+        }
+    }
+
+    void noteLeadership()
+    {
+        const bool leads = m_node->role() == RaftNode::Role::Leader && (m_node->canRead(Clock::now()) || (m_leads && m_leadTerm == m_node->term()));
+        if (leads == m_leads && (!leads || m_leadTerm == m_node->term())) {
+            return;
+        }
+        const bool changedTerm = leads && m_leads;
+        m_leads = leads;
+        m_leadTerm = m_node->term();
+        log::write(log::Level::Info, leads ? "log member leads" : "log member no longer leads", {{"folder", m_options.folder}, {"term", m_leadTerm}});
+        for (const auto &observer : m_leadershipObservers) {
+            if (changedTerm) {
+                observer(false, m_leadTerm);
+            }
+            observer(leads, m_leadTerm);
+        }
+    }
+
+    void sendMessage(const wire::RaftMessage &message)
+    {
+        const auto address = m_members.addressOf(message.to(), m_node->log().membership());
+        if (address.empty()) {
+            return;
+        }
+        wire::RaftPacket packet;
+        packet.set_from_address(m_options.address);
+        *packet.mutable_message() = message;
+        m_peers.send(address, packet.SerializeAsString());
+    }
+
+    void sendPackets(const std::vector<LogMembership::Addressed> &packets)
+    {
+        for (const auto &[address, packet] : packets) {
+            m_peers.send(address, packet.SerializeAsString());
+        }
+    }
+
+    void armTimer()
+    {
+        const auto deadline = m_node->deadline();
+        if (deadline == TimePoint::max() || (m_armed && *m_armed <= deadline)) {
+            return;
+        }
+        m_armed = deadline;
+        m_timer.expires_at(deadline);
+        m_timer.async_wait([this, alive = std::weak_ptr<int>(m_alive)](const boost::system::error_code &error) {
+            if (!error && !alive.expired()) {
+                m_armed.reset();
+                process();
+            }
+        });
+    }
+
+    /// Forms or joins a log, and manages its members while this member leads.
+    void upkeep()
+    {
+        const bool empty = m_node->term() == 0 && m_node->log().lastIndex() == 0;
+        if (empty && m_members.canBootstrap()) {
+            m_node->bootstrap(Clock::now(), m_members.initialMembership());
+            scheduleProcess();
+        } else if (m_node->log().membership().members().empty()) {
+            sendPackets(m_members.joinRequests());
+        } else if (m_options.manageMembers && m_leads) {
+            const auto now = Clock::now();
+            if (auto change = m_members.nextChange(
+                    m_node->log().membership(), [&](MemberId id) { return m_node->isCaughtUp(now, id); },
+                    [&](MemberId id) { return m_node->isActive(now, id); })) {
+                LogIndex index = 0;
+                const auto error = m_node->changeMembership(now, *change, index);
+                if (error == RaftChangeError::None) {
+                    log::write(log::Level::Info, "log membership change started",
+                               {{"folder", m_options.folder}, {"member", toHex(change->id)}, {"index", index}});
+                    scheduleProcess();
+                }
+            }
+        }
+        m_upkeepTimer.expires_after(m_options.joinInterval);
+        m_upkeepTimer.async_wait([this, alive = std::weak_ptr<int>(m_alive)](const boost::system::error_code &error) {
+            if (!error && !alive.expired()) {
+                upkeep();
+            }
+        });
+    }
+
+    boost::asio::io_context &m_context;
+    Peers &m_peers;
+    Machine m_machine;
+    LogHostOptions m_options;
+    Files m_files;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_upkeepTimer;
+    std::optional<TimePoint> m_armed;
+    LogMembership m_members;
+    std::optional<RaftNode> m_node;
+    std::unique_ptr<DiskWriter<Files>> m_writer;
+
+    LogIndex m_appliedIndex = 0;
+    bool m_processScheduled = false;
+    std::atomic<std::size_t> m_admitted {0};
+    std::map<LogIndex, ProposeHandler> m_proposals;
+    std::map<LogIndex, MembershipHandler> m_changes;
+    std::deque<ReadHandler> m_reads;
+    LogTerm m_pendingTerm = 0;
+    bool m_leads = false;
+    LogTerm m_leadTerm = 0;
+    std::vector<std::function<void(LogIndex)>> m_observers;
+    std::vector<std::function<void(bool, LogTerm)>> m_leadershipObservers;
+    std::vector<std::function<void(const StateError &)>> m_failureObservers;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0); // shared only so that posted handlers can tell that the host is gone
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/coordination/include/waxwing/coordination/log_membership.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <waxwing/coordination/raft_node.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief How the members of a log find each other: forms a new log, joins an existing one, and replaces a member whose
+/// disk was lost.
+///
+/// Every member with an empty disk sends a join request to all initial addresses. The first members form a log only after
+/// each of them replied to this very process that its disk is empty too. Otherwise the leader answers a join request from
+/// an initial address by removing the identity that had this address and adding the new one as a learner.
+class LogMembership
+{
+public:
+    /// Packet and the address that it goes to.
+    struct Addressed
+    {
+        std::string address;
+        wire::RaftPacket packet;
+    };
+
+    /// @brief Creates the member's view.
+    /// @param address address of this member
+    /// @param initialMembers addresses of the first members
+    LogMembership(std::string address, std::vector<std::string> initialMembers);
+
+    /// @brief Sets the identity of this member's disk.
+    void start(MemberId id);
+
+    /// @brief Handles a join request or reply.
+    /// @param membership present membership
+    /// @param empty this member's disk is empty
+    /// @return replies
+    std::vector<Addressed> receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty);
+
+    /// @brief Requests to send while this member belongs to no log.
+    std::vector<Addressed> joinRequests() const;
+
+    /// @brief Tells whether all initial members are known to have empty disks.
+    bool canBootstrap() const;
+
+    /// @brief First membership; the same on every member that can bootstrap.
+    wire::RaftMembership initialMembership() const;
+
+    /// @brief Decides the next change that a leader should start.
+    /// @param isCaughtUp tells whether a learner may vote
+    /// @param isActive tells whether a member was heard from lately
+    std::optional<RaftMembershipChange> nextChange(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
+                                                   const std::function<bool(MemberId)> &isActive);
+
+    /// @brief Remembers where packets of a member came from.
+    void learnAddress(MemberId id, const std::string &address);
+
+    /// @brief Last known address of a member, empty if unknown.
+    std::string address(MemberId id) const;
+
+    /// @brief Address of a member by the membership, else the last known one.
+    std::string addressOf(MemberId id, const wire::RaftMembership &membership) const;
+
+private:
+    std::string m_address;
+    std::vector<std::string> m_initialMembers;
+    MemberId m_id = 0;
+    std::uint64_t m_nonce;
+    std::map<std::string, MemberId> m_emptyMembers; ///< by address, from replies to this process
+    std::map<std::string, MemberId> m_joining; ///< last join request by address
+    std::map<MemberId, std::string> m_addresses;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/log_host_test.cpp
@@ -0,0 +1,143 @@
+#include "log_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace waxwing;
+
+class LogHostTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LogHostTest);
+    CPPUNIT_TEST(singleMemberKeepsAcknowledgedCommands);
+    CPPUNIT_TEST(newLeaderKeepsAcknowledgedCommands);
+    CPPUNIT_TEST(snapshotRestoresMemberBehindCompaction);
+    CPPUNIT_TEST(emptyDiskJoinsUnderNewIdentity);
+    CPPUNIT_TEST(diskErrorStopsMember);
+    CPPUNIT_TEST(fullQueueIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a command that is acknowledged before it is durable.
+    void singleMemberKeepsAcknowledgedCommands()
+    {
+        LogCluster cluster({"a"});
+        cluster.startAll();
+        cluster.propose("one");
+        cluster.propose("two");
+        cluster.crash("a");
+        CPPUNIT_ASSERT(cluster.start("a").has_value());
+        cluster.leader();
+        CPPUNIT_ASSERT(cluster.host("a").machine().commands() == std::vector<std::string>({"one", "two"}));
+    }
+
+    // Guards against a new leader that lacks a command that the lost leader acknowledged.
+    void newLeaderKeepsAcknowledgedCommands()
+    {
+        LogCluster cluster({"a", "b", "c"});
+        cluster.startAll();
+        cluster.propose("one");
+        const auto first = cluster.leader();
+        cluster.crash(first);
+        const auto second = cluster.leader();
+        CPPUNIT_ASSERT(first != second);
+        bool answered = false;
+        cluster.host(second).read([&](const ReadResult &result) {
+            answered = true;
+            CPPUNIT_ASSERT(result.outcome == LogOutcome::Done);
+            CPPUNIT_ASSERT_EQUAL(std::string("one"), cluster.host(second).machine().commands().front());
+        });
+        cluster.runUntil([&] { return answered; });
+    }
+
+    // Guards against a member that stays behind because the entries it misses were compacted, on the network and at start.
+    void snapshotRestoresMemberBehindCompaction()
+    {
+        LogCluster cluster({"a", "b", "c"});
+        cluster.base.snapshotEvery = 10;
+        cluster.base.raft.keepEntries = 2;
+        cluster.base.raft.chunkBytes = 16;
+        cluster.startAll();
+        cluster.propose("first");
+        const auto late = cluster.leader() == "a" ? "b" : "a";
+        cluster.crash(late);
+        for (int i = 0; i < 50; ++i) {
+            cluster.propose("command " + std::to_string(i));
+        }
+        cluster.runUntil([&] { return cluster.host(cluster.leader()).status().snapshotIndex > 10; });
+        const auto expected = cluster.host(cluster.leader()).machine().commands();
+        for (int start = 0; start < 2; ++start) {
+            CPPUNIT_ASSERT(cluster.start(late).has_value());
+            cluster.runUntil([&] { return cluster.host(late).machine().commands() == expected; });
+            CPPUNIT_ASSERT(cluster.host(late).status().snapshotIndex > 10);
+            cluster.crash(late);
+        }
+    }
+
+    // Guards against a member with a lost disk that votes or acknowledges under its old identity.
+    void emptyDiskJoinsUnderNewIdentity()
+    {
+        LogCluster cluster({"a", "b", "c"});
+        cluster.startAll();
+        cluster.propose("one");
+        const auto lost = cluster.leader() == "a" ? "b" : "a";
+        const auto oldId = cluster.host(lost).status().id;
+        cluster.crash(lost);
+        cluster.loseDisk(lost);
+        CPPUNIT_ASSERT(cluster.start(lost).has_value());
+        const auto newId = cluster.host(lost).status().id;
+        CPPUNIT_ASSERT(oldId != newId);
+        cluster.runUntil([&] {
+            const auto membership = cluster.host(lost).status().membership;
+            return isVoter(membership, newId) && findMember(membership, oldId) == nullptr && voterCount(membership) == 3;
+        });
+        cluster.runUntil([&] { return cluster.host(lost).machine().commands().size() == 1; });
+    }
+
+    // Guards against a member that goes on acknowledging after a disk error.
+    void diskErrorStopsMember()
+    {
+        for (const bool full : {true, false}) {
+            LogCluster cluster({"a", "b", "c"});
+            cluster.startAll();
+            cluster.propose("one");
+            const auto broken = cluster.leader();
+            bool reported = false;
+            cluster.host(broken).observeFailure([&](const StateError &error) {
+                reported = true;
+                CPPUNIT_ASSERT(error.code == (full ? StateErrorCode::DiskFull : StateErrorCode::SyncFailed));
+                CPPUNIT_ASSERT(error.message.find("data/log/log-1") != std::string::npos);
+            });
+            if (full) {
+                cluster.disk(broken).bytesLeft = 10;
+            } else {
+                cluster.disk(broken).failSync = true;
+            }
+            cluster.host(broken).propose("two", [](const ProposeResult &) {});
+            cluster.runUntil([&] { return reported; });
+            CPPUNIT_ASSERT(cluster.host(broken).status().failed);
+            CPPUNIT_ASSERT(!cluster.host(broken).isLeader());
+            CPPUNIT_ASSERT(cluster.leader() != broken);
+            cluster.propose("three");
+        }
+    }
+
+    // Guards against a queue of proposals without a bound.
+    void fullQueueIsRefused()
+    {
+        LogCluster cluster({"a"});
+        cluster.base.proposalLimit = 2;
+        cluster.startAll();
+        cluster.leader();
+        int done = 0;
+        int overloaded = 0;
+        for (int i = 0; i < 5; ++i) {
+            cluster.host("a").propose("x", [&](const ProposeResult &result) {
+                done += result.outcome == LogOutcome::Done ? 1 : 0;
+                overloaded += result.outcome == LogOutcome::Overloaded ? 1 : 0;
+            });
+        }
+        cluster.runUntil([&] { return done == 2; });
+        CPPUNIT_ASSERT_EQUAL(3, overloaded);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogHostTest);
--- /dev/null
+++ b/packages/state/include/waxwing/state/memory_file_system.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <waxwing/state/file_system.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief Content of a simulated disk, shared by its open files so that it outlives a simulated process.
+struct MemoryDisk
+{
+    /// Bytes of one file; the part up to `synced` survives a crash.
+    struct Content
+    {
+        std::string bytes;
+        std::string synced;
+    };
+
+    // Shared: open files keep the content while the name table changes, as with an inode.
+    std::map<std::string, std::shared_ptr<Content>> names; ///< names as processes see them
+    std::map<std::string, std::shared_ptr<Content>> durableNames; ///< names as they are after a crash
+    std::optional<std::uint64_t> bytesLeft; ///< free space; nothing for no limit
+    bool failSync = false; ///< fsync returns an error
+
+    /// @brief Drops what was not synced.
+    /// @param keepUnsynced for each file with unsynced appended bytes, how many of them reach the disk all the same
+    template<class KeepUnsynced>
+    void crash(KeepUnsynced &&keepUnsynced)
+    {
+        names = durableNames;
+        for (auto &[name, content] : names) {
+            if (content->bytes.starts_with(content->synced)) {
+                const auto unsynced = content->bytes.size() - content->synced.size();
+                content->bytes.resize(content->synced.size() + (unsynced == 0 ? 0 : keepUnsynced(unsynced)));
+            } else {
+                content->bytes = content->synced;
+            }
+            content->synced = content->bytes;
+        }
+    }
+};
+
+/// @brief File of a MemoryDisk.
+class MemoryFile
+{
+public:
+    MemoryFile(MemoryDisk &disk, std::shared_ptr<MemoryDisk::Content> content, std::string path);
+
+    StateResult<void> append(std::string_view bytes);
+    StateResult<void> sync();
+    StateResult<void> truncate(std::uint64_t size);
+
+private:
+    MemoryDisk *m_disk;
+    std::shared_ptr<MemoryDisk::Content> m_content;
+    std::string m_path;
+};
+
+/// @brief File system for tests: loses unsynced bytes in a crash and returns disk-full and fsync errors.
+class MemoryFileSystem
+{
+public:
+    using File = MemoryFile;
+
+    /// @brief Uses a disk.
+    /// @param disk must outlive this object
+    explicit MemoryFileSystem(MemoryDisk &disk)
+        : m_disk(&disk)
+    {
+    }
+
+    StateResult<File> openAppend(const std::string &path);
+    StateResult<std::string> read(const std::string &path);
+    bool exists(const std::string &path);
+    StateResult<std::vector<std::string>> list(const std::string &path);
+    StateResult<void> createFolder(const std::string &path);
+    StateResult<void> rename(const std::string &from, const std::string &to);
+    StateResult<void> remove(const std::string &path);
+    StateResult<void> syncFolder(const std::string &path);
+
+private:
+    MemoryDisk *m_disk;
+};
+
+static_assert(FileSystem<MemoryFileSystem>);
+
+} // namespace waxwing
