--- a/packages/coordination/src/waxwing/coordination/owner_assignment.cpp
+++ b/packages/coordination/src/waxwing/coordination/owner_assignment.cpp
@@ -1,5 +1,4 @@
 #include <waxwing/coordination/owner_assignment.h>
-
 #include <waxwing/support/identifier.h>
 
 #include <tuple>
--- a/packages/state/include/waxwing/state/state_machine.h
+++ b/packages/state/include/waxwing/state/state_machine.h
@@ -14,10 +14,17 @@
 
 /// @brief Deterministic state that a replicated log keeps equal on all members.
 template<class M>
-concept StateMachine = requires(M machine, const M &constMachine, LogIndex index, std::span<const std::byte> bytes) {
-    { machine.apply(index, bytes) } -> std::same_as<std::vector<std::byte>>; // result for the proposer
-    { constMachine.snapshot() } -> std::same_as<std::vector<std::byte>>;
-    { machine.restore(bytes) } -> std::same_as<bool>; // false when the snapshot is not readable
+concept StateMachine = requires(M machine, const M &constMachine, LogIndex index, std::span<const std::byte> bytes)
+{
+    {
+        machine.apply(index, bytes)
+        } -> std::same_as<std::vector<std::byte>>; // result for the proposer
+    {
+        constMachine.snapshot()
+        } -> std::same_as<std::vector<std::byte>>;
+    {
+        machine.restore(bytes)
+        } -> std::same_as<bool>; // false when the snapshot is not readable
 };
 
 } // namespace waxwing
--- a/packages/state/src/waxwing/state/config_machine.cpp
+++ b/packages/state/src/waxwing/state/config_machine.cpp
@@ -1,5 +1,4 @@
 #include <waxwing/state/config_machine.h>
-
 #include <waxwing/state/message_bytes.h>
 #include <waxwing/support/identifier.h>
 #include <waxwing/support/invariant.h>
--- a/packages/state/src/waxwing/state/intent_machine.cpp
+++ b/packages/state/src/waxwing/state/intent_machine.cpp
@@ -1,5 +1,4 @@
 #include <waxwing/state/intent_machine.h>
-
 #include <waxwing/state/message_bytes.h>
 #include <waxwing/support/identifier.h>
 
--- a/packages/state/src/waxwing/state/resource.cpp
+++ b/packages/state/src/waxwing/state/resource.cpp
@@ -20,7 +20,9 @@
 
 bool isName(std::string_view text)
 {
-    const auto valid = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.'; };
+    const auto valid = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+    };
     return !text.empty() && text.size() <= nameLength && std::all_of(text.begin(), text.end(), valid) && text.front() != '-' && text.front() != '.';
 }
 
--- /dev/null
+++ b/programs/control/control_service.cpp
@@ -0,0 +1,634 @@
+#include "control_service.h"
+
+#include <waxwing/state/message_bytes.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+constexpr std::size_t defaultDatabases = 3;
+
+std::size_t databasesExpected(const wire::Resource &resource)
+{
+    boost::json::error_code error;
+    const auto spec = boost::json::parse(resource.spec_json(), error);
+    if (error || !spec.is_object()) {
+        return defaultDatabases;
+    }
+    const auto *value = spec.get_object().if_contains("databases_expected");
+    return value != nullptr && value->is_int64() ? static_cast<std::size_t>(value->get_int64()) : defaultDatabases;
+}
+
+Counter &counter(std::string_view name)
+{
+    return Metrics::instance().counter(name);
+}
+
+} // namespace
+
+ControlService::ControlService(const ControlServiceOptions &options, const ConfigMachine &machine, LogPort config, LogPort intents, ControlPorts ports)
+    : m_options(options)
+    , m_config(std::move(config))
+    , m_intents(std::move(intents))
+    , m_ports(std::move(ports))
+    , m_state {machine, LeaseTable(options.lease), EndpointDirectory(options.directory), FailureDetector(options.detector), {}, {}}
+    , m_promotions(options.promotion, m_state, m_ports,
+                   [this](wire::ConfigCommand command, PromotionRunner::ProposeHandler handler) { propose(std::move(command), std::move(handler)); })
+{
+}
+
+void ControlService::handleMessage(const std::string &proxy, wire::Envelope &&message)
+{
+    updateLeadership();
+    if (!m_active) {
+        if (message.has_renewal() || message.has_intent_begin() || message.has_intent_finish() || message.has_intent_release()) {
+            sendNotLeader(proxy);
+        }
+        return;
+    }
+    switch (message.body_case()) {
+    case wire::Envelope::kRenewal:
+        handleRenewal(proxy, message.renewal());
+        break;
+    case wire::Envelope::kTermWithdrawn:
+        m_promotions.handleWithdrawn(proxy, message.term_withdrawn());
+        break;
+    case wire::Envelope::kWritesHeld:
+        m_promotions.handleWritesHeld(proxy, message.writes_held());
+        break;
+    case wire::Envelope::kIntentBegin:
+    case wire::Envelope::kIntentFinish:
+    case wire::Envelope::kIntentRelease:
+        handleIntent(proxy, std::move(message));
+        break;
+    default:
+        counter("waxwing_control_unexpected_messages_total").add();
+        break;
+    }
+}
+
+void ControlService::handleApplied()
+{
+    m_applied = true;
+}
+
+void ControlService::tick()
+{
+    updateLeadership();
+    if (!m_active) {
+        return;
+    }
+    const auto now = m_ports.now();
+    for (const auto &ended : m_state.leases.takeEnded(now)) {
+        log::write(log::Level::Info, "lease ended", {{"proxy", ended.proxy}, {"incarnation", ended.incarnation}});
+        m_assignmentDue = true;
+    }
+    for (const auto &group : m_state.directory.expire(now)) {
+        m_changedGroups.insert(group);
+    }
+    refreshDirectory();
+    m_promotions.tick();
+    if (m_assignmentDue || now - m_lastAssignment >= m_options.assignmentInterval) {
+        assignOwners();
+    }
+    removeOldProxies();
+    refreshDirectory();
+}
+
+void ControlService::updateLeadership()
+{
+    const bool leads = m_config.isLeader();
+    if (!leads) {
+        if (m_active || m_activating) {
+            deactivate();
+        }
+        return;
+    }
+    if (m_active || m_activating) {
+        return;
+    }
+    m_activating = true;
+    // The machine may lack committed entries of earlier leaders until a read is proven.
+    m_config.read([this, epoch = m_epoch](LogReply &&reply) {
+        if (epoch != m_epoch) {
+            return;
+        }
+        m_activating = false;
+        if (reply.failure == LogFailure::None) {
+            activate();
+        }
+    });
+}
+
+void ControlService::activate()
+{
+    const auto now = m_ports.now();
+    ++m_epoch;
+    m_active = true;
+    m_activeSince = now;
+    m_assignmentRunning = false;
+    m_state.leases.clear();
+    m_state.directory.clear();
+    m_state.detector.clear();
+    m_state.sessions.clear();
+    m_state.groups.clear();
+    m_releasing.clear();
+    m_lastLive.clear();
+    m_changedGroups.clear();
+    m_promotions.reset();
+    for (const auto &[name, proxy] : m_state.machine.proxies()) {
+        m_state.leases.assume({name, proxy.incarnation()}, now);
+        m_lastLive[name] = now;
+    }
+    m_publisher.reset(static_cast<std::uint32_t>(m_config.term()));
+    m_groupsVersion = 0;
+    m_applied = true;
+    refreshGroups();
+    refreshDirectory();
+    Metrics::instance().gauge("waxwing_control_leader").set(1);
+    log::write(log::Level::Info, "leading", {{"term", m_config.term()}, {"version", m_state.machine.version()}, {"proxies", m_lastLive.size()}});
+}
+
+void ControlService::deactivate()
+{
+    ++m_epoch;
+    m_active = false;
+    m_activating = false;
+    m_promotions.reset();
+    Metrics::instance().gauge("waxwing_control_leader").set(0);
+    log::write(log::Level::Warning, "no longer leading", {{"version", m_state.machine.version()}});
+}
+
+void ControlService::propose(wire::ConfigCommand command, PromotionRunner::ProposeHandler handler)
+{
+    m_config.propose(encodeMessage(command), [this, epoch = m_epoch, handler = std::move(handler)](LogReply &&reply) {
+        if (epoch != m_epoch) {
+            return;
+        }
+        wire::ConfigResult result;
+        const bool accepted = reply.failure == LogFailure::None && decodeMessage(reply.result, result) && result.status() == wire::ACCEPTED;
+        handler(accepted);
+        refreshDirectory();
+    });
+}
+
+void ControlService::handleRenewal(const std::string &proxy, const wire::Renewal &renewal)
+{
+    counter("waxwing_control_renewals_total").add();
+    auto &session = m_state.sessions[proxy];
+    if (session.incarnation != renewal.incarnation()) {
+        session = {};
+        session.incarnation = renewal.incarnation();
+        m_assignmentDue = true;
+    }
+    if (session.draining != renewal.draining()) {
+        m_assignmentDue = true;
+    }
+    session.failureDomain = renewal.failure_domain();
+    session.linkAddress = renewal.link_address();
+    session.callerAddress = renewal.caller_address();
+    session.configVersion = renewal.config_version();
+    session.directoryVersion = renewal.directory_version();
+    session.draining = renewal.draining();
+    session.lastRenewal = m_ports.now();
+    session.owned.clear();
+    for (const auto &owned : renewal.owned()) {
+        session.owned.insert(owned.group());
+    }
+    takeAnnouncements(renewal);
+    takeEvidence(proxy, renewal);
+    if (isRegistered(proxy, session)) {
+        m_config.read([this, epoch = m_epoch, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
+            if (epoch == m_epoch && reply.failure == LogFailure::None) {
+                grant(proxy, incarnation, sequence);
+            }
+        });
+    } else if (!session.registering) {
+        registerProxy(proxy, renewal.sequence());
+    }
+}
+
+void ControlService::takeAnnouncements(const wire::Renewal &renewal)
+{
+    const auto now = m_ports.now();
+    for (const auto &announcement : renewal.announcements()) {
+        if (m_state.directory.announce(announcement, now)) {
+            m_changedGroups.insert(announcement.group());
+        }
+    }
+}
+
+void ControlService::takeEvidence(const std::string &proxy, const wire::Renewal &renewal)
+{
+    std::vector<const wire::Evidence *> evidence;
+    for (const auto &item : renewal.evidence()) {
+        evidence.push_back(&item);
+    }
+    m_state.detector.report(proxy, renewal.failure_domain(), evidence, m_ports.now());
+}
+
+bool ControlService::isRegistered(const std::string &proxy, const ProxySession &session) const
+{
+    const auto &proxies = m_state.machine.proxies();
+    const auto known = proxies.find(proxy);
+    return known != proxies.end() && known->second.incarnation() == session.incarnation && known->second.failure_domain() == session.failureDomain
+        && known->second.link_address() == session.linkAddress && known->second.caller_address() == session.callerAddress;
+}
+
+void ControlService::registerProxy(const std::string &proxy, std::uint64_t sequence)
+{
+    auto &session = m_state.sessions.at(proxy);
+    // The record names the one incarnation that a new leader assumes to hold a lease, so it is replaced only once the
+    // lease of the earlier incarnation has ended.
+    const auto known = m_state.machine.proxies().find(proxy);
+    if (known != m_state.machine.proxies().end() && known->second.incarnation() != session.incarnation
+        && m_state.leases.mayHold({proxy, known->second.incarnation()}, m_ports.now())) {
+        return;
+    }
+    session.registering = true;
+    wire::ConfigCommand command;
+    auto &record = *command.mutable_register_proxy()->mutable_proxy();
+    record.set_proxy(proxy);
+    record.set_incarnation(session.incarnation);
+    record.set_failure_domain(session.failureDomain);
+    record.set_link_address(session.linkAddress);
+    record.set_caller_address(session.callerAddress);
+    propose(std::move(command), [this, proxy, incarnation = session.incarnation, sequence](bool accepted) {
+        auto &current = m_state.sessions[proxy];
+        if (current.incarnation != incarnation) {
+            return;
+        }
+        current.registering = false;
+        if (accepted) {
+            grant(proxy, incarnation, sequence);
+        }
+    });
+}
+
+void ControlService::grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence)
+{
+    auto &session = m_state.sessions[proxy];
+    if (session.incarnation != incarnation || m_promotions.blocksLease(proxy)) {
+        return;
+    }
+    const auto now = m_ports.now();
+    const bool wasLive = m_state.leases.isLive({proxy, incarnation}, now);
+    if (!m_state.leases.grant({proxy, incarnation}, now)) {
+        return;
+    }
+    m_lastLive[proxy] = now;
+    m_assignmentDue = m_assignmentDue || !wasLive;
+    wire::Envelope message;
+    auto &content = *message.mutable_grant();
+    content.set_sequence(sequence);
+    content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_options.lease.lease).count()));
+    content.set_control_term(m_config.term());
+    fillConfig(session.configVersion, content);
+    m_publisher.fill(session.directoryVersion, content);
+    fillPeers(content);
+    session.sentConfigVersion = content.config_version();
+    session.sentDirectoryVersion = content.directory_version();
+    m_ports.sendToProxy(proxy, message);
+    counter("waxwing_control_grants_total").add();
+}
+
+void ControlService::fillConfig(std::uint64_t readerVersion, wire::Grant &grant) const
+{
+    const auto &machine = m_state.machine;
+    grant.set_config_version(machine.version());
+    if (readerVersion == machine.version()) {
+        return;
+    }
+    const auto add = [&grant](const wire::Resource &resource) {
+        auto &change = *grant.add_resources();
+        change.set_kind(resource.kind());
+        change.set_name(resource.name());
+        change.set_version(resource.version());
+        change.set_deleted(resource.deleted());
+        change.set_spec_json(resource.spec_json());
+    };
+    const auto changes = readerVersion == 0 ? std::nullopt : machine.changesAfter(readerVersion);
+    if (changes) {
+        std::for_each(changes->begin(), changes->end(), add);
+        return;
+    }
+    grant.set_config_full(true);
+    for (const auto &[key, resource] : machine.resources()) {
+        add(resource);
+    }
+}
+
+void ControlService::fillPeers(wire::Grant &grant) const
+{
+    std::set<std::string_view> named;
+    for (const auto &group : grant.groups()) {
+        const auto session = m_state.sessions.find(group.owner());
+        const auto &proxies = m_state.machine.proxies();
+        const auto known = proxies.find(group.owner());
+        if (known == proxies.end() || !named.insert(group.owner()).second) {
+            continue;
+        }
+        auto &peer = *grant.add_peers();
+        peer.set_proxy(group.owner());
+        peer.set_incarnation(session == m_state.sessions.end() ? known->second.incarnation() : session->second.incarnation);
+        peer.set_link_address(known->second.link_address());
+    }
+}
+
+void ControlService::sendNotLeader(const std::string &proxy)
+{
+    wire::Envelope message;
+    message.mutable_not_leader()->set_leader_link_address(m_ports.leaderLinkAddress());
+    m_ports.sendToProxy(proxy, message);
+}
+
+void ControlService::refreshGroups()
+{
+    if (m_groupsVersion == m_state.machine.version() && m_groupsVersion != 0) {
+        return;
+    }
+    m_groupsVersion = m_state.machine.version();
+    std::map<std::string, std::size_t, std::less<>> groups;
+    const auto &resources = m_state.machine.resources();
+    for (auto resource = resources.lower_bound({"group", {}}); resource != resources.end() && resource->first.kind == "group"; ++resource) {
+        groups[resource->first.name] = databasesExpected(resource->second);
+    }
+    for (const auto &[name, expected] : m_state.groups) {
+        if (!groups.contains(name)) {
+            m_publisher.remove(name);
+        }
+    }
+    if (groups != m_state.groups) {
+        m_assignmentDue = true;
+    }
+    m_state.groups = std::move(groups);
+}
+
+void ControlService::refreshDirectory()
+{
+    if (!m_active || (!m_applied && m_changedGroups.empty())) {
+        return;
+    }
+    refreshGroups();
+    const auto update = [this](const std::string &name) {
+        if (!m_state.groups.contains(name)) {
+            return;
+        }
+        wire::GroupDirectory content;
+        content.set_group(name);
+        if (const auto *record = m_state.machine.group(name)) {
+            content.set_term(record->term());
+            content.set_primary(record->primary());
+            content.set_term_start(record->term_start());
+            content.set_owner(record->owner());
+            content.set_owner_epoch(record->owner_epoch());
+            *content.mutable_term_history() = record->term_history();
+        }
+        if (const auto *members = m_state.directory.members(name)) {
+            for (const auto &[database, member] : *members) {
+                auto &announcement = *content.add_members();
+                announcement = member.announcement;
+                announcement.clear_position(); // changes all the time; owners learn it from the endpoint itself
+            }
+        }
+        m_publisher.update(content);
+    };
+    if (m_applied) {
+        for (const auto &[name, expected] : m_state.groups) {
+            update(name);
+        }
+    } else {
+        std::for_each(m_changedGroups.begin(), m_changedGroups.end(), update);
+    }
+    m_applied = false;
+    m_changedGroups.clear();
+    push();
+}
+
+void ControlService::push()
+{
+    const auto now = m_ports.now();
+    for (auto &[proxy, session] : m_state.sessions) {
+        const bool behind = session.sentConfigVersion != m_state.machine.version() || session.sentDirectoryVersion != m_publisher.version();
+        // A proxy without a grant has received nothing yet; its grant will carry everything.
+        if (!behind || session.sentDirectoryVersion == 0 || !m_state.leases.isLive({proxy, session.incarnation}, now)) {
+            continue;
+        }
+        wire::Envelope message;
+        auto &content = *message.mutable_grant();
+        content.set_control_term(m_config.term());
+        fillConfig(session.sentConfigVersion, content);
+        m_publisher.fill(session.sentDirectoryVersion, content);
+        fillPeers(content);
+        session.sentConfigVersion = content.config_version();
+        session.sentDirectoryVersion = content.directory_version();
+        m_ports.sendToProxy(proxy, message);
+        counter("waxwing_control_pushes_total").add();
+    }
+}
+
+void ControlService::assignOwners()
+{
+    const auto now = m_ports.now();
+    m_lastAssignment = now;
+    m_assignmentDue = false;
+    std::vector<OwnerCandidate> candidates;
+    for (const auto &[name, session] : m_state.sessions) {
+        if (!session.draining && m_state.leases.isLive({name, session.incarnation}, now)) {
+            candidates.push_back({name, session.incarnation, session.failureDomain});
+        }
+    }
+    Metrics::instance().gauge("waxwing_control_live_proxies").set(static_cast<std::int64_t>(candidates.size()));
+    wire::ConfigCommand command;
+    auto &changes = *command.mutable_assign_owners();
+    for (const auto &[group, expected] : m_state.groups) {
+        considerOwner(group, candidates, changes);
+    }
+    if (changes.changes().empty() || m_assignmentRunning) {
+        return;
+    }
+    for (const auto &change : changes.changes()) {
+        log::write(log::Level::Info, "assigning owner", {{"group", change.group()}, {"owner", change.owner()}, {"epoch", change.expected_epoch() + 1}});
+    }
+    m_assignmentRunning = true;
+    propose(std::move(command), [this](bool) { m_assignmentRunning = false; });
+}
+
+void ControlService::considerOwner(const std::string &group, const std::vector<OwnerCandidate> &candidates, wire::AssignOwners &changes)
+{
+    const auto now = m_ports.now();
+    const auto *record = m_state.machine.group(group);
+    bool holds = false;
+    if (record != nullptr) {
+        releaseHolders(group, *record);
+        const auto session = m_state.sessions.find(record->owner());
+        const bool drains = session != m_state.sessions.end() && session->second.incarnation == record->owner_incarnation() && session->second.draining;
+        if (m_state.leases.mayHold({record->owner(), record->owner_incarnation()}, now) && !drains) {
+            return;
+        }
+        holds = std::any_of(record->holders().begin(), record->holders().end(), [&](const wire::Holder &holder) {
+            return m_state.leases.mayHold({holder.proxy(), holder.incarnation()}, now);
+        });
+    }
+    // After a start, every proxy gets the time to renew, so that the first one does not receive every group.
+    if (now - m_activeSince < m_options.lease.guard()) {
+        return;
+    }
+    const auto domain = record == nullptr ? std::string() : m_state.failureDomain(group, record->primary());
+    const auto chosen = chooseOwner(group, domain, candidates);
+    if (!chosen) {
+        return;
+    }
+    auto &change = *changes.add_changes();
+    change.set_group(group);
+    change.set_expected_epoch(record == nullptr ? 0 : record->owner_epoch());
+    change.set_owner(candidates[*chosen].proxy);
+    change.set_incarnation(candidates[*chosen].incarnation);
+    change.set_keep_holders(holds);
+}
+
+void ControlService::releaseHolders(const std::string &group, const wire::GroupRecord &record)
+{
+    const auto now = m_ports.now();
+    for (const auto &holder : record.holders()) {
+        if (holder.owner_epoch() == record.owner_epoch()) {
+            continue;
+        }
+        const auto session = m_state.sessions.find(holder.proxy());
+        // The renewal must be newer than the change of owner, else it may precede the group's arrival at the holder.
+        const bool handedOver = session != m_state.sessions.end() && session->second.incarnation == holder.incarnation()
+            && session->second.directoryVersion >= m_publisher.ownerVersion(group) && !session->second.owned.contains(group);
+        if (!handedOver && m_state.leases.mayHold({holder.proxy(), holder.incarnation()}, now)) {
+            continue;
+        }
+        if (!m_releasing.emplace(group, holder.owner_epoch()).second) {
+            continue;
+        }
+        wire::ConfigCommand command;
+        auto &release = *command.mutable_release_holder();
+        release.set_group(group);
+        release.set_proxy(holder.proxy());
+        release.set_incarnation(holder.incarnation());
+        release.set_owner_epoch(holder.owner_epoch());
+        propose(std::move(command), [this, key = std::pair(group, holder.owner_epoch())](bool) { m_releasing.erase(key); });
+        return; // the record may have changed meanwhile
+    }
+}
+
+void ControlService::removeOldProxies()
+{
+    const auto now = m_ports.now();
+    if (now - m_lastRemoval < 1s) {
+        return;
+    }
+    m_lastRemoval = now;
+    std::vector<std::pair<std::string, std::uint64_t>> old;
+    for (const auto &[name, proxy] : m_state.machine.proxies()) {
+        const auto &live = m_lastLive.try_emplace(name, now).first->second;
+        if (now - live >= m_options.proxyRetention && old.size() < m_options.removalsPerSecond) {
+            old.emplace_back(name, proxy.incarnation());
+        }
+    }
+    for (const auto &[name, incarnation] : old) {
+        m_lastLive.erase(name);
+        m_state.sessions.erase(name);
+        wire::ConfigCommand command;
+        command.mutable_remove_proxy()->set_proxy(name);
+        command.mutable_remove_proxy()->set_incarnation(incarnation);
+        propose(std::move(command), [](bool) {});
+    }
+}
+
+void ControlService::handleIntent(const std::string &proxy, wire::Envelope &&message)
+{
+    wire::IntentCommand command;
+    std::uint64_t correlation = 0;
+    if (message.has_intent_begin()) {
+        correlation = message.intent_begin().correlation();
+        // An owner without a lease must not start a statement that nobody waits for.
+        if (!m_state.leases.isLive({message.intent_begin().proxy(), message.intent_begin().incarnation()}, m_ports.now())) {
+            wire::IntentResult refused;
+            refused.set_state(wire::UNAVAILABLE);
+            answerIntent(proxy, correlation, refused);
+            return;
+        }
+        *command.mutable_begin() = std::move(*message.mutable_intent_begin());
+    } else if (message.has_intent_finish()) {
+        correlation = message.intent_finish().correlation();
+        *command.mutable_finish() = std::move(*message.mutable_intent_finish());
+    } else {
+        correlation = message.intent_release().correlation();
+        *command.mutable_release() = std::move(*message.mutable_intent_release());
+    }
+    proposeIntent(proxy, std::move(command), correlation);
+}
+
+void ControlService::proposeIntent(const std::string &proxy, wire::IntentCommand command, std::uint64_t correlation)
+{
+    command.set_now_ms(m_ports.wallClockMs());
+    auto bytes = encodeMessage(command);
+    m_intents.propose(std::move(bytes), [this, epoch = m_epoch, proxy, correlation, command = std::move(command)](LogReply &&reply) mutable {
+        wire::IntentResult result;
+        if (reply.failure != LogFailure::None || !decodeMessage(reply.result, result)) {
+            result.Clear();
+            result.set_state(wire::UNAVAILABLE);
+        }
+        const ProxyIncarnation holder {result.holder_proxy(), result.holder_incarnation()};
+        const bool ended = result.state() == wire::IN_PROGRESS && command.ended_proxy().empty() && epoch == m_epoch && m_active
+            && !m_state.leases.mayHold(holder, m_ports.now());
+        if (ended) {
+            command.set_ended_proxy(holder.proxy);
+            command.set_ended_incarnation(holder.incarnation);
+            proposeIntent(proxy, std::move(command), correlation);
+            return;
+        }
+        answerIntent(proxy, correlation, result);
+    });
+}
+
+void ControlService::answerIntent(const std::string &proxy, std::uint64_t correlation, const wire::IntentResult &result)
+{
+    wire::Envelope message;
+    auto &reply = *message.mutable_intent_reply();
+    reply.set_correlation(correlation);
+    reply.set_state(result.state());
+    if (result.has_answer()) {
+        *reply.mutable_answer() = result.answer();
+    }
+    m_ports.sendToProxy(proxy, message);
+    Metrics::instance().counter("waxwing_control_intents_total", "state", wire::IntentState_Name(result.state())).add();
+}
+
+void ControlService::change(wire::ConfigCommand command, ChangeHandler handler)
+{
+    m_config.propose(encodeMessage(command), [this, handler = std::move(handler)](LogReply &&reply) {
+        wire::ConfigResult result;
+        if (reply.failure == LogFailure::None && !decodeMessage(reply.result, result)) {
+            reply.failure = LogFailure::Unknown;
+        }
+        handler(reply.failure, result);
+        refreshDirectory();
+    });
+}
+
+void ControlService::read(std::function<void(LogFailure failure)> handler)
+{
+    m_config.read([handler = std::move(handler)](LogReply &&reply) { handler(reply.failure); });
+}
+
+void ControlService::switchover(const std::string &group, const std::string &target, const std::string &changeId, PromotionRunner::SwitchoverHandler handler)
+{
+    m_promotions.switchover(group, target, changeId, std::move(handler));
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/control_settings.cpp
@@ -0,0 +1,97 @@
+#include "control_settings.h"
+
+#include <waxwing/support/settings.h>
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+constexpr std::size_t maxMembers = 8;
+
+log::Level toLevel(const std::string &text)
+{
+    if (text == "debug") {
+        return log::Level::Debug;
+    }
+    if (text == "warning") {
+        return log::Level::Warning;
+    }
+    return text == "error" ? log::Level::Error : log::Level::Info;
+}
+
+} // namespace
+
+ControlSettings ControlSettings::load(const std::string &path)
+{
+    constexpr std::array<std::string_view, 4> levels {"info", "debug", "warning", "error"};
+    ControlSettings result;
+    auto settings = Settings::load(path);
+    result.self.name = settings.text("control.name");
+    result.self.linkAddress = settings.text("control.link");
+    result.self.httpAddress = settings.text("control.http");
+    result.failureDomain = settings.text("control.failure_domain");
+    result.dataFolder = settings.text("control.data");
+    result.tokenFile = settings.text("operator.token_file");
+    result.keyFile = settings.text("link.key_file", {});
+    result.logFile = settings.text("log.file", {});
+    result.logLevel = toLevel(settings.choice("log.level", levels));
+    const auto members = settings.texts("control.members");
+    settings.refuseUnknownKeys();
+    result.errors = settings.errors();
+    for (const auto &text : members) {
+        std::istringstream words(text);
+        ControlMember member;
+        std::string rest;
+        if (!(words >> member.name >> member.linkAddress >> member.httpAddress) || words >> rest) {
+            result.errors.push_back(path + ": control.members: \"" + text + "\" must be \"NAME LINK-ADDRESS HTTP-ADDRESS\"");
+            continue;
+        }
+        result.members.push_back(member);
+    }
+    if (result.members.empty() && members.empty()) {
+        result.members.push_back(result.self);
+    }
+    const auto self = std::find_if(result.members.begin(), result.members.end(), [&](const ControlMember &member) { return member.name == result.self.name; });
+    if (self == result.members.end()) {
+        result.errors.push_back(path + ": control.members: must contain control.name");
+    }
+    if (result.members.size() > maxMembers) {
+        result.errors.push_back(path + ": control.members: must list at most 8 members");
+    }
+    return result;
+}
+
+const ControlMember *ControlSettings::memberByLink(std::string_view linkAddress) const
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&](const ControlMember &member) { return member.linkAddress == linkAddress; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+std::string readSecret(const std::string &path, std::string &secret)
+{
+    struct stat status
+    {
+    };
+    if (::stat(path.c_str(), &status) != 0) {
+        return path + ": can't read the file";
+    }
+    if ((status.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+        return path + ": must not be accessible to group or others";
+    }
+    std::ifstream file(path);
+    if (!std::getline(file, secret) || secret.empty()) {
+        return path + ": the first line must hold the secret";
+    }
+    return {};
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/operator_api.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <waxwing/coordination/log_port.h>
+#include <waxwing/support/time.h>
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing
+{
+
+struct HttpRequest;
+struct HttpResponse;
+
+namespace wire
+{
+class ConfigCommand;
+class Resource;
+} // namespace wire
+
+} // namespace waxwing
+
+namespace waxwing::control
+{
+
+class ControlService;
+struct HttpTarget;
+
+/// @brief Facts of the process that the operator API reports or needs.
+struct OperatorApiOptions
+{
+    std::string member; ///< name of this process
+    std::string token; ///< bearer token of the operators
+    std::function<std::string()> leaderHttpAddress; ///< empty if unknown
+    std::function<boost::json::object()> logStatus; ///< members and state of the logs
+    Duration watchTimeout = 25s; ///< a watch without changes is answered with an empty body after this time
+    std::size_t watchers = 1'000;
+};
+
+/// @brief HTTP API of the operators. One thread.
+class OperatorApi
+{
+public:
+    using Respond = std::function<void(HttpResponse &&response)>;
+
+    /// @brief Creates the API.
+    /// @param options facts of the process
+    /// @param service outlives the API
+    OperatorApi(OperatorApiOptions options, ControlService &service);
+
+    /// @brief Handles one request.
+    /// @param respond called once, now or later
+    void handle(const HttpRequest &request, Respond respond);
+
+    /// @brief Answers the watches that have new changes or have waited long enough; called regularly.
+    void tick();
+
+    /// @brief Answers all watches, at the end of the process.
+    void drain();
+
+private:
+    struct Watch
+    {
+        std::uint64_t from = 0;
+        TimePoint until;
+        Respond respond;
+    };
+
+    bool isAuthorized(const HttpRequest &request) const;
+    void handleResources(const HttpRequest &request, const HttpTarget &target, Respond respond);
+    void handleGroups(const HttpRequest &request, const HttpTarget &target, Respond respond);
+    void put(const HttpRequest &request, const HttpTarget &target, Respond respond);
+    void remove(const HttpRequest &request, const HttpTarget &target, Respond respond);
+    void propose(wire::ConfigCommand command, const std::string &requestTarget, Respond respond);
+    void read(const HttpTarget &target, const std::string &requestTarget, Respond respond, std::function<HttpResponse()> reply);
+    void watch(const HttpTarget &target, Respond respond);
+    HttpResponse failure(LogFailure failure, const std::string &requestTarget) const;
+    HttpResponse get(const HttpTarget &target) const;
+    HttpResponse status() const;
+    HttpResponse watchLines(std::uint64_t from) const;
+    HttpResponse withVersion(unsigned status, const boost::json::object &body) const;
+    boost::json::object describe(const wire::Resource &resource) const;
+    boost::json::object resourceStatus(const wire::Resource &resource) const;
+    boost::json::object groupStatus(const std::string &name) const;
+
+    OperatorApiOptions m_options;
+    ControlService &m_service;
+    std::list<Watch> m_watches;
+};
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/operator_command.cpp
@@ -0,0 +1,384 @@
+#include "operator_command.h"
+
+#include "control_settings.h"
+#include "http_target.h"
+#include "operator_client.h"
+#include "table.h"
+
+#include <waxwing/state/resource.h>
+#include <waxwing/support/identifier.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+constexpr Duration requestTimeout = 10s;
+constexpr Duration watchTimeout = 40s; // longer than the server holds a watch open
+
+struct FileResource
+{
+    ResourceKey key;
+    boost::json::value spec;
+    std::optional<std::uint64_t> version;
+};
+
+std::string readInput(const std::string &path, std::string &problem)
+{
+    if (path == "-") {
+        return {std::istreambuf_iterator<char>(std::cin), {}};
+    }
+    std::ifstream file(path);
+    if (!file) {
+        problem = path + ": can't read the file";
+        return {};
+    }
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string textOf(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(field);
+    if (value == nullptr) {
+        return {};
+    }
+    return value->is_string() ? std::string(value->get_string()) : boost::json::serialize(*value);
+}
+
+/// Reads one resource or a list of resources, and reports all problems with their place in the list.
+std::vector<FileResource> parseFile(const std::string &path, std::vector<std::string> &problems)
+{
+    std::vector<FileResource> resources;
+    std::string problem;
+    const auto text = readInput(path, problem);
+    boost::json::error_code error;
+    auto content = boost::json::parse(text, error);
+    if (!problem.empty() || error) {
+        problems.push_back(problem.empty() ? path + ": not JSON: " + error.message() : problem);
+        return resources;
+    }
+    boost::json::array list;
+    if (content.is_array()) {
+        list = std::move(content.get_array());
+    } else {
+        list.push_back(std::move(content));
+    }
+    std::size_t index = 0;
+    for (const auto &element : list) {
+        const auto place = path + "[" + std::to_string(index++) + "]";
+        if (!element.is_object()) {
+            problems.push_back(place + ": must be an object with kind, name and spec");
+            continue;
+        }
+        const auto &object = element.get_object();
+        FileResource resource;
+        resource.key = {textOf(object, "kind"), textOf(object, "name")};
+        if (const auto *spec = object.if_contains("spec")) {
+            resource.spec = *spec;
+        }
+        if (const auto *version = object.if_contains("version")) {
+            boost::json::error_code numberError;
+            resource.version = version->is_number() ? version->to_number<std::uint64_t>(numberError) : 0;
+            if (!version->is_number() || numberError) {
+                problems.push_back(place + ": version: must be a whole number");
+            }
+        }
+        for (const auto &[field, value] : object) {
+            if (field != "kind" && field != "name" && field != "spec" && field != "version") {
+                problems.push_back(place + ": " + std::string(field) + ": is unknown");
+            }
+        }
+        for (const auto &fieldError : validateResource(resource.key, resource.spec)) {
+            problems.push_back(place + " " + resource.key.kind + "/" + resource.key.name + ": " + fieldError.field + ": " + fieldError.message);
+        }
+        resources.push_back(std::move(resource));
+    }
+    return resources;
+}
+
+int reportProblems(const std::vector<std::string> &problems)
+{
+    for (const auto &problem : problems) {
+        std::cerr << problem << '\n';
+    }
+    return problems.empty() ? 0 : 1;
+}
+
+int reportFailure(const HttpResponse &response)
+{
+    std::cerr << "waxwing-control: " << (response.status == 0 ? "no leader answered: " : "HTTP " + std::to_string(response.status) + ": ") << response.body
+              << '\n';
+    return 1;
+}
+
+boost::json::object parseObject(const std::string &text)
+{
+    boost::json::error_code error;
+    auto value = boost::json::parse(text, error);
+    return !error && value.is_object() ? std::move(value.get_object()) : boost::json::object();
+}
+
+std::string pathOf(const ResourceKey &key)
+{
+    return "/v1/resources/" + percentEncode(key.kind) + "/" + percentEncode(key.name);
+}
+
+std::string listOf(const boost::json::object &object, std::string_view field)
+{
+    std::string text;
+    const auto *value = object.if_contains(field);
+    if (value != nullptr && value->is_array()) {
+        for (const auto &element : value->get_array()) {
+            text += (text.empty() ? "" : ",") + (element.is_string() ? std::string(element.get_string()) : boost::json::serialize(element));
+        }
+    }
+    return text.empty() ? "-" : text;
+}
+
+std::string sizeOf(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(field);
+    return std::to_string(value != nullptr && value->is_array() ? value->get_array().size() : 0);
+}
+
+boost::json::array arrayOf(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(field);
+    return value != nullptr && value->is_array() ? value->get_array() : boost::json::array();
+}
+
+/// Applies one resource. Without a version in the file, the present one is replaced unless it is the same already.
+int applyOne(OperatorClient &client, const FileResource &resource, std::string &action, std::string &version)
+{
+    const auto path = pathOf(resource.key);
+    auto expected = resource.version;
+    if (!expected) {
+        const auto present = client.request("GET", path, {}, requestTimeout);
+        if (present.status == 200) {
+            const auto body = parseObject(present.body);
+            version = textOf(body, "version");
+            if (const auto *spec = body.if_contains("spec"); spec != nullptr && *spec == resource.spec) {
+                action = "unchanged";
+                return 0;
+            }
+            expected = body.at("version").to_number<std::uint64_t>();
+        } else if (present.status == 404) {
+            expected = 0;
+        } else {
+            return reportFailure(present);
+        }
+    }
+    const boost::json::object change {{"version", *expected}, {"change_id", makeUuid7()}, {"spec", resource.spec}};
+    const auto response = client.request("PUT", path, boost::json::serialize(change), requestTimeout);
+    if (response.status != 200) {
+        return reportFailure(response);
+    }
+    action = *expected == 0 ? "created" : "changed";
+    version = textOf(parseObject(response.body), "version");
+    return 0;
+}
+
+int runApply(const OperatorCommand &command, OperatorClient &client)
+{
+    std::vector<std::string> problems;
+    const auto resources = parseFile(command.arguments.front(), problems);
+    if (!problems.empty()) {
+        return reportProblems(problems);
+    }
+    Table table({"KIND", "NAME", "VERSION", "ACTION"});
+    int code = 0;
+    for (const auto &resource : resources) {
+        std::string action;
+        std::string version;
+        if (applyOne(client, resource, action, version) != 0) {
+            code = 1;
+            action = "failed";
+        }
+        table.add({resource.key.kind, resource.key.name, version, action});
+    }
+    table.print(std::cout, command.json);
+    return code;
+}
+
+int runCheck(const OperatorCommand &command)
+{
+    std::vector<std::string> problems;
+    const auto resources = parseFile(command.arguments.front(), problems);
+    if (!problems.empty()) {
+        return reportProblems(problems);
+    }
+    const auto isListed = [&resources](const ResourceKey &key) {
+        return std::any_of(resources.begin(), resources.end(), [&key](const FileResource &resource) { return resource.key == key; });
+    };
+    for (const auto &resource : resources) {
+        for (const auto &reference : references(resource.key, resource.spec)) {
+            if (!isListed(reference.target)) {
+                std::cerr << "note: " << resource.key.kind << "/" << resource.key.name << ": " << reference.field << ": " << reference.target.kind << "/"
+                          << reference.target.name << " is not in this file\n";
+            }
+        }
+    }
+    std::cout << resources.size() << " resources are valid\n";
+    return 0;
+}
+
+int runGet(const OperatorCommand &command, OperatorClient &client)
+{
+    std::string path = "/v1/resources";
+    for (const auto &argument : command.arguments) {
+        path += "/" + percentEncode(argument);
+    }
+    const auto response = client.request("GET", path, {}, requestTimeout);
+    if (response.status != 200) {
+        return reportFailure(response);
+    }
+    if (command.json) {
+        std::cout << response.body << '\n';
+        return 0;
+    }
+    const auto body = parseObject(response.body);
+    boost::json::array resources = arrayOf(body, "resources");
+    if (body.contains("kind")) {
+        resources.emplace_back(body);
+    }
+    Table table({"KIND", "NAME", "VERSION", "IN EFFECT", "LAGGING", "SPEC"});
+    for (const auto &element : resources) {
+        const auto &resource = element.get_object();
+        const auto &status = resource.at("status").get_object();
+        table.add({textOf(resource, "kind"), textOf(resource, "name"), textOf(resource, "version"), sizeOf(status, "in_effect_on"), sizeOf(status, "lagging"),
+                   textOf(resource, "spec")});
+    }
+    table.print(std::cout, false);
+    return 0;
+}
+
+int runStatus(const OperatorCommand &command, OperatorClient &client)
+{
+    const auto response = client.request("GET", "/v1/status", {}, requestTimeout);
+    if (response.status != 200) {
+        return reportFailure(response);
+    }
+    if (command.json) {
+        std::cout << response.body << '\n';
+        return 0;
+    }
+    const auto body = parseObject(response.body);
+    std::cout << "leader " << textOf(body, "leader") << ", version " << textOf(body, "version") << ", applied index " << textOf(body, "applied_index")
+              << "\n\n";
+    Table groups({"GROUP", "CONDITIONS", "PRIMARY", "TERM", "OWNER", "ENDPOINTS"});
+    for (const auto &element : arrayOf(body, "groups")) {
+        const auto &group = element.get_object();
+        groups.add({textOf(group, "group"), listOf(group, "conditions"), textOf(group, "primary"), textOf(group, "term"), textOf(group, "owner"),
+                    sizeOf(group, "endpoints") + "/" + textOf(group, "databases_expected")});
+    }
+    groups.print(std::cout, false);
+    std::cout << '\n';
+    Table proxies({"PROXY", "DOMAIN", "LIVE", "VERSION", "DRAINING"});
+    for (const auto &element : arrayOf(body, "proxies")) {
+        const auto &proxy = element.get_object();
+        proxies.add(
+            {textOf(proxy, "proxy"), textOf(proxy, "failure_domain"), textOf(proxy, "live"), textOf(proxy, "config_version"), textOf(proxy, "draining")});
+    }
+    proxies.print(std::cout, false);
+    return 0;
+}
+
+int runWatch(const OperatorCommand &command, OperatorClient &client)
+{
+    auto from = command.from;
+    if (!from) {
+        const auto status = client.request("GET", "/v1/status", {}, requestTimeout);
+        if (status.status != 200) {
+            return reportFailure(status);
+        }
+        from = parseObject(status.body).at("version").to_number<std::uint64_t>();
+    }
+    for (std::uint64_t printed = 0; !command.count || printed < *command.count;) {
+        const auto response = client.request("GET", "/v1/watch?from=" + std::to_string(*from), {}, watchTimeout);
+        if (response.status != 200) {
+            return reportFailure(response);
+        }
+        std::istringstream lines(response.body);
+        for (std::string line; std::getline(lines, line) && (!command.count || printed < *command.count); ++printed) {
+            const auto change = parseObject(line);
+            from = change.at("version").to_number<std::uint64_t>();
+            if (command.json) {
+                std::cout << line << std::endl;
+            } else {
+                std::cout << textOf(change, "version") << "  " << textOf(change, "kind") << "/" << textOf(change, "name") << "  "
+                          << (change.contains("deleted") ? "deleted" : textOf(change, "spec")) << std::endl;
+            }
+        }
+    }
+    return 0;
+}
+
+int usageError(const std::string &problem)
+{
+    std::cerr << "waxwing-control: " << problem << "\nTry 'waxwing-control --help'.\n";
+    return 2;
+}
+
+} // namespace
+
+void OperatorCommand::setAddresses(std::string_view list)
+{
+    addresses.clear();
+    std::istringstream items {std::string(list)};
+    for (std::string item; std::getline(items, item, ',');) {
+        addresses.push_back(item);
+    }
+}
+
+bool OperatorCommand::setNumber(bool isFrom, std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    (isFrom ? from : count) = value;
+    return result.ec == std::errc() && result.ptr == text.data() + text.size();
+}
+
+int runOperatorCommand(const OperatorCommand &command)
+{
+    const auto count = command.arguments.size();
+    const bool takesFile = command.name == "apply" || command.name == "check";
+    const bool known = takesFile || command.name == "get" || command.name == "watch" || command.name == "status";
+    if (!known) {
+        return usageError("unknown command " + command.name);
+    }
+    if (takesFile ? count != 1 : count > (command.name == "get" ? 2U : 0U)) {
+        return usageError("wrong number of arguments for " + command.name);
+    }
+    if (command.name == "check") {
+        return runCheck(command);
+    }
+    if (command.tokenFile.empty()) {
+        return usageError(command.name + " needs --token-file FILE");
+    }
+    std::string token;
+    if (const auto problem = readSecret(command.tokenFile, token); !problem.empty()) {
+        std::cerr << problem << '\n';
+        return 1;
+    }
+    OperatorClient client(command.addresses, token);
+    if (command.name == "apply") {
+        return runApply(command, client);
+    }
+    if (command.name == "get") {
+        return runGet(command, client);
+    }
+    return command.name == "watch" ? runWatch(command, client) : runStatus(command, client);
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/promotion_runner.cpp
@@ -0,0 +1,487 @@
+#include "promotion_runner.h"
+
+#include "control_ports.h"
+#include "control_state.h"
+
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <algorithm>
+#include <type_traits>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> number(const boost::json::object &body, std::string_view field)
+{
+    const auto *value = body.if_contains(field);
+    if (value == nullptr || !value->is_number()) {
+        return std::nullopt;
+    }
+    boost::json::error_code error;
+    const auto result = value->to_number<std::uint64_t>(error);
+    return error ? std::nullopt : std::optional(result);
+}
+
+std::string text(const boost::json::object &body, std::string_view field)
+{
+    const auto *value = body.if_contains(field);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::optional<MemberStatus> toStatus(const EndpointAnswer &answer, const std::string &database)
+{
+    if (!answer.answered || answer.status != 200 || text(answer.body, "database") != database) {
+        return std::nullopt;
+    }
+    const auto term = number(answer.body, "term");
+    const auto position = number(answer.body, "position");
+    if (!term || !position) {
+        return std::nullopt;
+    }
+    return MemberStatus {*term, number(answer.body, "term_start").value_or(0), *position, text(answer.body, "role") == "primary"};
+}
+
+/// Start position of the term, if the endpoint became its primary.
+std::optional<std::uint64_t> toStart(const EndpointAnswer &answer, std::uint64_t term)
+{
+    if (!answer.answered || answer.status != 200 || answer.body.contains("rejected") || text(answer.body, "outcome") == "rejected"
+        || number(answer.body, "term") != term) {
+        return std::nullopt;
+    }
+    return number(answer.body, "position");
+}
+
+void logGroup(log::Level level, std::string_view event, const std::string &group, boost::json::object fields = {})
+{
+    fields["group"] = group;
+    log::write(level, event, std::move(fields));
+}
+
+void count(std::string_view result)
+{
+    Metrics::instance().counter("waxwing_promotions_total", "result", result).add();
+}
+
+} // namespace
+
+PromotionRunner::PromotionRunner(const PromotionRunnerOptions &options, const ControlState &state, const ControlPorts &ports, Propose propose)
+    : m_options(options)
+    , m_state(state)
+    , m_ports(ports)
+    , m_propose(std::move(propose))
+{
+}
+
+void PromotionRunner::reset()
+{
+    ++m_generation;
+    auto dropped = std::exchange(m_running, {});
+    m_published.clear();
+    m_followCalls.clear();
+    m_adopting.clear();
+    for (auto &[group, running] : dropped) {
+        for (const auto &waiter : running.waiters) {
+            waiter({.reason = "this control process lost leadership; repeat the request with the same change_id"});
+        }
+    }
+}
+
+void PromotionRunner::tick()
+{
+    std::vector<std::string> running;
+    for (const auto &entry : m_running) {
+        running.push_back(entry.first);
+    }
+    for (const auto &group : running) {
+        advance(group);
+    }
+    const auto now = m_ports.now();
+    if (now - m_lastScan < m_options.scanInterval) {
+        return;
+    }
+    m_lastScan = now;
+    for (const auto &[group, expected] : m_state.groups) {
+        if (!m_running.contains(group)) {
+            considerStart(group);
+        }
+    }
+}
+
+void PromotionRunner::advance(const std::string &group)
+{
+    if (m_running.contains(group)) {
+        run(group);
+    }
+}
+
+void PromotionRunner::considerStart(const std::string &group)
+{
+    const auto *record = m_state.machine.group(group);
+    if (record == nullptr || record->term() == 0) {
+        considerFirstPrimary(group, record);
+        return;
+    }
+    if (record->primary().empty()) {
+        const auto domain = m_state.failureDomain(group, record->previous_primary());
+        start(group, Promotion::afterFailure(m_options.promotion, *record, domain, m_ports.now()), "resumed");
+        return;
+    }
+    if (hasFailed(group, *record)) {
+        const auto published = m_published.find(group);
+        if (published == m_published.end() || m_ports.now() - published->second >= m_options.cooldown) {
+            const auto domain = m_state.failureDomain(group, record->primary());
+            start(group, Promotion::afterFailure(m_options.promotion, *record, domain, m_ports.now()), "primary failed");
+        }
+        return;
+    }
+    repairFollowers(group);
+}
+
+void PromotionRunner::considerFirstPrimary(const std::string &group, const wire::GroupRecord *record)
+{
+    const auto now = m_ports.now();
+    const auto *members = m_state.directory.members(group);
+    if (members == nullptr || members->size() <= m_state.groupSize(group) / 2) {
+        return;
+    }
+    const wire::Announcement *primary = nullptr;
+    std::size_t primaries = 0;
+    std::uint64_t highest = 0;
+    for (const auto &[name, member] : *members) {
+        highest = std::max(highest, member.announcement.term());
+        if (member.announcement.primary()) {
+            primary = &member.announcement;
+            ++primaries;
+        }
+    }
+    const bool adoptable = primaries == 1 && primary->term() == highest && primary->term() > 0;
+    // Members without a primary are given time to announce one.
+    const auto &since = m_adopting.try_emplace(group, now).first->second;
+    auto &proposed = m_followCalls[{group, {}}];
+    if (adoptable) {
+        if (now - proposed < m_options.followInterval) {
+            return;
+        }
+        proposed = now;
+        wire::ConfigCommand command;
+        auto &publish = *command.mutable_publish_primary();
+        publish.set_group(group);
+        publish.set_term(primary->term());
+        publish.set_primary(primary->database());
+        publish.set_term_start(primary->term_start());
+        logGroup(log::Level::Info, "adopting the announced primary", group, {{"primary", primary->database()}, {"term", primary->term()}});
+        m_propose(std::move(command), [](bool) {});
+    } else if (now - since >= m_options.announcementSettle) {
+        start(group, Promotion::afterFailure(m_options.promotion, record == nullptr ? m_emptyRecord : *record, {}, now), "no primary announced");
+    }
+}
+
+bool PromotionRunner::hasFailed(const std::string &group, const wire::GroupRecord &record) const
+{
+    const auto now = m_ports.now();
+    const auto *member = m_state.directory.member(group, record.primary());
+    FailureDetector::Primary primary {group, record.primary(), record.term(), std::nullopt};
+    if (member != nullptr) {
+        primary.lastAnnouncement = member->lastSeen;
+        // A primary that restarted without its role does not come back by itself.
+        const auto published = m_published.find(group);
+        const bool settled = published == m_published.end() || now - published->second >= m_options.announcementSettle;
+        if (settled && !member->announcement.primary() && member->announcement.term() <= record.term()) {
+            return true;
+        }
+    }
+    return m_state.detector.hasEvidence(group) && m_state.detector.suspects(primary, m_state.liveProxies(now), now);
+}
+
+void PromotionRunner::start(const std::string &group, Promotion promotion, std::string_view cause)
+{
+    const auto now = m_ports.now();
+    if (now - m_startWindow >= 1s) {
+        m_startWindow = now;
+        m_startsInWindow = 0;
+    }
+    if (m_startsInWindow >= m_options.startsPerSecond) {
+        return;
+    }
+    ++m_startsInWindow;
+    logGroup(log::Level::Warning, "promotion started", group, {{"cause", cause}});
+    m_running.emplace(group, Running {std::move(promotion), {}, {}});
+    run(group);
+}
+
+void PromotionRunner::repairFollowers(const std::string &group)
+{
+    const auto now = m_ports.now();
+    const auto &record = *m_state.machine.group(group);
+    const auto published = m_published.find(group);
+    if (published != m_published.end() && now - published->second < m_options.announcementSettle) {
+        return;
+    }
+    const auto *members = m_state.directory.members(group);
+    const auto *primary = m_state.directory.member(group, record.primary());
+    if (members == nullptr || primary == nullptr) {
+        return;
+    }
+    for (const auto &[name, member] : *members) {
+        const auto &announced = member.announcement;
+        if (name == record.primary() || (!announced.primary() && announced.term() >= record.term())) {
+            continue;
+        }
+        auto &last = m_followCalls[{group, name}];
+        if (now - last >= m_options.followInterval) {
+            last = now;
+            callFollow(group, {name, announced.address(), announced.failure_domain()}, record.term(), primary->announcement.address());
+        }
+    }
+}
+
+void PromotionRunner::callFollow(const std::string &group, const PromotionMember &member, std::uint64_t term, const std::string &primaryAddress)
+{
+    logGroup(log::Level::Info, "asking a member to follow", group, {{"database", member.database}, {"term", term}});
+    EndpointCall call {member.address, "POST", "/v1/follow", {{"term", term}, {"primary", primaryAddress}}, m_options.endpointTimeout};
+    m_ports.callEndpoint(std::move(call), [](EndpointAnswer &&) {});
+}
+
+PromotionFacts PromotionRunner::facts(const std::string &group) const
+{
+    PromotionFacts facts;
+    const auto *record = m_state.machine.group(group);
+    facts.record = record == nullptr ? &m_emptyRecord : record;
+    facts.groupSize = m_state.groupSize(group);
+    if (const auto *members = m_state.directory.members(group)) {
+        for (const auto &[name, member] : *members) {
+            // A leaving member may answer, since its position counts, and it is followed by its replacement.
+            facts.members.push_back({name, member.announcement.address(), member.announcement.failure_domain()});
+        }
+    }
+    facts.mayHold = [this](const wire::Holder &holder) {
+        return m_state.leases.mayHold({holder.proxy(), holder.incarnation()}, m_ports.now());
+    };
+    return facts;
+}
+
+void PromotionRunner::run(const std::string &group)
+{
+    if (m_inside == group) {
+        return; // an answer that arrived at once; the loop below takes it
+    }
+    const auto outer = std::exchange(m_inside, group);
+    const auto generation = m_generation;
+    while (generation == m_generation) {
+        auto &running = m_running.at(group);
+        const auto actions = running.promotion.advance(facts(group), m_ports.now());
+        if (running.promotion.lacksMajority() && !running.reportedNoMajority) {
+            running.reportedNoMajority = true;
+            count("no-majority");
+            logGroup(log::Level::Warning, "promotion waits for a majority of the members", group);
+        }
+        for (const auto &action : actions) {
+            perform(group, action);
+            if (generation != m_generation) {
+                break;
+            }
+        }
+        if (actions.empty()) {
+            break;
+        }
+    }
+    m_inside = outer;
+    if (generation == m_generation) {
+        const auto step = m_running.at(group).promotion.step();
+        if (step == Promotion::Step::Done || step == Promotion::Step::Aborted) {
+            end(group);
+        }
+    }
+}
+
+template<class Input>
+void PromotionRunner::input(const std::string &group, std::uint64_t number, Input apply)
+{
+    const auto running = m_running.find(group);
+    if (number != m_generation || running == m_running.end()) {
+        return;
+    }
+    apply(running->second.promotion);
+    run(group);
+}
+
+void PromotionRunner::perform(const std::string &group, const PromotionAction &action)
+{
+    namespace act = promotion_action;
+    const auto generation = m_generation;
+    std::visit(
+        [&](const auto &request) {
+            using Action = std::decay_t<decltype(request)>;
+            if constexpr (std::is_same_v<Action, act::CommitTerm>) {
+                wire::ConfigCommand command;
+                command.set_change_id(m_running.at(group).changeId);
+                auto &term = *command.mutable_start_term();
+                term.set_group(group);
+                term.set_expected_term(request.expectedTerm);
+                term.set_term(request.term);
+                term.set_target(request.target);
+                // Only the first term of a switchover answers its change identifier.
+                m_running.at(group).changeId.clear();
+                m_propose(std::move(command), [this, group, generation](bool accepted) {
+                    input(group, generation, [&](Promotion &promotion) { promotion.termCommitted(accepted, m_ports.now()); });
+                });
+            } else if constexpr (std::is_same_v<Action, act::Withdraw>) {
+                wire::Envelope message;
+                message.mutable_term_withdraw()->set_group(group);
+                message.mutable_term_withdraw()->set_term(request.term);
+                m_ports.sendToProxy(request.proxy, message);
+            } else if constexpr (std::is_same_v<Action, act::QueryStatus>) {
+                EndpointCall call {request.member.address, "GET", "/v1/status", {}, m_options.endpointTimeout};
+                m_ports.callEndpoint(std::move(call),
+                                     [this, group, generation, database = request.member.database, round = request.round](EndpointAnswer &&answer) {
+                                         input(group, generation, [&](Promotion &promotion) { promotion.status(database, round, toStatus(answer, database)); });
+                                     });
+            } else if constexpr (std::is_same_v<Action, act::CallPromote>) {
+                logGroup(log::Level::Info, "promoting", group, {{"database", request.member.database}, {"term", request.term}});
+                EndpointCall call {request.member.address, "POST", "/v1/promote", {{"term", request.term}}, m_options.endpointTimeout};
+                m_ports.callEndpoint(
+                    std::move(call), [this, group, generation, database = request.member.database, term = request.term](EndpointAnswer &&answer) {
+                        input(group, generation, [&](Promotion &promotion) { promotion.promoted(database, term, toStart(answer, term), m_ports.now()); });
+                    });
+            } else if constexpr (std::is_same_v<Action, act::CallFollow>) {
+                callFollow(group, request.member, request.term, request.primaryAddress);
+            } else if constexpr (std::is_same_v<Action, act::CommitPrimary>) {
+                wire::ConfigCommand command;
+                auto &publish = *command.mutable_publish_primary();
+                publish.set_group(group);
+                publish.set_term(request.term);
+                publish.set_primary(request.primary);
+                publish.set_term_start(request.termStart);
+                m_propose(std::move(command), [this, group, generation](bool accepted) {
+                    input(group, generation, [&](Promotion &promotion) { promotion.primaryCommitted(accepted, m_ports.now()); });
+                });
+            } else {
+                wire::Envelope message;
+                auto &hold = *message.mutable_hold_writes();
+                hold.set_group(group);
+                hold.set_term(request.term);
+                hold.set_hold_ms(static_cast<std::uint32_t>(toMilliseconds(request.hold).count()));
+                m_ports.sendToProxy(request.proxy, message);
+            }
+        },
+        action);
+}
+
+void PromotionRunner::end(const std::string &group)
+{
+    auto ended = m_running.extract(group);
+    const auto &running = ended.mapped();
+    SwitchoverResult result;
+    const auto *record = m_state.machine.group(group);
+    if (running.promotion.step() == Promotion::Step::Done) {
+        m_published[group] = m_ports.now();
+        m_adopting.erase(group);
+        result = {true, {}, record->primary(), record->term()};
+        count(running.promotion.isPlanned() ? "switchover" : "done");
+        logGroup(log::Level::Info, "promotion done", group, {{"primary", record->primary()}, {"term", record->term()}, {"start", record->term_start()}});
+        // The members learn of the term only after its start is committed: a new leader needs the start to tell
+        // whether a member that reports this term has its data.
+        const auto *primary = m_state.directory.member(group, record->primary());
+        for (const auto &member : facts(group).members) {
+            if (member.database != record->primary() && primary != nullptr) {
+                callFollow(group, member, record->term(), primary->announcement.address());
+            }
+        }
+    } else {
+        result.reason = running.promotion.abortReason();
+        count("aborted");
+        logGroup(log::Level::Warning, "switchover aborted", group, {{"reason", result.reason}});
+    }
+    for (const auto &waiter : running.waiters) {
+        waiter(result);
+    }
+}
+
+void PromotionRunner::switchover(const std::string &group, const std::string &target, const std::string &changeId, SwitchoverHandler handler)
+{
+    const auto running = m_running.find(group);
+    const auto *recorded = m_state.machine.changeResult(changeId);
+    const auto *record = m_state.machine.group(group);
+    if (recorded != nullptr) {
+        if (running != m_running.end()) {
+            running->second.waiters.push_back(std::move(handler));
+        } else {
+            handler({true, {}, record->primary(), record->term()});
+        }
+        return;
+    }
+    if (running != m_running.end()) {
+        if (running->second.changeId == changeId) {
+            running->second.waiters.push_back(std::move(handler));
+        } else {
+            handler({.reason = "a promotion of the group is under way"});
+        }
+        return;
+    }
+    if (record == nullptr || record->primary().empty()) {
+        handler({.reason = "the group has no primary"});
+        return;
+    }
+    logGroup(log::Level::Info, "switchover started", group, {{"to", target}});
+    auto promotion = Promotion::switchover(m_options.promotion, target, m_ports.now());
+    Running entry {std::move(promotion), changeId, {}};
+    entry.waiters.push_back(std::move(handler));
+    m_running.emplace(group, std::move(entry));
+    run(group);
+}
+
+void PromotionRunner::handleWithdrawn(const std::string &proxy, const wire::TermWithdrawn &message)
+{
+    const auto session = m_state.sessions.find(proxy);
+    if (session != m_state.sessions.end()) {
+        input(message.group(), m_generation, [&](Promotion &promotion) { promotion.withdrawn(proxy, session->second.incarnation, message.term()); });
+    }
+}
+
+void PromotionRunner::handleWritesHeld(const std::string &proxy, const wire::WritesHeld &message)
+{
+    input(message.group(), m_generation, [&](Promotion &promotion) { promotion.writesHeld(proxy, message.term(), message.position(), message.drained()); });
+}
+
+bool PromotionRunner::blocksLease(const std::string &proxy) const
+{
+    const auto now = m_ports.now();
+    return std::any_of(m_running.begin(), m_running.end(), [&](const auto &entry) {
+        const auto &promotion = entry.second.promotion;
+        const auto *record = m_state.machine.group(entry.first);
+        return record != nullptr && promotion.isWithdrawing(m_options.withdrawPatience, now)
+            && std::any_of(record->holders().begin(), record->holders().end(),
+                           [&](const wire::Holder &holder) { return holder.proxy() == proxy && !promotion.hasConfirmed(proxy, holder.incarnation()); });
+    });
+}
+
+std::vector<std::string> PromotionRunner::conditions(const std::string &group) const
+{
+    std::vector<std::string> conditions;
+    const auto running = m_running.find(group);
+    if (running != m_running.end()) {
+        conditions.emplace_back(running->second.promotion.isPlanned() ? "SwitchingOver" : "Promoting");
+        if (running->second.promotion.lacksMajority()) {
+            conditions.emplace_back("NoMajority");
+        }
+    }
+    const auto *record = m_state.machine.group(group);
+    if (record == nullptr || record->primary().empty()) {
+        conditions.emplace_back("NoPrimary");
+    }
+    const bool owned = record != nullptr && m_state.leases.mayHold({record->owner(), record->owner_incarnation()}, m_ports.now());
+    if (!owned) {
+        conditions.emplace_back("NoOwner");
+    }
+    if (conditions.empty()) {
+        conditions.emplace_back("Ready");
+    }
+    return conditions;
+}
+
+} // namespace waxwing::control
