--- a/packages/coordination/src/waxwing/coordination/session_token.cpp
+++ b/packages/coordination/src/waxwing/coordination/session_token.cpp
@@ -91,7 +91,8 @@
     // EVP_DecodeBlock decodes padding as zero bytes.
     const auto padding = static_cast<std::size_t>(text.back() == '=') + static_cast<std::size_t>(text[text.size() - 2] == '=');
     bytes.resize(bytes.size() - padding);
-    return bytes;
+    // Unused bits of the last character are ignored by the decoder; only the canonical text is accepted.
+    return toBase64(bytes) == text ? std::optional(std::move(bytes)) : std::nullopt;
 }
 
 } // namespace
