Add the proxy process and the codecs of its APIs

Cause: nothing served callers yet. Change: waxwing-proxy with the threads callers, dispatch, link and disk; JSON codecs of the caller, endpoint and announcement APIs; renewal of the lease and search for the control leader; versioned directory with its stored file; forwarding to the owner; at the owner: tokens, read routing, admission queue, slot schedule, retries, hedging, term lease, majority wait, intents, transactions, write hold, cancel, explain; evidence about primaries; drain. The decisions are those of packages/coordination. Conclusion: three tests over two proxies, three fake databases and a fake control pass (waxwing-proxy_test, protocol_test); speed is not measured yet.

--- /dev/null
+++ b/packages/protocol/src/waxwing/protocol/codec_test.cpp
@@ -0,0 +1,80 @@
+#include <waxwing/protocol/announcement_codec.h>
+#include <waxwing/protocol/caller_codec.h>
+#include <waxwing/protocol/endpoint_codec.h>
+#include <waxwing/support/identifier.h>
+#include <waxwing/wire/waxwing.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace waxwing;
+
+class CodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CodecTest);
+    CPPUNIT_TEST(allProblemsAreNamedByField);
+    CPPUNIT_TEST(mustNotRepeatRequiresAKey);
+    CPPUNIT_TEST(lateAndTornAnswersAreErrors);
+    CPPUNIT_TEST(announcementSurvivesTheRoundTrip);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string answer(const std::string &correlation, const std::string &result, const std::string &checksumOf, const std::string &rows = "1")
+    {
+        return R"({"correlation_id":")" + correlation + R"(","outcome":"done","reason":"","term":3,"position":9,"result":)" + result + R"(,"rows":)" + rows
+            + R"(,"checksum":")" + toHex(hash64(checksumOf)) + R"("})";
+    }
+
+public:
+    // Guards against a misspelt field that is ignored, and against errors that don't say which field is wrong.
+    void allProblemsAreNamedByField()
+    {
+        wire::StatementRequest request;
+        const auto error
+            = decodeCallerRequest(R"({"service":"s","statement":"read k","kind":"reed","deadline_ms":0,"freshness":{"mode":"any","age":1},"sesion":"x"})",
+                                  CallerRequestKind::Statement, request);
+        for (const auto *field : {"kind: ", "deadline_ms: ", "freshness.age: unknown field", "sesion: unknown field"}) {
+            CPPUNIT_ASSERT_MESSAGE(error, error.find(field) != std::string::npos);
+        }
+    }
+
+    // Guards against an at-most-once statement that has no key to recognise it by.
+    void mustNotRepeatRequiresAKey()
+    {
+        wire::StatementRequest request;
+        const auto error
+            = decodeCallerRequest(R"({"service":"s","statement":"write k v","kind":"write","must_not_repeat":true})", CallerRequestKind::Statement, request);
+        CPPUNIT_ASSERT_EQUAL(std::string("idempotency_key: missing; must_not_repeat requires it"), error);
+    }
+
+    // Guards against handing a caller the answer to another request, or a part of an answer.
+    void lateAndTornAnswersAreErrors()
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<EndpointAnswer>(decodeEndpointAnswer(answer("a", R"("v1")", "v1"), "a")));
+        CPPUNIT_ASSERT(std::holds_alternative<std::string>(decodeEndpointAnswer(answer("b", R"("v1")", "v1"), "a")));
+        CPPUNIT_ASSERT(std::holds_alternative<std::string>(decodeEndpointAnswer(answer("a", R"("v")", "v1"), "a")));
+        CPPUNIT_ASSERT(std::holds_alternative<std::string>(decodeEndpointAnswer(answer("a", R"(["x"])", R"(["x"])", "2"), "a")));
+        const auto whole = answer("a", R"("v1")", "v1");
+        CPPUNIT_ASSERT(std::holds_alternative<std::string>(decodeEndpointAnswer(whole.substr(0, whole.size() / 2), "a")));
+    }
+
+    // Guards against fields of an announcement that get lost on the way to control.
+    void announcementSurvivesTheRoundTrip()
+    {
+        wire::Announcement sent;
+        sent.set_address("127.0.0.1:9001");
+        sent.set_database("orders-1");
+        sent.set_group("orders");
+        sent.set_primary(true);
+        sent.set_term(3);
+        sent.set_term_start(96);
+        sent.set_position(120);
+        sent.set_slots(3);
+        sent.set_connections(20);
+        sent.set_failure_domain("fd1");
+        sent.set_leaving(true);
+        wire::Announcement received;
+        CPPUNIT_ASSERT_EQUAL(std::string(), decodeAnnouncement(encodeAnnouncement(sent), received));
+        CPPUNIT_ASSERT_EQUAL(sent.SerializeAsString(), received.SerializeAsString());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
--- /dev/null
+++ b/programs/proxy/control_client.cpp
@@ -0,0 +1,116 @@
+#include "control_client.h"
+
+#include <waxwing/support/counter.h>
+#include <waxwing/support/metrics.h>
+
+#include <algorithm>
+
+namespace waxwing
+{
+
+namespace
+{
+
+// Renewals whose grants may still arrive; a lease lasts for three intervals.
+constexpr std::size_t maxSent = 64;
+
+LinkPeer peerAt(const std::string &address)
+{
+    return {LinkPeer::Kind::Dialed, address};
+}
+
+} // namespace
+
+ControlClient::ControlClient(Options options, LinkSender sender, std::function<void(wire::Renewal &renewal)> fill)
+    : m_options(std::move(options))
+    , m_sender(std::move(sender))
+    , m_fill(std::move(fill))
+{
+}
+
+bool ControlClient::isKnown(const std::string &address) const
+{
+    return std::find(m_options.addresses.begin(), m_options.addresses.end(), address) != m_options.addresses.end();
+}
+
+void ControlClient::tick(TimePoint now)
+{
+    const bool isUnanswered = m_unansweredSince && now - *m_unansweredSince >= m_options.searchAfter;
+    if (isUnanswered && !m_leader.empty()) {
+        Metrics::instance().counter("waxwing_control_searches_total").add();
+        m_leader.clear();
+        renew(now);
+        return;
+    }
+    const auto sinceLast = m_lastRenewal ? now - *m_lastRenewal : Duration::max();
+    const bool isSearching = m_leader.empty() && sinceLast >= m_options.searchAfter;
+    if (sinceLast >= m_options.interval || isSearching || (m_isUrgent && sinceLast >= m_options.urgentSpacing)) {
+        renew(now);
+    }
+}
+
+void ControlClient::hurry()
+{
+    m_isUrgent = true;
+}
+
+void ControlClient::renew(TimePoint now)
+{
+    wire::Envelope message;
+    auto &renewal = *message.mutable_renewal();
+    renewal.set_sequence(++m_sequence);
+    m_fill(renewal);
+    m_isUrgent = false;
+    m_lastRenewal = now;
+    if (!m_unansweredSince) {
+        m_unansweredSince = now;
+    }
+    m_sent.push_back({m_sequence, now});
+    if (m_sent.size() > maxSent) {
+        m_sent.pop_front();
+    }
+    send(message);
+}
+
+bool ControlClient::send(const wire::Envelope &message)
+{
+    if (!m_leader.empty()) {
+        return m_sender(peerAt(m_leader), message);
+    }
+    bool isSent = false;
+    for (const auto &address : m_options.addresses) {
+        isSent = m_sender(peerAt(address), message) || isSent;
+    }
+    return isSent;
+}
+
+std::optional<TimePoint> ControlClient::onGrant(const LinkPeer &from, const wire::Grant &grant, TimePoint)
+{
+    if (grant.sequence() == 0) {
+        return std::nullopt;
+    }
+    const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&](const Sent &entry) { return entry.sequence == grant.sequence(); });
+    if (sent == m_sent.end()) {
+        return std::nullopt;
+    }
+    const auto sentAt = sent->at;
+    m_sent.erase(m_sent.begin(), std::next(sent));
+    m_unansweredSince = m_sent.empty() ? std::nullopt : std::optional(m_sent.front().at);
+    if (from.kind == LinkPeer::Kind::Dialed && isKnown(from.id)) {
+        m_leader = from.id;
+    }
+    return sentAt;
+}
+
+void ControlClient::onNotLeader(const LinkPeer &from, const wire::NotLeader &message)
+{
+    const auto &leader = message.leader_link_address();
+    const bool isHelpful = !leader.empty() && isKnown(leader) && leader != m_leader;
+    // Only the process that is believed to lead, or any while none is known, changes the belief: hints of others may be old.
+    if (from.id == m_leader || m_leader.empty()) {
+        m_leader = isHelpful ? leader : std::string();
+        m_isUrgent = isHelpful;
+    }
+}
+
+} // namespace waxwing
