--- /dev/null
+++ b/tools/load/main.cpp
@@ -0,0 +1,16 @@
+#include "run_command.h"
+
+#include <iostream>
+#include <string_view>
+
+int main(int argc, char **argv)
+{
+    constexpr int exitUsage = 2;
+    const std::string_view command = argc > 1 ? argv[1] : "";
+    if (command == "run") {
+        return waxwing::load::runCommand(argc - 1, argv + 1);
+    }
+    auto &out = command == "--help" ? std::cout : std::cerr;
+    out << "Usage: waxwing-load run|check [options]; --help after the command lists its options\n";
+    return command == "--help" ? 0 : exitUsage;
+}
--- a/tools/standin/endpoint.cpp
+++ b/tools/standin/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "endpoint.h"
 
 #include "member.h"
+#include "replicator.h"
 
 #include <waxwing/transport/http_request.h>
 #include <waxwing/transport/http_response.h>
@@ -55,10 +56,9 @@
 
 } // namespace
 
-Endpoint::Endpoint(boost::asio::io_context &context, Member &member, Replicator &replicator)
+Endpoint::Endpoint(boost::asio::io_context &context, Member &member)
     : m_context(context)
     , m_member(member)
-    , m_replicator(replicator)
     , m_executor(member)
 {
 }
--- a/tools/standin/endpoint.h
+++ b/tools/standin/endpoint.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "executor.h"
-#include "replicator.h"
 
 #include <waxwing/transport/http_reply.h>
 #include <waxwing/transport/http_server.h>
@@ -28,8 +27,8 @@
 class Endpoint
 {
 public:
-    /// @brief Binds to a member and its replicator, which must outlive this object.
-    Endpoint(boost::asio::io_context &context, Member &member, Replicator &replicator);
+    /// @brief Binds to a member, which must outlive this object.
+    Endpoint(boost::asio::io_context &context, Member &member);
 
     /// @brief Opens the listening sockets.
     /// @return false if an address cannot be used
@@ -63,7 +62,6 @@
 
     boost::asio::io_context &m_context;
     Member &m_member;
-    Replicator &m_replicator;
     Executor m_executor;
     std::optional<HttpServer> m_server;
     std::optional<HttpServer> m_adminServer;
--- a/tools/standin/executor.cpp
+++ b/tools/standin/executor.cpp
@@ -84,7 +84,7 @@
     auto answer = response(request, "done");
     answer["rows"] = rows;
     answer["checksum"] = toHex(hash64(result));
-    answer["result"] = std::move(result);
+    answer["result"] = result;
     return answer;
 }
 
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -28,7 +28,7 @@
     Member member(std::move(options));
     Replicator replicator(context, member);
     Announcer announcer(context, member);
-    Endpoint endpoint(context, member, replicator);
+    Endpoint endpoint(context, member);
     if (!endpoint.start()) {
         std::cerr << "waxwing-standin: cannot listen on " << member.options.listen << "\n";
         return exitFailure;
