--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,5 +1,7 @@
 #include "run_command.h"
 
+#include <waxwing/transport/link_key.h>
+
 #include <iostream>
 #include <string_view>
 
@@ -10,7 +12,12 @@
     if (command == "run") {
         return waxwing::load::runCommand(argc - 1, argv + 1);
     }
+    if (command == "make-link-key") {
+        const auto key = waxwing::makeLinkKey();
+        std::cout << key.publicKey << "\n" << key.secretKey << "\n";
+        return 0;
+    }
     auto &out = command == "--help" ? std::cout : std::cerr;
-    out << "Usage: waxwing-load run|check [options]; --help after the command lists its options\n";
+    out << "Usage: waxwing-load run|check|make-link-key [options]; --help after the command lists its options\n";
     return command == "--help" ? 0 : exitUsage;
 }
