--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,3 +1,4 @@
+#include "check_command.h"
 #include "run_command.h"
 
 #include <waxwing/transport/link_key.h>
@@ -12,6 +13,9 @@
     if (command == "run") {
         return waxwing::load::runCommand(argc - 1, argv + 1);
     }
+    if (command == "check") {
+        return waxwing::load::checkCommand(argc - 1, argv + 1);
+    }
     if (command == "make-link-key") {
         const auto key = waxwing::makeLinkKey();
         std::cout << key.publicKey << "\n" << key.secretKey << "\n";
--- a/tools/standin/history.cpp
+++ b/tools/standin/history.cpp
@@ -59,9 +59,10 @@
 
 } // namespace
 
-History::History(std::string path, std::string database)
+History::History(std::string path, std::string database, std::string group)
     : m_path(std::move(path))
     , m_database(std::move(database))
+    , m_group(std::move(group))
     , m_file(m_path.empty() ? nullptr : std::fopen(m_path.c_str(), "a"))
 {
 }
@@ -86,6 +87,7 @@
 {
     fields["event"] = event;
     fields["database"] = m_database;
+    fields["group"] = m_group;
     fields["t"] = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
     return json::serialize(fields) + "\n";
 }
--- a/tools/standin/history.h
+++ b/tools/standin/history.h
@@ -24,7 +24,8 @@
     /// @brief Opens the file for appending.
     /// @param path path of the file; nothing is written if it is empty
     /// @param database name of the database, a field of every event
-    History(std::string path, std::string database);
+    /// @param group name of its group, a field of every event
+    History(std::string path, std::string database, std::string group);
 
     /// @brief Replays the events of an earlier process of this database.
     /// @return false if there were none
@@ -56,6 +57,7 @@
 
     std::string m_path;
     std::string m_database;
+    std::string m_group;
     std::unique_ptr<std::FILE, Close> m_file;
 };
 
--- a/tools/standin/member.cpp
+++ b/tools/standin/member.cpp
@@ -6,7 +6,7 @@
 Member::Member(StandinOptions settings)
     : options(std::move(settings))
     , faults(options.seed)
-    , history(options.history, options.database)
+    , history(options.history, options.database, options.group)
 {
 }
 
