--- a/scripts/waxwing_cluster.py
+++ b/scripts/waxwing_cluster.py
@@ -4,6 +4,7 @@
 """
 
 import atexit
+import json
 import os
 import secrets
 import shutil
@@ -182,21 +183,28 @@
 
     # Load
 
-    def load(self, name, arguments, proxies=None):
-        """Starts waxwing-load run against all proxies; its files are in the folder."""
+    def load(self, name, experiment, arguments, proxies=None):
+        """Starts the load of an experiment against all proxies; its files are in the folder."""
         files = ["--history", self.path(name + ".callers"), "--json", self.path(name + ".json"), "--csv", self.path(name + ".csv")]
         targets = []
         for address, _ in proxies or self.proxy_addresses:
             targets += ["--proxy", address]
         for group in self.groups:
             targets += ["--service", group]
-        process = Process(name, [program("waxwing-load"), "run"] + targets + files + [str(argument) for argument in arguments], self.folder)
+        process = Process(name, [program("waxwing-load"), "experiment", experiment] + targets + files + [str(argument) for argument in arguments], self.folder)
         self.loads.append(process)
         process.start()
         return process
 
+    def finish_load(self, process, timeout=120.0):
+        """Waits for a load process; returns its results."""
+        if process.process.wait(timeout) != 0:
+            raise RuntimeError(f"{process.name} failed; see {process.log_path}")
+        with open(self.path(process.name + ".json"), encoding="utf-8") as file:
+            return json.load(file)
+
     def check(self, acknowledge=None):
-        """Runs the history checker; returns (exit code, text)."""
+        """Runs the history checker; returns its summary, with the printed text under `text`."""
         callers = [self.path(name) for name in sorted(os.listdir(self.folder)) if name.endswith(".callers")]
         arguments = [program("waxwing-load"), "check", "--acknowledge", acknowledge or self.acknowledge]
         for path in callers:
@@ -204,7 +212,11 @@
         for database in self.databases:
             arguments += ["--database", database.history]
         result = subprocess.run(arguments, capture_output=True, text=True, check=False)
-        return result.returncode, result.stdout + result.stderr
+        if result.returncode not in (0, 1):
+            raise RuntimeError(result.stderr)
+        summary = json.loads(result.stdout.strip().splitlines()[-1])
+        summary["text"] = result.stdout
+        return summary
 
     def path(self, name):
         return os.path.join(self.folder, name)
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -13,6 +13,9 @@
     if (command == "run") {
         return waxwing::load::runCommand(argc - 1, argv + 1);
     }
+    if (command == "experiment") {
+        return waxwing::load::experimentCommand(argc - 1, argv + 1);
+    }
     if (command == "check") {
         return waxwing::load::checkCommand(argc - 1, argv + 1);
     }
@@ -22,6 +25,6 @@
         return 0;
     }
     auto &out = command == "--help" ? std::cout : std::cerr;
-    out << "Usage: waxwing-load run|check|make-link-key [options]; --help after the command lists its options\n";
+    out << "Usage: waxwing-load run|experiment|check|make-link-key [options]; --help after the command lists its options\n";
     return command == "--help" ? 0 : exitUsage;
 }
--- a/tools/load/run_command.cpp
+++ b/tools/load/run_command.cpp
@@ -1,5 +1,6 @@
 #include "run_command.h"
 
+#include "experiment_preset.h"
 #include "generator.h"
 #include "load_options.h"
 
@@ -58,4 +59,25 @@
     return isWritten ? 0 : exitFailure;
 }
 
+int experimentCommand(int argc, char **argv)
+{
+    const auto preset = experimentPreset(argc > 1 ? argv[1] : "");
+    if (preset.empty()) {
+        std::cerr << "Usage: waxwing-load experiment NAME [options of run]\nNames:";
+        for (const auto name : experimentNames()) {
+            std::cerr << " " << name;
+        }
+        std::cerr << "\n";
+        return exitUsage;
+    }
+    // getopt_long takes mutable texts, but does not change them.
+    std::vector<char *> arguments {argv[0]};
+    for (const auto *option : preset) {
+        arguments.push_back(const_cast<char *>(option));
+    }
+    arguments.insert(arguments.end(), argv + 2, argv + argc);
+    arguments.push_back(nullptr);
+    return runCommand(static_cast<int>(arguments.size()) - 1, arguments.data());
+}
+
 } // namespace waxwing::load
