--- a/tools/standin/announcer.cpp
+++ b/tools/standin/announcer.cpp
@@ -65,8 +65,8 @@
 {
     auto body = m_member.status();
     body.erase("running");
-    body.erase("fence");
     body["address"] = m_member.options.listen;
+    body["leaving"] = m_member.isAnnouncedLeaving;
     body["failure_domain"] = m_member.options.failureDomain;
     m_connection->exchange({.method = "POST", .target = "/v1/announcements", .body = boost::json::serialize(body)}, timeout,
                            [this, remaining](HttpExchange &&exchange) {
--- a/tools/standin/endpoint.cpp
+++ b/tools/standin/endpoint.cpp
@@ -290,7 +290,10 @@
         applyFaults();
     }
     auto report = m_member.faults.report();
-    report["status"] = m_member.status();
+    auto status = m_member.status();
+    status["fence"] = m_member.database.fence();
+    status["leaving"] = m_member.isAnnouncedLeaving;
+    report["status"] = std::move(status);
     reply.send({.body = json::serialize(report)});
 }
 
--- a/tools/standin/executor_test.cpp
+++ b/tools/standin/executor_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(statementOverTheSlotsIsRejected);
     CPPUNIT_TEST(writeThatOutlivesItsTermIsRejected);
     CPPUNIT_TEST(higherTermInAStatementFencesLowerOnes);
+    CPPUNIT_TEST(statusHasExactlyTheFieldsOfThePage);
     CPPUNIT_TEST_SUITE_END();
 
     Member m_member {{.startsAsPrimary = true, .term = 1, .slots = 1}};
@@ -84,6 +85,16 @@
         run({.term = 2, .statement = "write a 1", .isWrite = true});
         assertField("wrong-term", run({.term = 1, .statement = "write a 1", .isWrite = true}), "reason");
     }
+
+    // Guards against further fields in the status: proxies refuse the whole response then, and treat the database as silent.
+    void statusHasExactlyTheFieldsOfThePage()
+    {
+        std::string names;
+        for (const auto &field : m_member.status()) {
+            names += std::string(field.key()) + " ";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("database group role term term_start position slots connections running "), names);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorTest);
--- a/tools/standin/member.cpp
+++ b/tools/standin/member.cpp
@@ -57,12 +57,15 @@
 
 boost::json::object Member::status() const
 {
-    return {{"database", options.database},       {"group", options.group},
-            {"role", roleName(database.role())},  {"term", database.term()},
-            {"term_start", database.termStart()}, {"position", database.position()},
-            {"fence", database.fence()},          {"slots", options.slots},
-            {"connections", options.connections}, {"running", running},
-            {"leaving", isAnnouncedLeaving}};
+    return {{"database", options.database},
+            {"group", options.group},
+            {"role", roleName(database.role())},
+            {"term", database.term()},
+            {"term_start", database.termStart()},
+            {"position", database.position()},
+            {"slots", options.slots},
+            {"connections", options.connections},
+            {"running", running}};
 }
 
 std::string_view roleName(Role role)
--- a/tools/standin/member.h
+++ b/tools/standin/member.h
@@ -26,7 +26,7 @@
     /// @brief Follows a primary in a term; see Database::follow().
     bool follow(std::uint64_t term, std::string address);
 
-    /// @brief Fields of the status response and of announcements.
+    /// @brief Fields of the status response, exactly those of the page: proxies refuse unknown ones.
     boost::json::object status() const;
 
     StandinOptions options;
