Add the randomised check of the replicated log, and fix what it found

Cause: elections, membership changes, crashes and lost disks interact in ways that single tests don't reach.

Change: waxwing-log-check simulates members with seeded time, network (loss, delay, reordering, duplication, cuts), clock drift, pauses, disks (torn groups, fsync errors, full, lost) and membership changes.

Opening now writes the missing reset record.

The check of leader completeness first compared leaders of all terms. The check now covers leaders of terms after the one in which the entry was committed, which is what the property states.

--- a/packages/coordination/include/waxwing/coordination/raft_node.h
+++ b/packages/coordination/include/waxwing/coordination/raft_node.h
@@ -255,6 +255,7 @@
     void becomeLeader(TimePoint now);
     void requestPreVotes(TimePoint now);
     void restartElectionTimer(TimePoint now);
+    bool mayCampaign() const;
     bool hasRecentLeader(TimePoint now) const;
     bool isUpToDate(const wire::RaftVoteRequest &request) const;
     bool isQuorum(const std::set<MemberId> &members) const;
--- a/packages/coordination/include/waxwing/coordination/raft_replay.h
+++ b/packages/coordination/include/waxwing/coordination/raft_replay.h
@@ -28,6 +28,13 @@
     /// @return false if they leave a gap; see problem()
     bool finish(std::optional<RaftSnapshot> snapshot, RaftStoredState &state);
 
+    /// @brief Tells whether the log on the disk does not reach the snapshot, or differs from it: a crash came between the
+    /// snapshot file and the reset record, which is to be written before further entries.
+    bool needsReset() const
+    {
+        return m_needsReset;
+    }
+
     /// @brief Highest index in the present segment, 0 for none.
     LogIndex segmentLastIndex() const
     {
@@ -47,6 +54,7 @@
     LogIndex m_first = 0; ///< index of the first entry; 0 if the log has none and no reset
     std::deque<RaftEntry> m_entries;
     LogIndex m_segmentLastIndex = 0;
+    bool m_needsReset = false;
     std::string m_problem;
 };
 
--- a/packages/coordination/include/waxwing/coordination/raft_store.h
+++ b/packages/coordination/include/waxwing/coordination/raft_store.h
@@ -116,6 +116,14 @@
         m_segment->append(m_encoded);
     }
 
+    void appendReset(const RaftSnapshot &snapshot)
+    {
+        wire::RaftRecord record;
+        record.mutable_reset()->set_index(snapshot.index);
+        record.mutable_reset()->set_term(snapshot.term);
+        append(record);
+    }
+
     static StateError corrupt(const std::string &path, std::string_view problem)
     {
         return {StateErrorCode::Corrupt, path + ": " + std::string(problem)};
@@ -199,6 +207,10 @@
             return corrupt(segmentPath(numbers.front()), replay.problem());
         }
         m_hardState = m_state.hardState;
+        if (replay.needsReset()) {
+            appendReset(*m_state.snapshot);
+            return sync();
+        }
         return boost::outcome_v2::success();
     }
 
@@ -223,9 +235,7 @@
         *record.mutable_hard_state() = m_hardState;
         append(record);
         if (write.reset) {
-            record.mutable_reset()->set_index(write.snapshot->index);
-            record.mutable_reset()->set_term(write.snapshot->term);
-            append(record);
+            appendReset(*write.snapshot);
         }
         BOOST_OUTCOME_TRYV(sync());
         BOOST_OUTCOME_TRYV(m_files.syncFolder(m_folder));
--- a/packages/coordination/src/waxwing/coordination/raft_node.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node.cpp
@@ -91,7 +91,7 @@
         return;
     }
     if (now >= m_electionDeadline) {
-        if (isVoter(m_log.membership(), m_id)) {
+        if (mayCampaign()) {
             becomePreCandidate(now);
         } else {
             m_leader = 0;
@@ -276,6 +276,16 @@
     m_electionDeadline = now + m_options.electionTimeoutLow + m_random.upTo(m_options.electionTimeoutHigh - m_options.electionTimeoutLow);
 }
 
+bool RaftNode::mayCampaign() const
+{
+    const auto changed = m_log.membershipIndex();
+    if (isVoter(m_log.membership(), m_id)) {
+        return true;
+    }
+    // Until its removal is committed, this member may be the only one whose log is complete enough to lead.
+    return changed > m_commitIndex && isVoter(m_log.membershipAt(changed - 1), m_id);
+}
+
 bool RaftNode::hasRecentLeader(TimePoint now) const
 {
     if (m_role == Role::Leader) {
--- a/packages/coordination/src/waxwing/coordination/raft_replay.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_replay.cpp
@@ -61,11 +61,12 @@
         m_problem = "the log begins with entry " + std::to_string(m_first) + " but the snapshot ends with entry " + std::to_string(base);
         return false;
     }
-    if (m_entries.empty() || last < base) {
+    if (m_first != 0 && last < base) {
+        m_needsReset = true;
         m_entries.clear();
-    } else if (m_first <= base) {
-        // A snapshot from the leader replaces a log that does not match it; the crash came before the reset record.
+    } else if (!m_entries.empty() && m_first <= base) {
         if (m_entries[base - m_first].term != snapshot->term) {
+            m_needsReset = true;
             m_entries.clear();
         } else {
             m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(base - m_first + 1));
--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
@@ -0,0 +1,129 @@
+#include <waxwing/coordination/raft_store.h>
+#include <waxwing/state/memory_file_system.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace waxwing;
+
+namespace
+{
+
+using Store = RaftStore<MemoryFileSystem>;
+
+constexpr auto dropAll = [](std::string &tail) {
+    tail.clear();
+};
+
+std::unique_ptr<Store> open(MemoryDisk &disk)
+{
+    auto store = Store::open(MemoryFileSystem(disk), "data/log", [] { return MemberId(7); });
+    CPPUNIT_ASSERT_MESSAGE(store ? "" : store.error().message, store.has_value());
+    return std::move(store).value();
+}
+
+RaftWrite entriesWrite(LogIndex first, std::size_t count, LogTerm term)
+{
+    RaftWrite write;
+    write.sequence = 1;
+    write.hardState.emplace();
+    write.hardState->set_term(term);
+    write.firstIndex = first;
+    write.entries.assign(count, {term, wire::RAFT_ENTRY_KIND_COMMAND, "command"});
+    return write;
+}
+
+RaftWrite snapshotWrite(LogIndex index, LogTerm term, bool reset)
+{
+    RaftWrite write;
+    write.snapshot = std::make_shared<const RaftSnapshot>(makeRaftSnapshot(index, term, {}, "state"));
+    write.reset = reset;
+    return write;
+}
+
+void store(Store &target, const RaftWrite &write)
+{
+    CPPUNIT_ASSERT(target.add(write).has_value());
+    CPPUNIT_ASSERT(target.sync().has_value());
+}
+
+} // namespace
+
+class RaftStoreTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RaftStoreTest);
+    CPPUNIT_TEST(installInterruptedAtAnySyncKeepsLogReadable);
+    CPPUNIT_TEST(compactionInterruptedAtAnySyncKeepsEntries);
+    CPPUNIT_TEST(missingIdentityIsReported);
+    CPPUNIT_TEST(damagedSegmentIsReported);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a log that can't be read after a crash between the leader's snapshot and the reset record, followed by
+    // further entries (seeds 10146 and 19236 of waxwing-log-check).
+    void installInterruptedAtAnySyncKeepsLogReadable()
+    {
+        for (std::uint64_t syncs = 0; syncs < 12; ++syncs) {
+            MemoryDisk disk;
+            auto first = open(disk);
+            store(*first, entriesWrite(1, 17, 1));
+            disk.syncsUntilCrash = syncs;
+            store(*first, snapshotWrite(39, 2, true));
+            first.reset();
+            disk.crash(dropAll);
+
+            auto second = open(disk);
+            const auto state = second->takeState();
+            const LogIndex next = (state.snapshot ? state.snapshot->index : 0) + state.entries.size() + 1;
+            CPPUNIT_ASSERT(next == 18 || next == 40);
+            store(*second, entriesWrite(next, 2, 2));
+            second.reset();
+            disk.crash(dropAll);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(next == 18 ? 19 : 2), open(disk)->takeState().entries.size());
+        }
+    }
+
+    // Guards against entries behind a snapshot that are lost when a crash interrupts the removal of old segments.
+    void compactionInterruptedAtAnySyncKeepsEntries()
+    {
+        for (std::uint64_t syncs = 0; syncs < 12; ++syncs) {
+            MemoryDisk disk;
+            auto first = open(disk);
+            store(*first, entriesWrite(1, 10, 1));
+            store(*first, snapshotWrite(4, 1, false));
+            store(*first, entriesWrite(11, 10, 1));
+            disk.syncsUntilCrash = syncs;
+            store(*first, snapshotWrite(15, 1, false));
+            first.reset();
+            disk.crash(dropAll);
+            const auto state = open(disk)->takeState();
+            CPPUNIT_ASSERT_EQUAL(LogIndex(20), state.snapshot->index + state.entries.size());
+            CPPUNIT_ASSERT_EQUAL(LogTerm(1), LogTerm(state.hardState.term()));
+        }
+    }
+
+    // Guards against a new identity in a folder with an old log, which would vote a second time.
+    void missingIdentityIsReported()
+    {
+        MemoryDisk disk;
+        store(*open(disk), entriesWrite(1, 1, 1));
+        disk.names.erase("data/log/identity");
+        const auto result = Store::open(MemoryFileSystem(disk), "data/log");
+        CPPUNIT_ASSERT(!result && result.error().code == StateErrorCode::Corrupt);
+        CPPUNIT_ASSERT(result.error().message.find("data/log/identity") != std::string::npos);
+    }
+
+    // Guards against a start with a log that lost durable entries.
+    void damagedSegmentIsReported()
+    {
+        MemoryDisk disk;
+        auto first = open(disk);
+        store(*first, entriesWrite(1, 3, 1));
+        store(*first, entriesWrite(4, 3, 1));
+        disk.names.at("data/log/log-1")->bytes[30] ^= 1;
+        const auto result = Store::open(MemoryFileSystem(disk), "data/log");
+        CPPUNIT_ASSERT(!result && result.error().code == StateErrorCode::Corrupt);
+        CPPUNIT_ASSERT_EQUAL(std::string("data/log/log-1: record at offset 0 is corrupt"), result.error().message);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RaftStoreTest);
--- a/packages/coordination/testing/log_cluster.h
+++ b/packages/coordination/testing/log_cluster.h
@@ -117,7 +117,7 @@
     {
         m_peers.receivers.erase(address);
         m_hosts.erase(address);
-        m_disks[address]->crash([](std::size_t) { return 0; });
+        m_disks[address]->crash([](std::string &tail) { tail.clear(); });
     }
 
     /// @brief Replaces the disk of a crashed member by an empty one.
--- a/packages/state/include/waxwing/state/memory_file_system.h
+++ b/packages/state/include/waxwing/state/memory_file_system.h
@@ -30,22 +30,34 @@
     std::optional<std::uint64_t> bytesLeft; ///< free space; nothing for no limit
     bool failSync = false; ///< fsync returns an error
 
+    std::optional<std::uint64_t> syncsUntilCrash; ///< later syncs report success but store nothing, as if the crash came first
+
     /// @brief Drops what was not synced.
-    /// @param keepUnsynced for each file with unsynced appended bytes, how many of them reach the disk all the same
-    template<class KeepUnsynced>
-    void crash(KeepUnsynced &&keepUnsynced)
+    /// @param edit called for each file with bytes appended since the last sync, with these bytes; what it leaves in place
+    /// reaches the disk all the same
+    template<class Edit>
+    void crash(Edit &&edit)
     {
+        syncsUntilCrash.reset();
         names = durableNames;
         for (auto &[name, content] : names) {
             if (content->bytes.starts_with(content->synced)) {
-                const auto unsynced = content->bytes.size() - content->synced.size();
-                content->bytes.resize(content->synced.size() + (unsynced == 0 ? 0 : keepUnsynced(unsynced)));
-            } else {
-                content->bytes = content->synced;
+                auto tail = content->bytes.substr(content->synced.size());
+                if (!tail.empty()) {
+                    edit(tail);
+                }
+                content->synced += tail;
             }
-            content->synced = content->bytes;
+            content->bytes = content->synced;
         }
     }
+
+    /// @brief Counts a sync.
+    /// @return false if the sync stores nothing
+    bool beginSync()
+    {
+        return !syncsUntilCrash || (*syncsUntilCrash > 0 && (*syncsUntilCrash)-- > 0);
+    }
 };
 
 /// @brief File of a MemoryDisk.
--- a/packages/state/src/waxwing/state/memory_file_system.cpp
+++ b/packages/state/src/waxwing/state/memory_file_system.cpp
@@ -33,6 +33,9 @@
     if (m_disk->failSync) {
         return makeStateError(StateErrorCode::SyncFailed, "fsync", m_path, EIO);
     }
+    if (!m_disk->beginSync()) {
+        return boost::outcome_v2::success();
+    }
     if (m_content->bytes.starts_with(m_content->synced)) {
         m_content->synced.append(m_content->bytes, m_content->synced.size());
     } else {
@@ -109,6 +112,9 @@
     if (m_disk->failSync) {
         return makeStateError(StateErrorCode::SyncFailed, "fsync", path, EIO);
     }
+    if (!m_disk->beginSync()) {
+        return boost::outcome_v2::success();
+    }
     std::erase_if(m_disk->durableNames, [&path](const auto &entry) { return folderOf(entry.first) == path; });
     for (const auto &[name, content] : m_disk->names) {
         if (folderOf(name) == path) {
--- /dev/null
+++ b/tools/log-check/log_simulation.cpp
@@ -0,0 +1,747 @@
+#include "log_simulation.h"
+
+#include "simulated_member.h"
+
+#include <waxwing/support/identifier.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/support/random.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <queue>
+#include <set>
+#include <stdexcept>
+
+namespace waxwing
+{
+
+namespace
+{
+
+constexpr std::int64_t millisecond = 1'000'000;
+constexpr std::int64_t faultPhase = 12'000 * millisecond;
+constexpr std::int64_t recoveryPhase = 8'000 * millisecond; ///< time for progress after the last fault
+constexpr std::int64_t clockBase = 1'000'000'000 * millisecond;
+constexpr std::size_t logComparisonInterval = 500; ///< events
+
+struct Violation : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
+};
+
+struct Event
+{
+    std::int64_t time = 0;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+
+    bool operator<(const Event &other) const
+    {
+        return std::pair(time, order) > std::pair(other.time, other.order);
+    }
+};
+
+struct CommittedEntry
+{
+    LogTerm term = 0;
+    std::uint64_t hash = 0;
+    std::uint64_t stateHash = 0;
+    LogTerm commitTerm = 0; ///< term of the leader that committed it
+};
+
+std::uint64_t entryHash(const RaftEntry &entry)
+{
+    return XXH64(entry.data.data(), entry.data.size(), entry.term * 4 + static_cast<std::uint64_t>(entry.kind));
+}
+
+std::uint64_t joinHash(std::uint64_t state, std::uint64_t entry)
+{
+    const std::uint64_t values[] = {state, entry};
+    return XXH64(values, sizeof(values), 0);
+}
+
+class LogSimulation
+{
+public:
+    explicit LogSimulation(const LogSimulationOptions &options)
+        : m_random(options.seed)
+        , m_trace(options.trace)
+    {
+        m_raft.keepEntries = m_random.between(0, 20);
+        m_raft.windowEntries = m_random.between(4, 64);
+        m_raft.appendBytes = m_random.between(100, 1000);
+        m_raft.chunkBytes = m_random.between(20, 100);
+        m_raft.learnerLag = m_random.between(2, 20);
+        m_snapshotEvery = m_random.between(5, 60);
+        m_loss = m_random.chance(0.5) ? m_random.unit() * 0.2 : 0;
+        m_duplication = m_random.chance(0.5) ? m_random.unit() * 0.1 : 0;
+        m_delay = m_random.between(1, 30) * millisecond;
+        m_longDelay = m_random.chance(0.3) ? 0.02 : 0;
+        m_faultMean = static_cast<double>(m_random.between(150, 1500) * millisecond);
+        m_proposalMean = static_cast<double>(m_random.between(5, 100) * millisecond);
+    }
+
+    LogSimulationResult run()
+    {
+        try {
+            begin();
+            runUntil(faultPhase);
+            m_faults = false;
+            heal();
+            runUntil(faultPhase + recoveryPhase);
+            compareLogs();
+            checkProgress();
+        } catch (const Violation &violation) {
+            m_result.violation = "at " + std::to_string(m_now / 1000) + " us: " + violation.what();
+        }
+        m_result.counts["committed entries"] += m_committed.size();
+        return std::move(m_result);
+    }
+
+private:
+    void count(const std::string &kind)
+    {
+        ++m_result.counts[kind];
+        trace(kind);
+    }
+
+    void trace(const std::string &text) const
+    {
+        if (m_trace) {
+            std::fprintf(stderr, "%10lld us  %s\n", static_cast<long long>(m_now / 1000), text.c_str());
+        }
+    }
+
+    void schedule(std::int64_t delay, std::function<void()> run)
+    {
+        m_events.push({m_now + delay, ++m_order, std::move(run)});
+    }
+
+    void runUntil(std::int64_t end)
+    {
+        while (!m_events.empty() && m_events.top().time <= end) {
+            auto run = std::move(const_cast<Event &>(m_events.top()).run);
+            m_now = m_events.top().time;
+            m_events.pop();
+            run();
+            checkReads();
+            if (++m_eventCount % logComparisonInterval == 0) {
+                compareLogs();
+            }
+        }
+        m_now = end;
+    }
+
+    // Processes
+
+    TimePoint localTime(const SimulatedProcess &process) const
+    {
+        return TimePoint(Duration(clockBase + process.clockOffset + m_now + m_now / 1'000'000 * process.clockDrift));
+    }
+
+    std::int64_t simulatedTime(const SimulatedProcess &process, TimePoint local) const
+    {
+        const auto elapsed = local.time_since_epoch().count() - clockBase - process.clockOffset;
+        return elapsed / (1'000'000 + process.clockDrift) * 1'000'000 + 2 * 1'000'000;
+    }
+
+    void begin()
+    {
+        const auto members = m_random.between(1, 5);
+        m_members.resize(members + m_random.between(0, 2));
+        wire::RaftMembership membership;
+        for (std::size_t i = 0; i < m_members.size(); ++i) {
+            start(i);
+            if (i < members) {
+                auto &member = *membership.add_members();
+                member.set_id(m_members[i].id);
+                member.set_voter(true);
+            }
+        }
+        auto &first = *m_members[0].process;
+        first.node->bootstrap(localTime(first), membership);
+        pump(0);
+        scheduleProposal();
+        scheduleFault();
+    }
+
+    void start(std::size_t place)
+    {
+        auto &member = m_members[place];
+        if (member.process) {
+            return;
+        }
+        auto store = RaftStore<MemoryFileSystem>::open(MemoryFileSystem(*member.disk), "data/log", [this] { return ++m_lastId; });
+        if (!store && store.error().code != StateErrorCode::Corrupt && (member.disk->failSync || member.disk->bytesLeft)) {
+            count("disk error at start");
+            dropUnsynced(place);
+            schedule(100 * millisecond, [this, place] { start(place); });
+            return;
+        }
+        if (!store) {
+            throw Violation("member " + std::to_string(place) + " can't start: " + store.error().message);
+        }
+        auto process = std::make_unique<SimulatedProcess>();
+        process->number = ++m_lastProcess;
+        process->store = std::move(store).value();
+        process->clockOffset = static_cast<std::int64_t>(m_random.between(0, 1'000'000)) * millisecond;
+        process->clockDrift = static_cast<std::int64_t>(m_random.between(0, 60'000)) - 30'000;
+        member.id = process->store->id();
+        if (process->store->truncatedBytes() != 0) {
+            count("torn tail");
+        }
+        process->node.emplace(member.id, m_raft, process->store->takeState(), m_random.between(0, UINT64_MAX), localTime(*process));
+        member.process = std::move(process);
+        trace("start member " + std::to_string(place) + " id " + std::to_string(member.id));
+        pump(place);
+    }
+
+    void crash(std::size_t place)
+    {
+        auto &member = m_members[place];
+        if (!member.process) {
+            return;
+        }
+        trace("crash member " + std::to_string(place));
+        auto &process = *member.process;
+        const bool failed = process.node->hasFailed();
+        if (!process.group.empty() && !failed) {
+            // The disk was in the middle of a group: some of its syncs were finished, the rest is lost or torn.
+            member.disk->syncsUntilCrash = m_random.between(0, 8);
+            for (const auto &write : process.group) {
+                (void)process.store->add(write);
+            }
+            (void)process.store->sync();
+        }
+        member.process.reset();
+        dropUnsynced(place);
+    }
+
+    /// Ends the armed disk errors, too.
+    void dropUnsynced(std::size_t place)
+    {
+        auto &disk = *m_members[place].disk;
+        disk.failSync = false;
+        disk.bytesLeft.reset();
+        disk.crash([this](std::string &tail) {
+            tail.resize(m_random.between(0, tail.size()));
+            if (!tail.empty() && m_random.chance(0.3)) {
+                tail[m_random.between(0, tail.size() - 1)] ^= 0x10;
+            }
+        });
+    }
+
+    /// Runs a step of a process unless it ended meanwhile; a paused process runs it later.
+    void onProcess(std::size_t place, std::uint64_t number, const std::function<void(SimulatedProcess &)> &step)
+    {
+        auto &process = m_members[place].process;
+        if (!process || process->number != number) {
+            return;
+        }
+        if (process->pausedUntil > m_now) {
+            schedule(process->pausedUntil - m_now, [this, place, number, step] { onProcess(place, number, step); });
+            return;
+        }
+        step(*process);
+        pump(place);
+    }
+
+    void pump(std::size_t place)
+    {
+        auto &process = *m_members[place].process;
+        auto &node = *process.node;
+        const auto now = localTime(process);
+        node.tick(now);
+        auto output = node.takeOutput(now);
+        for (auto &message : output.messages) {
+            deliver(place, std::move(message));
+        }
+        for (auto &write : output.writes) {
+            process.writes.push_back(std::move(write));
+        }
+        startDisk(place);
+        restore(process, output.restore);
+        applyCommitted(process);
+        noteLeadership(place, process);
+        if (process.applied >= node.snapshotIndex() + m_snapshotEvery && !node.isCompacting() && !node.hasFailed()) {
+            std::string state(sizeof(process.stateHash), '\0');
+            std::memcpy(state.data(), &process.stateHash, sizeof(process.stateHash));
+            state.resize(state.size() + m_random.between(0, 300), 'x');
+            node.compact(process.applied, std::move(state));
+            count("snapshot");
+            pump(place);
+            return;
+        }
+        scheduleWake(place, process);
+    }
+
+    void scheduleWake(std::size_t place, SimulatedProcess &process)
+    {
+        if (process.node->deadline() == TimePoint::max()) {
+            return;
+        }
+        const auto time = std::max(m_now + 1, simulatedTime(process, process.node->deadline()));
+        if (process.wake >= 0 && process.wake <= time) {
+            return;
+        }
+        process.wake = time;
+        schedule(time - m_now, [this, place, number = process.number, time] {
+            onProcess(place, number, [time](SimulatedProcess &running) {
+                if (running.wake == time) {
+                    running.wake = -1;
+                }
+            });
+        });
+    }
+
+    void startDisk(std::size_t place)
+    {
+        auto &process = *m_members[place].process;
+        if (!process.group.empty() || process.writes.empty()) {
+            return;
+        }
+        process.group.assign(std::make_move_iterator(process.writes.begin()), std::make_move_iterator(process.writes.end()));
+        process.writes.clear();
+        auto delay = static_cast<std::int64_t>(m_random.between(100, 8'000)) * 1000;
+        if (m_faults && m_random.chance(0.005)) {
+            delay = static_cast<std::int64_t>(m_random.between(100, 1500)) * millisecond;
+            count("slow disk");
+        }
+        schedule(delay, [this, place, number = process.number] { finishDisk(place, number); });
+    }
+
+    void finishDisk(std::size_t place, std::uint64_t number)
+    {
+        auto &running = m_members[place].process;
+        if (!running || running->number != number) {
+            return;
+        }
+        StateResult<void> result = boost::outcome_v2::success();
+        std::uint64_t sequence = 0;
+        for (const auto &write : running->group) {
+            sequence = write.sequence;
+            if (result) {
+                result = running->store->add(write);
+            }
+        }
+        if (result) {
+            result = running->store->sync();
+        }
+        if (!result) {
+            count("disk error");
+            running->node->fail();
+            schedule(20 * millisecond, [this, place, number] {
+                if (m_members[place].process && m_members[place].process->number == number) {
+                    crash(place);
+                    schedule(100 * millisecond, [this, place] { start(place); });
+                }
+            });
+            return;
+        }
+        running->group.clear();
+        onProcess(place, number, [sequence, this](SimulatedProcess &process) { process.node->stored(localTime(process), sequence); });
+        if (running) {
+            startDisk(place);
+        }
+    }
+
+    // Network
+
+    void deliver(std::size_t from, wire::RaftMessage message)
+    {
+        const auto target = std::find_if(m_members.begin(), m_members.end(), [&message](const auto &member) { return member.id == message.to(); });
+        if (target == m_members.end()) {
+            return;
+        }
+        const auto place = static_cast<std::size_t>(target - m_members.begin());
+        if (m_faults && (m_cut.contains({from, place}) || m_random.chance(m_loss))) {
+            return;
+        }
+        const int copies = m_faults && m_random.chance(m_duplication) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            auto delay = static_cast<std::int64_t>(m_random.between(50'000, static_cast<std::uint64_t>(m_delay)));
+            if (m_faults && m_random.chance(m_longDelay)) {
+                delay += static_cast<std::int64_t>(m_random.between(50, 3000)) * millisecond;
+            }
+            schedule(delay, [this, place, message] { arrive(place, message); });
+        }
+    }
+
+    void arrive(std::size_t place, const wire::RaftMessage &message)
+    {
+        if (m_members[place].process) {
+            onProcess(place, m_members[place].process->number,
+                      [this, message](SimulatedProcess &process) { process.node->receive(localTime(process), message); });
+        }
+    }
+
+    // State machine
+
+    void restore(SimulatedProcess &process, const std::shared_ptr<const RaftSnapshot> &snapshot)
+    {
+        if (!snapshot) {
+            return;
+        }
+        wire::RaftSnapshot message;
+        if (!message.ParseFromString(snapshot->encoded) || message.state().size() < sizeof(process.stateHash)) {
+            throw Violation("a snapshot is not readable");
+        }
+        std::memcpy(&process.stateHash, message.state().data(), sizeof(process.stateHash));
+        if (snapshot->index < process.applied) {
+            throw Violation("a snapshot reverts the state machine");
+        }
+        process.applied = snapshot->index;
+        if (snapshot->index > m_committed.size() || m_committed[snapshot->index - 1].stateHash != process.stateHash) {
+            throw Violation("state machine safety: a snapshot differs from the committed entries");
+        }
+        ++m_result.counts["restored snapshot"];
+    }
+
+    void applyCommitted(SimulatedProcess &process)
+    {
+        auto &node = *process.node;
+        const bool leads = node.role() == RaftNode::Role::Leader;
+        while (process.applied < node.commitIndex()) {
+            const auto index = ++process.applied;
+            const auto &entry = node.log().at(index);
+            const auto hash = entryHash(entry);
+            process.stateHash = joinHash(process.stateHash, hash);
+            if (index > m_committed.size()) {
+                m_committed.push_back({entry.term, hash, process.stateHash, node.term()});
+            } else if (m_committed[index - 1].term != entry.term || m_committed[index - 1].hash != hash) {
+                throw Violation("state machine safety: two members applied different entries at index " + std::to_string(index));
+            }
+            if (entry.kind == wire::RAFT_ENTRY_KIND_MEMBERSHIP && index > m_committedMembershipIndex) {
+                m_committedMembershipIndex = index;
+                m_committedMembership.ParseFromString(entry.data);
+            }
+            const auto proposal = process.proposals.find(index);
+            if (leads && proposal != process.proposals.end() && proposal->second == node.term()) {
+                m_acknowledged = std::max(m_acknowledged, index);
+                ++m_result.counts["acknowledged command"];
+            }
+            process.proposals.erase(index);
+        }
+        if (!leads) {
+            process.proposals.clear();
+        }
+    }
+
+    // Checks
+
+    void noteLeadership(std::size_t place, SimulatedProcess &process)
+    {
+        auto &node = *process.node;
+        if (node.role() != RaftNode::Role::Leader || process.leaderTerm == node.term()) {
+            return;
+        }
+        process.leaderTerm = node.term();
+        count("election");
+        trace("member " + std::to_string(place) + " leads term " + std::to_string(node.term()));
+        const auto [known, inserted] = m_leaders.emplace(node.term(), node.id());
+        if (!inserted) {
+            throw Violation("election safety: two leaders in term " + std::to_string(node.term()));
+        }
+        for (LogIndex index = std::max<LogIndex>(node.log().baseIndex(), 1); index <= m_committed.size(); ++index) {
+            // A paused member can still become leader of an old term; only leaders of later terms must hold the entry.
+            if (m_committed[index - 1].commitTerm < node.term() && node.log().termAt(index) != m_committed[index - 1].term) {
+                throw Violation("leader completeness: the leader of term " + std::to_string(node.term()) + " lacks entry " + std::to_string(index));
+            }
+        }
+    }
+
+    void checkReads()
+    {
+        for (const auto &member : m_members) {
+            const auto &process = member.process;
+            if (process && process->pausedUntil <= m_now && process->node->role() == RaftNode::Role::Leader && process->node->canRead(localTime(*process))) {
+                ++m_result.counts["read check"];
+                if (process->applied < m_acknowledged) {
+                    throw Violation("stale read: member " + std::to_string(member.id) + " holds a lease but lacks entry " + std::to_string(m_acknowledged));
+                }
+            }
+        }
+    }
+
+    void compareLogs() const
+    {
+        for (std::size_t a = 0; a < m_members.size(); ++a) {
+            for (std::size_t b = a + 1; b < m_members.size(); ++b) {
+                if (m_members[a].process && m_members[b].process) {
+                    compareLogs(m_members[a].process->node->log(), m_members[b].process->node->log());
+                }
+            }
+        }
+    }
+
+    static void compareLogs(const RaftLog &a, const RaftLog &b)
+    {
+        const auto base = std::max(a.baseIndex(), b.baseIndex());
+        auto index = std::min(a.lastIndex(), b.lastIndex());
+        while (index > base && a.at(index).term != b.at(index).term) {
+            --index;
+        }
+        for (; index > base; --index) {
+            if (entryHash(a.at(index)) != entryHash(b.at(index))) {
+                throw Violation("log matching: two logs agree on the term of a later entry but differ at index " + std::to_string(index));
+            }
+        }
+    }
+
+    bool hasLivingMajority(const wire::RaftMembership &membership) const
+    {
+        const auto living = std::count_if(membership.members().begin(), membership.members().end(), [this](const auto &member) {
+            return member.voter() && std::any_of(m_members.begin(), m_members.end(), [&member](const auto &place) { return place.id == member.id(); });
+        });
+        return static_cast<std::size_t>(living) > voterCount(membership) / 2;
+    }
+
+    void traceMembers() const
+    {
+        for (const auto &member : m_members) {
+            const auto &node = *member.process->node;
+            trace("member id " + std::to_string(member.id) + " role " + std::to_string(static_cast<int>(node.role())) + " term " + std::to_string(node.term())
+                  + " last " + std::to_string(node.log().lastIndex()) + "/" + std::to_string(node.log().lastTerm()) + " commit "
+                  + std::to_string(node.commitIndex()) + (node.hasFailed() ? " failed" : "") + " membership at " + std::to_string(node.log().membershipIndex())
+                  + ": " + node.log().membership().ShortDebugString());
+        }
+    }
+
+    void checkProgress()
+    {
+        bool expected = m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership);
+        LogIndex last = 0;
+        for (const auto &member : m_members) {
+            expected
+                = expected && (!member.process || hasLivingMajority(member.process->node->log().membership()) || member.process->node->log().lastIndex() == 0);
+        }
+        if (!expected) {
+            count("majority lost for good");
+            return;
+        }
+        const auto leader = std::find_if(m_members.begin(), m_members.end(), [this](const auto &member) {
+            return member.process->node->role() == RaftNode::Role::Leader && member.process->node->canRead(localTime(*member.process));
+        });
+        if (leader == m_members.end()) {
+            traceMembers();
+            throw Violation("progress: no leader with a lease after all faults have ended");
+        }
+        last = leader->process->node->commitIndex();
+        for (const auto &member : m_members) {
+            // Entries of the last moments may still be on their way.
+            if (findMember(leader->process->node->log().membership(), member.id) != nullptr && member.process->applied + m_raft.windowEntries + 200 < last) {
+                throw Violation("progress: member " + std::to_string(member.id) + " is still behind");
+            }
+        }
+    }
+
+    // Load and faults
+
+    void scheduleProposal()
+    {
+        schedule(static_cast<std::int64_t>(m_random.exponential(m_proposalMean)) + 1, [this] {
+            const auto place = m_random.between(0, m_members.size() - 1);
+            if (const auto &process = m_members[place].process) {
+                onProcess(place, process->number, [this](SimulatedProcess &running) {
+                    const auto index = running.node->propose("command " + std::to_string(++m_lastCommand) + std::string(m_random.between(0, 60), '.'));
+                    if (index) {
+                        running.proposals[*index] = running.node->term();
+                    }
+                });
+            }
+            scheduleProposal();
+        });
+    }
+
+    void scheduleFault()
+    {
+        schedule(static_cast<std::int64_t>(m_random.exponential(m_faultMean)) + 1, [this] {
+            if (m_faults) {
+                injectFault();
+                scheduleFault();
+            }
+        });
+    }
+
+    void injectFault()
+    {
+        const auto place = m_random.between(0, m_members.size() - 1);
+        auto &member = m_members[place];
+        switch (m_random.between(0, 11)) {
+        case 0:
+        case 1:
+            crashAndRestart(place, "crash");
+            break;
+        case 2:
+            for (std::size_t i = 0; i < m_members.size(); ++i) {
+                crashAndRestart(i, "crash of all");
+            }
+            break;
+        case 3:
+            loseDisk(place);
+            break;
+        case 4:
+        case 5:
+            cutNetwork();
+            break;
+        case 6:
+            if (member.process) {
+                count("pause");
+                member.process->pausedUntil = m_now + static_cast<std::int64_t>(m_random.between(10, 1500)) * millisecond;
+            }
+            break;
+        case 7:
+            if (m_random.chance(0.5)) {
+                count("fsync error armed");
+                member.disk->failSync = true;
+            } else {
+                count("disk full armed");
+                member.disk->bytesLeft = m_random.between(0, 2000);
+            }
+            break;
+        default:
+            changeMembership();
+            break;
+        }
+    }
+
+    void crashAndRestart(std::size_t place, const std::string &kind)
+    {
+        count(kind);
+        crash(place);
+        schedule(static_cast<std::int64_t>(m_random.between(1, 1500)) * millisecond, [this, place] { start(place); });
+    }
+
+    void loseDisk(std::size_t place)
+    {
+        // Without a majority of the old disks the log stops for good; such runs would test little.
+        const auto id = m_members[place].id;
+        m_members[place].id = 0;
+        bool majority = m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership);
+        for (const auto &member : m_members) {
+            majority
+                = majority && (!member.process || member.process->node->log().lastIndex() == 0 || hasLivingMajority(member.process->node->log().membership()));
+        }
+        m_members[place].id = id;
+        if (majority) {
+            crash(place);
+            m_members[place].disk = std::make_unique<MemoryDisk>();
+            m_members[place].id = 0;
+            count("lost disk");
+            schedule(static_cast<std::int64_t>(m_random.between(1, 1000)) * millisecond, [this, place] { start(place); });
+        }
+    }
+
+    void cutNetwork()
+    {
+        if (!m_cut.empty() && m_random.chance(0.6)) {
+            m_cut.clear();
+            return;
+        }
+        count("network cut");
+        const bool oneWay = m_random.chance(0.3);
+        std::vector<bool> side(m_members.size());
+        for (std::size_t i = 0; i < side.size(); ++i) {
+            side[i] = m_random.chance(0.5);
+        }
+        for (std::size_t a = 0; a < side.size(); ++a) {
+            for (std::size_t b = 0; b < side.size(); ++b) {
+                if (side[a] != side[b] && (!oneWay || side[a])) {
+                    m_cut.insert({a, b});
+                }
+            }
+        }
+    }
+
+    void changeMembership()
+    {
+        for (std::size_t place = 0; place < m_members.size(); ++place) {
+            auto &process = m_members[place].process;
+            if (!process || process->node->role() != RaftNode::Role::Leader || process->pausedUntil > m_now) {
+                continue;
+            }
+            onProcess(place, process->number, [this](SimulatedProcess &running) {
+                const auto change = chooseChange(running.node->log().membership());
+                LogIndex index = 0;
+                const auto error = running.node->changeMembership(localTime(running), change, index);
+                count("membership change " + std::to_string(static_cast<int>(change.kind)) + " " + std::string(raftChangeErrorName(error)));
+            });
+        }
+    }
+
+    RaftMembershipChange chooseChange(const wire::RaftMembership &membership)
+    {
+        using Kind = RaftMembershipChange::Kind;
+        std::vector<RaftMembershipChange> choices;
+        for (const auto &member : membership.members()) {
+            const bool lost = std::none_of(m_members.begin(), m_members.end(), [&member](const auto &place) { return place.id == member.id(); });
+            if (!member.voter()) {
+                choices.insert(choices.end(), 3, {Kind::Promote, member.id(), {}});
+            }
+            choices.insert(choices.end(), lost ? 5 : 1, {Kind::Remove, member.id(), {}});
+        }
+        for (const auto &member : m_members) {
+            if (member.id != 0 && findMember(membership, member.id) == nullptr) {
+                choices.insert(choices.end(), 3, {Kind::AddLearner, member.id, {}});
+            }
+        }
+        return choices[m_random.between(0, choices.size() - 1)];
+    }
+
+    void heal()
+    {
+        trace("faults end");
+        m_cut.clear();
+        for (std::size_t place = 0; place < m_members.size(); ++place) {
+            auto &member = m_members[place];
+            member.disk->failSync = false;
+            member.disk->bytesLeft.reset();
+            if (member.process) {
+                member.process->pausedUntil = 0;
+            }
+            start(place);
+        }
+    }
+
+    Random m_random;
+    bool m_trace;
+    LogSimulationResult m_result;
+    RaftOptions m_raft;
+    LogIndex m_snapshotEvery = 0;
+    double m_loss = 0;
+    double m_duplication = 0;
+    std::int64_t m_delay = 0;
+    double m_longDelay = 0;
+    double m_faultMean = 0;
+    double m_proposalMean = 0;
+
+    std::int64_t m_now = 0;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_eventCount = 0;
+    std::priority_queue<Event> m_events;
+    bool m_faults = true;
+    std::set<std::pair<std::size_t, std::size_t>> m_cut;
+    std::vector<SimulatedMember> m_members;
+    MemberId m_lastId = 0;
+    std::uint64_t m_lastProcess = 0;
+    std::uint64_t m_lastCommand = 0;
+
+    std::vector<CommittedEntry> m_committed;
+    wire::RaftMembership m_committedMembership;
+    LogIndex m_committedMembershipIndex = 0;
+    LogIndex m_acknowledged = 0;
+    std::map<LogTerm, MemberId> m_leaders;
+};
+
+} // namespace
+
+LogSimulationResult simulateLog(const LogSimulationOptions &options)
+{
+    return LogSimulation(options).run();
+}
+
+} // namespace waxwing
