--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -96,13 +96,14 @@
             return;
         }
         post([this, command = std::move(command), handler = std::move(handler)]() mutable {
+            finishLost();
             const auto index = m_node->propose(std::move(command));
             if (!index) {
                 release();
                 handler({LogOutcome::NotLeader, 0, {}, leaderAddress()});
                 return;
             }
-            m_proposals.emplace(*index, std::move(handler));
+            m_proposals.emplace(*index, Waiting<ProposeHandler> {m_node->term(), std::move(handler)});
             scheduleProcess();
         });
     }
@@ -131,6 +132,7 @@
     void changeMembership(RaftMembershipChange change, MembershipHandler handler)
     {
         post([this, change = std::move(change), handler = std::move(handler)]() mutable {
+            finishLost();
             LogIndex index = 0;
             const auto error = m_node->changeMembership(Clock::now(), change, index);
             if (error == RaftChangeError::NotLeader) {
@@ -138,7 +140,7 @@
             } else if (error != RaftChangeError::None) {
                 handler({LogOutcome::Refused, error, {}});
             } else {
-                m_changes.emplace(index, std::move(handler));
+                m_changes.emplace(index, Waiting<MembershipHandler> {m_node->term(), std::move(handler)});
                 scheduleProcess();
             }
         });
@@ -203,6 +205,13 @@
     }
 
 private:
+    template<class Handler>
+    struct Waiting
+    {
+        LogTerm term = 0; ///< term in which the entry was added
+        Handler handler;
+    };
+
     template<class Function>
     void post(Function function)
     {
@@ -328,17 +337,23 @@
     {
         while (m_appliedIndex < m_node->commitIndex()) {
             const auto &entry = m_node->log().at(m_appliedIndex + 1);
+            const auto term = entry.term;
             std::vector<std::byte> result;
             if (entry.kind == wire::RAFT_ENTRY_KIND_COMMAND) {
                 result = m_machine.apply(m_appliedIndex + 1, std::as_bytes(std::span(entry.data)));
             }
             ++m_appliedIndex;
             notify();
-            if (auto proposal = m_proposals.extract(m_appliedIndex)) {
+            // An entry of another term took the place of the one that the handler waits for; finishLost() answers it.
+            if (const auto proposal = m_proposals.find(m_appliedIndex); proposal != m_proposals.end() && proposal->second.term == term) {
+                auto handler = std::move(proposal->second.handler);
+                m_proposals.erase(proposal);
                 release();
-                proposal.mapped()({LogOutcome::Done, m_appliedIndex, std::move(result), {}});
-            } else if (auto change = m_changes.extract(m_appliedIndex)) {
-                change.mapped()({LogOutcome::Done, RaftChangeError::None, {}});
+                handler({LogOutcome::Done, m_appliedIndex, std::move(result), {}});
+            } else if (const auto change = m_changes.find(m_appliedIndex); change != m_changes.end() && change->second.term == term) {
+                auto handler = std::move(change->second.handler);
+                m_changes.erase(change);
+                handler({LogOutcome::Done, RaftChangeError::None, {}});
             }
         }
     }
@@ -350,12 +365,12 @@
             return;
         }
         m_pendingTerm = m_node->term();
-        for (auto &[index, handler] : std::exchange(m_proposals, {})) {
+        for (auto &[index, waiting] : std::exchange(m_proposals, {})) {
             release();
-            handler({LogOutcome::Unknown, 0, {}, leaderAddress()});
+            waiting.handler({LogOutcome::Unknown, 0, {}, leaderAddress()});
         }
-        for (auto &[index, handler] : std::exchange(m_changes, {})) {
-            handler({LogOutcome::Unknown, RaftChangeError::None, leaderAddress()});
+        for (auto &[index, waiting] : std::exchange(m_changes, {})) {
+            waiting.handler({LogOutcome::Unknown, RaftChangeError::None, leaderAddress()});
         }
         for (auto &handler : std::exchange(m_reads, {})) {
             release();
@@ -472,8 +487,8 @@
     LogIndex m_appliedIndex = 0;
     bool m_processScheduled = false;
     std::atomic<std::size_t> m_admitted {0};
-    std::map<LogIndex, ProposeHandler> m_proposals;
-    std::map<LogIndex, MembershipHandler> m_changes;
+    std::map<LogIndex, Waiting<ProposeHandler>> m_proposals;
+    std::map<LogIndex, Waiting<MembershipHandler>> m_changes;
     std::deque<ReadHandler> m_reads;
     LogTerm m_pendingTerm = 0;
     bool m_leads = false;
--- a/packages/coordination/src/waxwing/coordination/log_host_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_host_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <optional>
+
 using namespace waxwing;
 
 class LogHostTest : public CppUnit::TestFixture
@@ -13,6 +16,7 @@
     CPPUNIT_TEST(emptyDiskJoinsUnderNewIdentity);
     CPPUNIT_TEST(diskErrorStopsMember);
     CPPUNIT_TEST(fullQueueIsRefused);
+    CPPUNIT_TEST(replacedCommandIsNotAcknowledged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +124,40 @@
         }
     }
 
+    // Guards against an acknowledgement for a command whose place in the log was taken by the next leader's entry, when the
+    // old leader learns of the new term and of the commit in one step.
+    void replacedCommandIsNotAcknowledged()
+    {
+        LogCluster cluster({"a", "b", "c"});
+        // The first leader must not notice that it lost its quorum before the packets arrive.
+        cluster.base.raft.electionTimeoutHigh = 600s;
+        CPPUNIT_ASSERT(cluster.start("a").has_value());
+        cluster.base.raft.electionTimeoutHigh = 600ms;
+        CPPUNIT_ASSERT(cluster.start("b").has_value());
+        CPPUNIT_ASSERT(cluster.start("c").has_value());
+        cluster.propose("one");
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cluster.leader());
+        cluster.runUntil([&] { return cluster.host("b").status().commitIndex == cluster.host("a").status().commitIndex; });
+        cluster.runUntil([&] { return cluster.host("c").status().commitIndex == cluster.host("a").status().commitIndex; });
+
+        cluster.cutFrom("a");
+        cluster.capture("a");
+        std::optional<LogOutcome> outcome;
+        cluster.host("a").propose("lost", [&outcome](const ProposeResult &result) { outcome = result.outcome; });
+        const auto committed = cluster.host("a").status().commitIndex;
+        cluster.runUntil([&] {
+            return std::any_of(cluster.captured().begin(), cluster.captured().end(), [committed](const std::string &bytes) {
+                wire::RaftPacket packet;
+                packet.ParseFromString(bytes);
+                return packet.message().append().commit_index() > committed;
+            });
+        });
+        CPPUNIT_ASSERT(!outcome);
+        cluster.deliverCaptured("a");
+        cluster.runUntil([&] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(outcome == LogOutcome::Unknown);
+    }
+
     // Guards against a queue of proposals without a bound.
     void fullQueueIsRefused()
     {
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -51,7 +51,8 @@
         return {std::move(reply)};
     }
     const auto &reply = packet.join_reply();
-    if (packet.has_join_reply() && reply.nonce() == m_nonce && std::binary_search(m_initialMembers.begin(), m_initialMembers.end(), reply.address())) {
+    if (packet.has_join_reply() && reply.nonce() == m_nonce && reply.address() != m_address
+        && std::binary_search(m_initialMembers.begin(), m_initialMembers.end(), reply.address())) {
         if (reply.empty()) {
             m_emptyMembers[reply.address()] = reply.id();
         } else {
--- a/packages/coordination/testing/log_cluster.h
+++ b/packages/coordination/testing/log_cluster.h
@@ -64,12 +64,18 @@
 public:
     void send(const std::string &address, std::string packet)
     {
+        wire::RaftPacket decoded;
+        decoded.ParseFromString(packet);
+        if (decoded.from_address() == cutSender) {
+            return;
+        }
         if (const auto receiver = receivers.find(address); receiver != receivers.end()) {
             receiver->second(std::move(packet));
         }
     }
 
     std::map<std::string, std::function<void(std::string)>> receivers;
+    std::string cutSender; ///< packets of this member are lost
 };
 
 /// @brief Members of one log on one thread, each with its own simulated disk.
@@ -166,6 +172,33 @@
         return index;
     }
 
+    /// @brief Collects the packets to a member instead of delivering them.
+    void capture(const std::string &address)
+    {
+        m_peers.receivers[address] = [this](std::string packet) {
+            m_captured.push_back(std::move(packet));
+        };
+    }
+
+    const std::vector<std::string> &captured() const
+    {
+        return m_captured;
+    }
+
+    /// @brief Loses all packets that a member sends.
+    void cutFrom(const std::string &address)
+    {
+        m_peers.cutSender = address;
+    }
+
+    /// @brief Delivers the collected packets, all of them before the member takes its next step.
+    void deliverCaptured(const std::string &address)
+    {
+        for (auto &packet : std::exchange(m_captured, {})) {
+            host(address).receive(std::move(packet));
+        }
+    }
+
     Host &host(const std::string &address)
     {
         return *m_hosts.at(address);
@@ -182,6 +215,7 @@
     std::vector<std::string> m_addresses;
     boost::asio::io_context m_context;
     TestPeers m_peers;
+    std::vector<std::string> m_captured;
     std::map<std::string, std::unique_ptr<MemoryDisk>> m_disks;
     std::map<std::string, std::unique_ptr<Host>> m_hosts;
 };
--- a/tools/log-check/log_simulation.cpp
+++ b/tools/log-check/log_simulation.cpp
@@ -81,7 +81,8 @@
         m_duplication = m_random.chance(0.5) ? m_random.unit() * 0.1 : 0;
         m_delay = m_random.between(1, 30) * millisecond;
         m_longDelay = m_random.chance(0.3) ? 0.02 : 0;
-        m_faultMean = static_cast<double>(m_random.between(150, 1500) * millisecond);
+        m_faultMean = static_cast<double>(m_random.between(40, 1500) * millisecond);
+        m_leaderCrash = m_random.chance(0.3) ? 0.3 : 0;
         m_proposalMean = static_cast<double>(m_random.between(5, 100) * millisecond);
     }
 
@@ -442,6 +443,9 @@
         process.leaderTerm = node.term();
         count("election");
         trace("member " + std::to_string(place) + " leads term " + std::to_string(node.term()));
+        if (m_faults && m_random.chance(m_leaderCrash)) {
+            schedule(static_cast<std::int64_t>(m_random.between(0, 60)) * millisecond, [this, place] { crashAndRestart(place, "crash of new leader"); });
+        }
         const auto [known, inserted] = m_leaders.emplace(node.term(), node.id());
         if (!inserted) {
             throw Violation("election safety: two leaders in term " + std::to_string(node.term()));
@@ -613,7 +617,8 @@
     {
         count(kind);
         crash(place);
-        schedule(static_cast<std::int64_t>(m_random.between(1, 1500)) * millisecond, [this, place] { start(place); });
+        const auto longest = m_random.chance(0.5) ? 20 : 1500;
+        schedule(static_cast<std::int64_t>(m_random.between(1, longest)) * millisecond, [this, place] { start(place); });
     }
 
     void loseDisk(std::size_t place)
@@ -643,6 +648,20 @@
             return;
         }
         count("network cut");
+        if (m_random.chance(0.4)) {
+            // Some links only: members that still reach others see different leaders.
+            for (std::size_t a = 0; a < m_members.size(); ++a) {
+                for (std::size_t b = 0; b < m_members.size(); ++b) {
+                    if (a != b && m_random.chance(0.3)) {
+                        m_cut.insert({a, b});
+                        if (m_random.chance(0.7)) {
+                            m_cut.insert({b, a});
+                        }
+                    }
+                }
+            }
+            return;
+        }
         const bool oneWay = m_random.chance(0.3);
         std::vector<bool> side(m_members.size());
         for (std::size_t i = 0; i < side.size(); ++i) {
@@ -718,6 +737,7 @@
     double m_longDelay = 0;
     double m_faultMean = 0;
     double m_proposalMean = 0;
+    double m_leaderCrash = 0; ///< probability that a new leader crashes within a few messages
 
     std::int64_t m_now = 0;
     std::uint64_t m_order = 0;
