Keep waiting statements sorted by rank

Change: one ordered map per class, an index by id, the earliest overdue time kept, and an early end when no slot is free.

--- a/packages/coordination/include/waxwing/coordination/admission_queue.h
+++ b/packages/coordination/include/waxwing/coordination/admission_queue.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -73,60 +74,83 @@
             return {.refusal = RefusalReason::DeadlineUnreachable, .displaced = std::nullopt};
         }
         AdmissionResult result;
-        if (m_entries.size() >= m_options.queueLength) {
-            const auto last = std::max_element(m_entries.begin(), m_entries.end(), [this](const Entry &a, const Entry &b) { return isBefore(a.rank, b.rank); });
-            if (!Order::separatesClasses || last == m_entries.end() || !isBefore(rankOf(statement), last->rank)) {
+        const auto rank = rankOf(statement);
+        if (size() >= m_options.queueLength) {
+            const auto last = worst();
+            if (!Order::separatesClasses || !last || !m_order.isBefore(rank, *last)) {
                 return {.refusal = RefusalReason::QueueFull, .displaced = std::nullopt};
             }
-            result.displaced = RefusedStatement {removeAt(last), RefusalReason::QueueFull};
+            result.displaced = RefusedStatement {*remove(last->id), RefusalReason::QueueFull};
         }
-        const auto rank = rankOf(statement);
         ++m_callers[statement.caller].waiting;
-        ++m_waiting[static_cast<std::size_t>(statement.workClass)];
-        m_entries.push_back({std::move(statement), rank});
-        WAXWING_INVARIANT(m_entries.size() <= m_options.queueLength, "queue-bounded");
+        m_nextOverdue = std::min(m_nextOverdue, overdueAt(statement));
+        const auto index = classIndex(statement.workClass);
+        const auto id = statement.id;
+        if (WAXWING_INVARIANT(m_places.try_emplace(id, Place {index, rank}).second, "queued-statement-unique")) {
+            m_entries[index].emplace(rank, std::move(statement));
+        }
+        WAXWING_INVARIANT(size() <= m_options.queueLength, "queue-bounded");
         return result;
     }
 
     /// @brief Finds the first statement of a class, in the order of the queue, that a predicate accepts.
     /// @param workClass class; ignored if the order does not separate classes
-    /// @param canRun predicate on QueuedStatement; the last statement that it accepts is the one returned
+    /// @param canRun predicate on QueuedStatement; called in order until it accepts a statement
     /// @return the statement, valid until the queue changes, or nullptr
     template<class Predicate>
     const QueuedStatement *first(WorkClass workClass, Predicate canRun) const
     {
-        const Entry *best = nullptr;
-        for (const auto &entry : m_entries) {
-            if (Order::separatesClasses && entry.statement.workClass != workClass) {
-                continue;
-            }
-            if ((best == nullptr || isBefore(entry.rank, best->rank)) && canRun(entry.statement)) {
-                best = &entry;
+        for (const auto &[rank, statement] : m_entries[classIndex(workClass)]) {
+            if (canRun(statement)) {
+                return &statement;
             }
         }
-        return best == nullptr ? nullptr : &best->statement;
+        return nullptr;
     }
 
     /// @brief Removes a statement, to run it or because it was cancelled.
     /// @return the statement, or nothing if it does not wait
     std::optional<QueuedStatement> remove(std::uint64_t id)
     {
-        const auto found = std::find_if(m_entries.begin(), m_entries.end(), [id](const Entry &entry) { return entry.statement.id == id; });
-        return found == m_entries.end() ? std::nullopt : std::optional(removeAt(found));
+        const auto place = m_places.find(id);
+        if (place == m_places.end()) {
+            return std::nullopt;
+        }
+        auto entry = m_entries[place->second.index].extract(place->second.rank);
+        m_places.erase(place);
+        if (!WAXWING_INVARIANT(!entry.empty(), "queue-places-match")) {
+            return std::nullopt;
+        }
+        const auto caller = m_callers.find(entry.mapped().caller);
+        if (WAXWING_INVARIANT(caller != m_callers.end(), "queue-callers-counted") && --caller->second.waiting == 0) {
+            m_callers.erase(caller);
+        }
+        return std::move(entry.mapped());
     }
 
     /// @brief Removes and returns the statements that have missed, or can no longer meet, their deadline.
     std::vector<RefusedStatement> takeOverdue(TimePoint now)
     {
         std::vector<RefusedStatement> refused;
-        for (std::size_t i = m_entries.size(); i-- > 0;) {
-            const auto &statement = m_entries[i].statement;
-            if (statement.deadline <= now) {
-                refused.push_back({removeAt(m_entries.begin() + static_cast<std::ptrdiff_t>(i)), RefusalReason::DeadlinePassed});
-            } else if (m_options.predictsDeadlines && now + statement.predictedCost > statement.deadline) {
-                refused.push_back({removeAt(m_entries.begin() + static_cast<std::ptrdiff_t>(i)), RefusalReason::DeadlineUnreachable});
+        if (now < m_nextOverdue) {
+            return refused;
+        }
+        std::vector<std::uint64_t> overdue;
+        m_nextOverdue = TimePoint::max();
+        for (const auto &entries : m_entries) {
+            for (const auto &[rank, statement] : entries) {
+                if (overdueAt(statement) <= now) {
+                    overdue.push_back(rank.id);
+                } else {
+                    m_nextOverdue = std::min(m_nextOverdue, overdueAt(statement));
+                }
             }
         }
+        for (const auto id : overdue) {
+            auto statement = remove(id);
+            const auto reason = statement->deadline <= now ? RefusalReason::DeadlinePassed : RefusalReason::DeadlineUnreachable;
+            refused.push_back({std::move(*statement), reason});
+        }
         return refused;
     }
 
@@ -134,24 +158,23 @@
     std::vector<QueuedStatement> takeAll()
     {
         std::vector<QueuedStatement> statements;
-        statements.reserve(m_entries.size());
-        for (auto &entry : m_entries) {
-            statements.push_back(std::move(entry.statement));
+        statements.reserve(size());
+        for (auto &entries : m_entries) {
+            for (auto &[rank, statement] : entries) {
+                statements.push_back(std::move(statement));
+            }
+            entries.clear();
         }
-        m_entries.clear();
+        m_places.clear();
         m_callers.clear();
-        m_waiting = {};
+        m_nextOverdue = TimePoint::max();
         return statements;
     }
 
-    /// @brief Earliest time at which takeOverdue() has work; TimePoint::max() if the queue is empty.
+    /// @brief Time before which takeOverdue() has no work; TimePoint::max() if the queue is empty.
     TimePoint nextOverdue() const
     {
-        auto next = TimePoint::max();
-        for (const auto &entry : m_entries) {
-            next = std::min(next, entry.statement.deadline - (m_options.predictsDeadlines ? entry.statement.predictedCost : Duration::zero()));
-        }
-        return next;
+        return m_places.empty() ? TimePoint::max() : m_nextOverdue;
     }
 
     /// @brief Adds slot time that a caller used, when its statement finishes.
@@ -161,10 +184,11 @@
         if (Order::separatesClasses && now >= m_nextShares) {
             m_nextShares = now + m_options.shareInterval;
             for (auto &[name, state] : m_callers) {
-                state.isOverShare = m_shares.isOverShare(name, m_callers.size(), now);
-            }
-            for (auto &entry : m_entries) {
-                entry.rank.isOverShare = isOverShare(entry.statement.caller);
+                const bool isOverShare = m_shares.isOverShare(name, m_callers.size(), now);
+                if (state.isOverShare != isOverShare) {
+                    state.isOverShare = isOverShare;
+                    rankAgain(name);
+                }
             }
         }
     }
@@ -175,10 +199,11 @@
     {
         const auto rank = rankOf(statement);
         Duration ahead = Duration::zero();
-        for (const auto &entry : m_entries) {
-            const auto &other = entry.statement;
-            const bool sharesSlots = (!Order::separatesClasses || other.workClass == statement.workClass) && other.requiresPrimary >= statement.requiresPrimary;
-            if (sharesSlots && isBefore(entry.rank, rank)) {
+        for (const auto &[otherRank, other] : m_entries[classIndex(statement.workClass)]) {
+            if (!m_order.isBefore(otherRank, rank)) {
+                break;
+            }
+            if (other.requiresPrimary >= statement.requiresPrimary) {
                 ahead += other.predictedCost;
             }
         }
@@ -188,19 +213,28 @@
     /// @brief Number of statements that wait.
     std::size_t size() const
     {
-        return m_entries.size();
+        return m_places.size();
     }
 
-    /// @brief Number of statements of a class that wait.
+    /// @brief Number of statements of a class that wait; of all classes if the order does not separate them.
     std::size_t size(WorkClass workClass) const
     {
-        return m_waiting[static_cast<std::size_t>(workClass)];
+        return m_entries[classIndex(workClass)].size();
     }
 
 private:
-    struct Entry
+    struct RankLess
     {
-        QueuedStatement statement;
+        Order order;
+
+        bool operator()(const QueueRank &a, const QueueRank &b) const
+        {
+            return order.isBefore(a, b);
+        }
+    };
+    struct Place
+    {
+        std::size_t index;
         QueueRank rank;
     };
     struct Caller
@@ -208,46 +242,57 @@
         std::size_t waiting = 0;
         bool isOverShare = false;
     };
+    using Entries = std::map<QueueRank, QueuedStatement, RankLess>;
 
-    bool isBefore(const QueueRank &a, const QueueRank &b) const
+    static std::size_t classIndex(WorkClass workClass)
     {
-        return m_order.isBefore(a, b);
+        return Order::separatesClasses && workClass == WorkClass::Long ? 1 : 0;
     }
 
-    bool isOverShare(std::string_view caller) const
+    TimePoint overdueAt(const QueuedStatement &statement) const
     {
-        const auto found = m_callers.find(caller);
-        return found != m_callers.end() && found->second.isOverShare;
+        // A statement that would finish exactly at its deadline may still run.
+        return m_options.predictsDeadlines ? statement.deadline - statement.predictedCost + Duration(1) : statement.deadline;
     }
 
     QueueRank rankOf(const QueuedStatement &statement) const
     {
         auto rank = QueueRank::of(statement);
-        rank.isOverShare = isOverShare(statement.caller);
+        const auto found = m_callers.find(statement.caller);
+        rank.isOverShare = found != m_callers.end() && found->second.isOverShare;
         return rank;
     }
 
-    QueuedStatement removeAt(typename std::vector<Entry>::iterator place)
+    void rankAgain(const std::string &caller)
     {
-        const auto caller = m_callers.find(place->statement.caller);
-        if (WAXWING_INVARIANT(caller != m_callers.end(), "queue-callers-counted") && --caller->second.waiting == 0) {
-            m_callers.erase(caller);
+        for (auto &[id, place] : m_places) {
+            auto entry = m_entries[place.index].find(place.rank);
+            if (entry != m_entries[place.index].end() && entry->second.caller == caller) {
+                auto node = m_entries[place.index].extract(entry);
+                node.key() = place.rank = rankOf(node.mapped());
+                m_entries[place.index].insert(std::move(node));
+            }
         }
-        --m_waiting[static_cast<std::size_t>(place->statement.workClass)];
-        auto statement = std::move(place->statement);
-        if (std::next(place) != m_entries.end()) {
-            *place = std::move(m_entries.back());
+    }
+
+    std::optional<QueueRank> worst() const
+    {
+        std::optional<QueueRank> last;
+        for (const auto &entries : m_entries) {
+            if (!entries.empty() && (!last || m_order.isBefore(*last, entries.rbegin()->first))) {
+                last = entries.rbegin()->first;
+            }
         }
-        m_entries.pop_back();
-        return statement;
+        return last;
     }
 
     AdmissionOptions m_options;
     Order m_order;
     CallerShares m_shares;
-    std::vector<Entry> m_entries;
+    std::array<Entries, 2> m_entries; // by class
+    std::unordered_map<std::uint64_t, Place> m_places;
     std::map<std::string, Caller, std::less<>> m_callers; // those with waiting statements
-    std::array<std::size_t, 2> m_waiting {};
+    TimePoint m_nextOverdue = TimePoint::max();
     TimePoint m_nextShares;
 };
 
--- a/packages/coordination/include/waxwing/coordination/slot_schedule.h
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -61,6 +61,10 @@
     template<class Queue, class Places>
     std::optional<Assignment> next(const Queue &queue, std::span<const EndpointState> endpoints, Places places, Random &random, TimePoint now) const
     {
+        // Most calls find all slots taken; they end before each waiting statement is looked at.
+        if (std::none_of(endpoints.begin(), endpoints.end(), [](const EndpointState &endpoint) { return endpoint.hasFreeSlot(); })) {
+            return std::nullopt;
+        }
         if constexpr (!Queue::OrderType::separatesClasses) {
             return choose(queue, WorkClass::Short, endpoints, places, random);
         }
