--- a/programs/proxy/dispatcher.cpp
+++ b/programs/proxy/dispatcher.cpp
@@ -26,8 +26,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(boost::asio::io_context &context, Options options, TokenKeyRing keys, LinkSender sender, Storage storage)
-    : m_context(context)
-    , m_options(std::move(options))
+    : m_options(std::move(options))
     , m_keys(std::move(keys))
     , m_sender(std::move(sender))
     , m_storage(std::move(storage))
--- a/programs/proxy/dispatcher.h
+++ b/programs/proxy/dispatcher.h
@@ -125,7 +125,6 @@
     std::size_t unreachablePrimaries(TimePoint now);
     void store(TimePoint now);
 
-    boost::asio::io_context &m_context;
     Options m_options;
     TokenKeyRing m_keys;
     LinkSender m_sender;
--- a/programs/proxy/proxy_process.cpp
+++ b/programs/proxy/proxy_process.cpp
@@ -73,11 +73,19 @@
 
     void reply(std::uint64_t id, std::variant<wire::StatementAnswer, HttpResponse> content)
     {
-        // Each reply belongs to a request that passed the ring of the same size, but those may be answered in a burst.
-        CallerReply message {id, std::move(content)};
-        if (!backlog.empty() || !toCallers.push(std::move(message))) {
-            Metrics::instance().counter("waxwing_reply_ring_full_total").add();
-            backlog.push_back(std::move(message));
+        // An answer must not get lost when the ring is full; then it waits here.
+        backlog.push_back({id, std::move(content)});
+        flushBacklog();
+    }
+
+    void flushBacklog()
+    {
+        while (!backlog.empty()) {
+            if (!toCallers.push(std::move(backlog.front()))) {
+                Metrics::instance().counter("waxwing_reply_ring_full_total").add();
+                return;
+            }
+            backlog.pop_front();
         }
     }
 
@@ -99,9 +107,7 @@
     // On the dispatch thread: passes on the replies that found the ring full, and the state that others read.
     void pollDispatch()
     {
-        while (!backlog.empty() && toCallers.push(std::move(backlog.front()))) {
-            backlog.pop_front();
-        }
+        flushBacklog();
         health.isReady = dispatcher.isReady();
         if (health.isDraining) {
             dispatcher.drain();
--- a/programs/proxy/testing/fake_control.h
+++ b/programs/proxy/testing/fake_control.h
@@ -36,7 +36,11 @@
             record.isFinished = true;
             reply(proxy, finish.correlation(), wire::RECORDED);
         } else if (message.has_intent_release()) {
-            intents.erase(message.intent_release().key());
+            // Like control, releases only the attempt that was granted.
+            const auto &release = message.intent_release();
+            if (const auto known = intents.find(release.key()); known != intents.end() && known->second.attempt == release.attempt()) {
+                intents.erase(known);
+            }
             reply(proxy, message.intent_release().correlation(), wire::RECORDED);
         } else {
             others.push_back(message);
@@ -92,6 +96,7 @@
     std::map<std::string, wire::Renewal> renewals; ///< latest of each proxy
     std::map<std::string, int> renewalCount;
     std::map<std::string, Intent> intents; ///< by key
+    bool endedAttempts = false; ///< the lease of whoever began the unfinished attempts has ended
     std::vector<wire::Envelope> others; ///< other messages received
 
 private:
@@ -113,6 +118,8 @@
             reply(proxy, begin.correlation(), wire::GRANTED);
         } else if (known->second.hash != begin.statement_hash()) {
             reply(proxy, begin.correlation(), wire::CONFLICT);
+        } else if (!known->second.isFinished && endedAttempts) {
+            reply(proxy, begin.correlation(), wire::NOT_REPEATED);
         } else if (known->second.isFinished) {
             reply(proxy, begin.correlation(), wire::FINISHED, known->second.answer);
         } else {
