--- a/scripts/waxwing_cluster.py
+++ b/scripts/waxwing_cluster.py
@@ -95,7 +95,10 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, kind, *_):
+        if kind is not None:
+            self.keep_folder = True
+            print(f"failed; settings, histories and logs are kept in {self.folder}", file=sys.stderr)
         self.stop_all()
 
     def all_processes(self):
