--- a/programs/control/control_service.cpp
+++ b/programs/control/control_service.cpp
@@ -114,6 +114,9 @@
         }
         return;
     }
+    if (m_active && m_config.term() != m_term) {
+        deactivate(); // another leader may have acted in between
+    }
     if (m_active || m_activating) {
         return;
     }
@@ -135,6 +138,7 @@
     const auto now = m_ports.now();
     ++m_epoch;
     m_active = true;
+    m_term = m_config.term();
     m_activeSince = now;
     m_assignmentRunning = false;
     m_state.leases.clear();
--- a/programs/control/control_service.h
+++ b/programs/control/control_service.h
@@ -127,6 +127,7 @@
     bool m_active = false;
     bool m_activating = false;
     std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
+    std::uint64_t m_term = 0; ///< term of the config log in which this process leads
     TimePoint m_activeSince;
     bool m_applied = false; ///< entries were applied since the directory was compared
     bool m_assignmentDue = false;
--- a/programs/control/promotion_random_test.cpp
+++ b/programs/control/promotion_random_test.cpp
@@ -89,6 +89,13 @@
         m_world.runUntil(recovered);
         const auto before = m_totals.acknowledged;
         m_world.runUntil(recovered + 2s);
+        for (const auto &[name, endpoint] : m_endpoints) {
+            trace("endpoint", {{"name", name}, {"alive", endpoint->alive}, {"primary", endpoint->primary}, {"leader", endpoint->leader}, {"fence", endpoint->fence}, {"term", endpoint->dataTerm()}, {"position", endpoint->position()}});
+        }
+        for (const auto &[name, proxy] : m_proxies) {
+            trace("proxy", {{"name", name}, {"state", proxy->describe()}});
+        }
+        trace("log", {{"leader", m_log.leader}});
         require(m_totals.acknowledged > before, "writes are not acknowledged again after all faults have ended");
         checkWrites();
         return m_totals;
--- a/programs/control/testing/simulated_endpoint.h
+++ b/programs/control/testing/simulated_endpoint.h
@@ -112,7 +112,7 @@
 private:
     void pull()
     {
-        m_world.after(2ms + m_world.random.upTo(15ms), [this] { pull(); });
+        m_world.after(5ms + m_world.random.upTo(20ms), [this] { pull(); });
         const auto found = m_peers.find(leader);
         if (!alive || primary || found == m_peers.end()) {
             return;
--- a/programs/control/testing/simulated_proxy.h
+++ b/programs/control/testing/simulated_proxy.h
@@ -58,6 +58,7 @@
         every(incarnation, 400ms, [this] { renew(); });
         every(incarnation, 100ms, [this] { probe(); });
         every(incarnation, 20ms, [this] { write(); });
+        every(incarnation, 10ms, [this] { poll(); });
         every(incarnation, 200ms, [this] { searchLeader(); });
     }
 
@@ -91,11 +92,26 @@
         }
     }
 
+    /// @brief State for the trace of a failed run.
+    std::string describe() const
+    {
+        return m_state.group.ShortDebugString() + (alive ? " alive" : " dead") + (hasLease() ? " lease" : "") + " withdrawn " + std::to_string(m_state.withdrawn)
+            + " in flight " + std::to_string(m_state.inFlight.size());
+    }
+
     const std::string name;
     bool alive = false;
     bool draining = false;
 
 private:
+    struct Write
+    {
+        std::uint64_t id = 0;
+        std::uint64_t term = 0;
+        std::uint64_t position = 0;
+        std::set<std::string> confirmed;
+    };
+
     struct State
     {
         std::uint64_t sequence = 0;
@@ -111,20 +127,13 @@
         std::optional<std::pair<std::size_t, std::uint64_t>> holdAnswer;
         std::uint64_t lastPosition = 0;
         std::set<std::uint64_t> inFlight;
+        std::map<std::uint64_t, Write> unconfirmed; ///< writes that the primary ran
         TimePoint probedOk;
         bool refused = false;
         std::string probed;
         std::map<std::string, wire::Announcement> announcements;
     };
 
-    struct Write
-    {
-        std::uint64_t id = 0;
-        std::uint64_t term = 0;
-        std::uint64_t position = 0;
-        std::set<std::string> confirmed;
-    };
-
     void every(std::uint64_t incarnation, Duration interval, std::function<void()> function)
     {
         m_world.after(interval / 2 + m_world.random.upTo(interval), [this, incarnation, interval, function = std::move(function)] {
@@ -255,7 +264,7 @@
         m_world.after(1s, [this, incarnation, id = write.id] { finish(incarnation, id); }); // gives up: unknown
         m_world.send(name, found->first, [this, incarnation, write, &endpoint = *found->second]() mutable {
             write.position = endpoint.alive ? endpoint.execute(write.term, write.id) : 0;
-            m_world.send(endpoint.name, name, [this, incarnation, write, &endpoint] {
+            m_world.send(endpoint.name, name, [this, incarnation, write, &endpoint]() mutable {
                 if (incarnation != m_incarnation) {
                     return;
                 }
@@ -264,45 +273,56 @@
                     return;
                 }
                 m_state.lastPosition = write.position;
-                auto shared = std::make_shared<Write>(write); // shared by the polls that are under way
-                shared->confirmed.insert(endpoint.name);
-                confirm(incarnation, shared);
+                write.confirmed.insert(endpoint.name);
+                m_state.unconfirmed.emplace(write.id, write);
             });
         });
     }
 
-    /// Polls the members until a majority holds the write.
-    void confirm(std::uint64_t incarnation, const std::shared_ptr<Write> &write)
+    /// Polls the members, and acknowledges the writes that a majority holds.
+    void poll()
     {
-        if (incarnation != m_incarnation || !m_state.inFlight.contains(write->id)) {
-            return;
-        }
-        if (write->confirmed.size() > m_endpoints.size() / 2) {
-            if (mayAcknowledge(write->term)) {
-                m_acknowledge(name, write->term, write->id);
-            }
-            finish(incarnation, write->id);
+        if (m_state.unconfirmed.empty()) {
             return;
         }
         for (const auto &[database, endpoint] : m_endpoints) {
-            m_world.send(name, database, [this, incarnation, write, &member = *endpoint] {
+            m_world.send(name, database, [this, incarnation = m_incarnation, &member = *endpoint] {
                 if (!member.alive) {
                     return;
                 }
-                m_world.send(member.name, name, [this, incarnation, write, database = member.name, term = member.dataTerm(), position = member.position()] {
-                    if (term == write->term && position >= write->position) {
-                        write->confirmed.insert(database);
+                m_world.send(member.name, name, [this, incarnation, database = member.name, term = member.dataTerm(), position = member.position()] {
+                    if (incarnation == m_incarnation) {
+                        confirm(database, term, position);
                     }
                 });
             });
         }
-        m_world.after(5ms, [this, incarnation, write] { confirm(incarnation, write); });
+    }
+
+    void confirm(const std::string &database, std::uint64_t term, std::uint64_t position)
+    {
+        std::vector<Write> confirmed;
+        for (auto &[id, write] : m_state.unconfirmed) {
+            if (term == write.term && position >= write.position) {
+                write.confirmed.insert(database);
+            }
+            if (write.confirmed.size() > m_endpoints.size() / 2) {
+                confirmed.push_back(write);
+            }
+        }
+        for (const auto &write : confirmed) {
+            if (mayAcknowledge(write.term)) {
+                m_acknowledge(name, write.term, write.id);
+            }
+            finish(m_incarnation, write.id);
+        }
     }
 
     void finish(std::uint64_t incarnation, std::uint64_t id)
     {
         if (incarnation == m_incarnation) {
             m_state.inFlight.erase(id);
+            m_state.unconfirmed.erase(id);
             answerHold();
         }
     }
