Run the control service on the replicated log

Cause: one member with an in-memory log loses everything when it stops. Change: config and intents logs over LogHost, raft packets on the link, redirects and NotLeader with the leader's address, intents forwarded to the leader of their log, members and indexes in the status, exit 1 after a disk error.

--- a/programs/control/promotion_random_test.cpp
+++ b/programs/control/promotion_random_test.cpp
@@ -47,8 +47,12 @@
         , m_log(m_world, controlMembers)
         , m_intentLog(m_intents)
     {
-        m_log.onApplied = [this](std::size_t member) { m_services[member]->handleApplied(); };
-        m_log.onCommitted = [this](const wire::ConfigCommand &command, const wire::ConfigResult &result) { committed(command, result); };
+        m_log.onApplied = [this](std::size_t member) {
+            m_services[member]->handleApplied();
+        };
+        m_log.onCommitted = [this](const wire::ConfigCommand &command, const wire::ConfigResult &result) {
+            committed(command, result);
+        };
         for (std::size_t i = 0; i < 3; ++i) {
             const auto name = "orders-" + std::to_string(i + 1);
             m_endpoints.emplace(name, std::make_unique<SimulatedEndpoint>(m_world, m_endpoints, name, "fd" + std::to_string(i)));
@@ -59,18 +63,19 @@
         m_endpoints.at("orders-3")->follow(1, "orders-1");
         for (std::size_t i = 0; i < 6; ++i) {
             const auto name = "proxy-" + std::to_string(i + 1);
-            m_proxies.emplace(name, std::make_unique<SimulatedProxy>(
-                                        m_world, m_endpoints, name, "fd" + std::to_string(i % 3), controlMembers,
-                                        [this](const std::string &from, std::size_t member, const wire::Envelope &message) {
-                                            m_world.send(from, control(member), [this, from, member, message] {
-                                                m_services[member]->handleMessage(from, wire::Envelope(message));
-                                            });
-                                        },
-                                        [this](const std::string &, std::uint64_t term, std::uint64_t write) { acknowledged(term, write); }));
+            m_proxies.emplace(name,
+                              std::make_unique<SimulatedProxy>(
+                                  m_world, m_endpoints, name, "fd" + std::to_string(i % 3), controlMembers,
+                                  [this](const std::string &from, std::size_t member, const wire::Envelope &message) {
+                                      m_world.send(from, control(member),
+                                                   [this, from, member, message] { m_services[member]->handleMessage(from, wire::Envelope(message)); });
+                                  },
+                                  [this](const std::string &, std::uint64_t term, std::uint64_t write) { acknowledged(term, write); }));
         }
         for (std::size_t i = 0; i < controlMembers; ++i) {
             m_clocks.push_back(std::make_unique<SimulatedClock>(m_world));
-            m_services.push_back(std::make_unique<ControlService>(ControlServiceOptions {}, m_log.members[i].machine, m_log.port(i), m_intentLog.port(), ports(i)));
+            m_services.push_back(
+                std::make_unique<ControlService>(ControlServiceOptions {}, m_log.members[i].machine, m_log.port(i), m_intentLog.port(), ports(i)));
             tick(i);
         }
         wire::ConfigCommand command;
@@ -90,7 +95,14 @@
         const auto before = m_totals.acknowledged;
         m_world.runUntil(recovered + 2s);
         for (const auto &[name, endpoint] : m_endpoints) {
-            trace("endpoint", {{"name", name}, {"alive", endpoint->alive}, {"primary", endpoint->primary}, {"leader", endpoint->leader}, {"fence", endpoint->fence}, {"term", endpoint->dataTerm()}, {"position", endpoint->position()}});
+            trace("endpoint",
+                  {{"name", name},
+                   {"alive", endpoint->alive},
+                   {"primary", endpoint->primary},
+                   {"leader", endpoint->leader},
+                   {"fence", endpoint->fence},
+                   {"term", endpoint->dataTerm()},
+                   {"position", endpoint->position()}});
         }
         for (const auto &[name, proxy] : m_proxies) {
             trace("proxy", {{"name", name}, {"state", proxy->describe()}});
@@ -145,9 +157,15 @@
                 m_world.send(call.address, control(member), [answer = serve(call), finish]() mutable { finish(std::move(answer)); });
             });
         };
-        ports.now = [this, member] { return m_clocks[member]->now(); };
-        ports.wallClockMs = [this] { return static_cast<std::uint64_t>(toMilliseconds(m_world.now()).count()); };
-        ports.leaderLinkAddress = [] { return std::string(); };
+        ports.now = [this, member] {
+            return m_clocks[member]->now();
+        };
+        ports.wallClockMs = [this] {
+            return static_cast<std::uint64_t>(toMilliseconds(m_world.now()).count());
+        };
+        ports.leaderLinkAddress = [] {
+            return std::string();
+        };
         return ports;
     }
 
@@ -158,13 +176,19 @@
             return {};
         }
         if (call.target == "/v1/status") {
-            return {true, 200, {{"database", endpoint.name}, {"role", endpoint.primary ? "primary" : "replica"}, {"term", endpoint.dataTerm()},
-                                {"term_start", endpoint.terms.empty() ? 0 : endpoint.terms.back().second}, {"position", endpoint.position()}}};
+            return {true,
+                    200,
+                    {{"database", endpoint.name},
+                     {"role", endpoint.primary ? "primary" : "replica"},
+                     {"term", endpoint.dataTerm()},
+                     {"term_start", endpoint.terms.empty() ? 0 : endpoint.terms.back().second},
+                     {"position", endpoint.position()}}};
         }
         const auto term = call.body.at("term").to_number<std::uint64_t>();
         const bool accepted = call.target == "/v1/promote" ? endpoint.promote(term) : endpoint.follow(term, std::string(call.body.at("primary").as_string()));
         const auto position = endpoint.primary ? endpoint.terms.back().second : endpoint.position();
-        return {true, accepted ? 200U : 409U, {{"outcome", accepted ? "done" : "rejected"}, {"term", accepted ? term : endpoint.fence}, {"position", position}}};
+        return {
+            true, accepted ? 200U : 409U, {{"outcome", accepted ? "done" : "rejected"}, {"term", accepted ? term : endpoint.fence}, {"position", position}}};
     }
 
     void tick(std::size_t member)
@@ -208,7 +232,8 @@
 
     void acknowledged(std::uint64_t term, std::uint64_t write)
     {
-        require(term == m_publishedTerm, "a write of term " + std::to_string(term) + " is acknowledged after term " + std::to_string(m_publishedTerm) + " was published");
+        require(term == m_publishedTerm,
+                "a write of term " + std::to_string(term) + " is acknowledged after term " + std::to_string(m_publishedTerm) + " was published");
         m_writes.insert(write);
         ++m_totals.acknowledged;
     }
@@ -326,7 +351,8 @@
         }
         const auto target = "orders-" + std::to_string(m_world.random.between(1, 3));
         const auto change = "switchover-" + std::to_string(++m_lastChange);
-        m_services[m_log.leader]->switchover("orders", target, change, [this](const SwitchoverResult &result) { m_totals.switchovers += result.accepted ? 1 : 0; });
+        m_services[m_log.leader]->switchover("orders", target, change,
+                                             [this](const SwitchoverResult &result) { m_totals.switchovers += result.accepted ? 1 : 0; });
     }
 
     SimulatedWorld m_world;
@@ -374,8 +400,8 @@
             totals.takenOver += result.takenOver;
             totals.switchovers += result.switchovers;
         }
-        std::cout << " seeds from " << first << ": " << totals.acknowledged << " acknowledged writes, " << totals.promotions << " published primaries, " << totals.takenOver
-                  << " by a later leader, " << totals.switchovers << " switchovers ";
+        std::cout << " seeds from " << first << ": " << totals.acknowledged << " acknowledged writes, " << totals.promotions << " published primaries, "
+                  << totals.takenOver << " by a later leader, " << totals.switchovers << " switchovers ";
         if (only == nullptr) {
             CPPUNIT_ASSERT(totals.promotions > 3 * seeds && totals.takenOver > 0 && totals.switchovers > 0);
         }
--- a/programs/control/promotion_runner.cpp
+++ b/programs/control/promotion_runner.cpp
@@ -246,7 +246,8 @@
     }
 }
 
-bool PromotionRunner::needsFollow(const wire::GroupRecord &record, const EndpointDirectory::Member &member, std::uint64_t primaryPosition, Follower &follower) const
+bool PromotionRunner::needsFollow(const wire::GroupRecord &record, const EndpointDirectory::Member &member, std::uint64_t primaryPosition,
+                                  Follower &follower) const
 {
     const auto now = m_ports.now();
     const auto &announced = member.announcement;
@@ -370,8 +371,8 @@
                 m_ports.callEndpoint(
                     std::move(call), [this, group, generation, database = request.member.database, term = request.term](EndpointAnswer &&answer) {
                         // A rejection carries the higher term that the member has seen.
-                    const auto seen = answer.answered ? number(answer.body, "term").value_or(0) : 0;
-                    input(group, generation, [&](Promotion &promotion) { promotion.promoted(database, term, toStart(answer, term), seen, m_ports.now()); });
+                        const auto seen = answer.answered ? number(answer.body, "term").value_or(0) : 0;
+                        input(group, generation, [&](Promotion &promotion) { promotion.promoted(database, term, toStart(answer, term), seen, m_ports.now()); });
                     });
             } else if constexpr (std::is_same_v<Action, act::CallFollow>) {
                 callFollow(group, request.member, request.term, request.primaryAddress);
--- a/programs/control/serve.cpp
+++ b/programs/control/serve.cpp
@@ -1,11 +1,14 @@
 #include "serve.h"
 
+#include "control_log.h"
 #include "control_service.h"
 #include "control_settings.h"
 #include "endpoint_client.h"
+#include "log_peers.h"
 #include "operator_api.h"
+#include "proposal_forwarder.h"
 
-#include <waxwing/coordination/memory_log.h>
+#include <waxwing/state/config_machine.h>
 #include <waxwing/state/intent_machine.h>
 #include <waxwing/support/identifier.h>
 #include <waxwing/support/log.h>
@@ -32,6 +35,7 @@
 {
 
 constexpr Duration tickInterval = 5ms; // bounds the delay of a push and of a step of a promotion
+constexpr Duration forwardTimeout = 500ms; // owners wait longer than this for an intent
 constexpr Duration drainLimit = 2s; // for responses in flight at the end
 
 /// The parts of one control process, on one thread beside those of the link, the disk and the log.
@@ -41,15 +45,32 @@
     ControlProcess(const ControlSettings &settings, std::string token)
         : m_settings(settings)
         , m_token(std::move(token))
-        , m_configLog(m_config)
-        , m_intentLog(m_intents)
+        , m_configPeers(LogId::Config, m_link)
+        , m_intentPeers(LogId::Intents, m_link)
+        , m_configLog(m_context, m_configPeers, logOptions("config"))
+        , m_intentLog(m_context, m_intentPeers, logOptions("intents"))
+        , m_forwarder(
+              m_intentLog.port(), settings.self.linkAddress,
+              [this](const std::string &address, const wire::ControlPacket &packet) {
+                  if (m_link) {
+                      m_link->send({LinkPeer::Kind::Dialed, address}, LogPeers::envelope(LogId::ForwardedIntents, packet.SerializeAsString()));
+                  }
+              },
+              forwardTimeout)
         , m_endpoints(m_context)
-        , m_service({}, m_config, m_configLog.port(), m_intentLog.port(), ports())
+        , m_service({}, m_configLog.machine(), m_configLog.port(), m_forwarder.port(), ports())
         , m_api(apiOptions(), m_service)
         , m_timer(m_context)
         , m_signals(m_context, SIGTERM, SIGINT)
     {
-        m_configLog.observe([this](LogIndex) { m_service.handleApplied(); });
+        m_configLog.host().observe([this](LogIndex) { m_service.handleApplied(); });
+        const auto fail = [this](const StateError &error) {
+            log::write(log::Level::Error, "stopping after a disk error", {{"error", error.message}});
+            m_exitCode = 1;
+            m_context.stop();
+        };
+        m_configLog.host().observeFailure(fail);
+        m_intentLog.host().observeFailure(fail);
     }
 
     std::string start(const LinkKey &key)
@@ -60,6 +81,11 @@
             return "can't listen on the link address " + m_settings.self.linkAddress + ": " + link.error().message();
         }
         m_link.emplace(std::move(link.value()));
+        for (auto started : {m_configLog.host().start(), m_intentLog.host().start()}) {
+            if (!started) {
+                return started.error().message;
+            }
+        }
         HttpServerOptions options;
         options.listen = m_settings.self.httpAddress;
         auto server = HttpServer::start(m_context, std::move(options), [this](HttpRequest &&request, HttpReply reply) {
@@ -78,9 +104,11 @@
         return {};
     }
 
-    void run()
+    /// Runs until the process stops, and returns its exit code.
+    int run()
     {
         m_context.run();
+        return m_exitCode;
     }
 
 private:
@@ -101,35 +129,92 @@
         ports.wallClockMs = [] {
             return unixMilliseconds();
         };
-        ports.leaderLinkAddress = [] {
-            return std::string();
+        ports.leaderLinkAddress = [this] {
+            return m_configLog.host().status().leaderAddress;
         };
         return ports;
     }
 
+    LogHostOptions logOptions(const std::string &name) const
+    {
+        LogHostOptions options;
+        options.folder = m_settings.dataFolder + "/" + name;
+        options.address = m_settings.self.linkAddress;
+        for (const auto &member : m_settings.members) {
+            options.initialMembers.push_back(member.linkAddress);
+        }
+        return options;
+    }
+
+    template<class Log>
+    boost::json::object describe(const Log &log) const
+    {
+        const auto status = log.host().status();
+        boost::json::array members;
+        for (const auto &member : status.membership.members()) {
+            const auto *known = m_settings.memberByLink(member.address());
+            members.push_back(boost::json::object {{"member", known == nullptr ? std::string() : known->name},
+                                                   {"id", toHex(member.id())},
+                                                   {"address", member.address()},
+                                                   {"voter", member.voter()}});
+        }
+        const auto *leader = m_settings.memberByLink(status.leaderAddress);
+        return {{"leader", leader == nullptr ? std::string() : leader->name},
+                {"term", status.term},
+                {"commit_index", status.commitIndex},
+                {"applied_index", status.appliedIndex},
+                {"snapshot_index", status.snapshotIndex},
+                {"members", std::move(members)}};
+    }
+
     OperatorApiOptions apiOptions()
     {
         OperatorApiOptions options;
         options.member = m_settings.self.name;
         options.token = m_token;
-        options.leaderHttpAddress = [] {
-            return std::string();
+        options.leaderHttpAddress = [this] {
+            const auto *leader = m_settings.memberByLink(m_configLog.host().status().leaderAddress);
+            return leader == nullptr || leader->name == m_settings.self.name ? std::string() : leader->httpAddress;
         };
-        options.logStatus = [] {
-            return boost::json::object();
+        options.logStatus = [this] {
+            return boost::json::object {{"logs", boost::json::object {{"config", describe(m_configLog)}, {"intents", describe(m_intentLog)}}}};
         };
         return options;
     }
 
     void receive(const LinkPeer &from, wire::Envelope &&message)
     {
-        if (from.kind == LinkPeer::Kind::Accepted) {
+        if (message.has_raft()) {
+            receiveFromControl(from, std::move(*message.mutable_raft()));
+        } else if (from.kind == LinkPeer::Kind::Accepted) {
             m_service.handleMessage(from.id, std::move(message));
         }
     }
 
+    void receiveFromControl(const LinkPeer &from, wire::Raft &&message)
+    {
+        switch (static_cast<LogId>(message.log_id())) {
+        case LogId::Config:
+            m_configLog.host().receive(std::move(*message.mutable_message()));
+            break;
+        case LogId::Intents:
+            m_intentLog.host().receive(std::move(*message.mutable_message()));
+            break;
+        case LogId::ForwardedIntents: {
+            wire::ControlPacket packet;
+            if (packet.ParseFromString(message.message())) {
+                m_forwarder.receive(packet, [this, from](const wire::ControlPacket &answer) {
+                    m_link->send(from, LogPeers::envelope(LogId::ForwardedIntents, answer.SerializeAsString()));
+                });
+            }
+            break;
+        }
+        }
+    }
+
     void tick()
     {
+        m_forwarder.tick(Clock::now());
         m_service.tick();
         m_api.tick();
         if (m_stopping && (m_server->requestsInFlight() == 0 || Clock::now() >= m_stopBy)) {
@@ -156,19 +241,21 @@
     const ControlSettings &m_settings;
     std::string m_token;
     boost::asio::io_context m_context {1};
-    ConfigMachine m_config;
-    IntentMachine m_intents;
-    MemoryLog<ConfigMachine> m_configLog;
-    MemoryLog<IntentMachine> m_intentLog;
+    std::optional<MessageLink> m_link;
+    LogPeers m_configPeers;
+    LogPeers m_intentPeers;
+    ControlLog<ConfigMachine> m_configLog;
+    ControlLog<IntentMachine> m_intentLog;
+    ProposalForwarder m_forwarder;
     EndpointClient m_endpoints;
     ControlService m_service;
     OperatorApi m_api;
-    std::optional<MessageLink> m_link;
     std::optional<HttpServer> m_server;
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
     bool m_stopping = false;
     TimePoint m_stopBy;
+    int m_exitCode = 0;
 };
 
 } // namespace
@@ -199,7 +286,7 @@
             code = 1;
         } else {
             log::write(log::Level::Info, "started", {{"link", settings.self.linkAddress}, {"http", settings.self.httpAddress}, {"encrypted", !key.isEmpty()}});
-            process.run();
+            code = process.run();
             log::write(log::Level::Info, "stopped");
         }
     }
--- a/programs/control/testing/simulated_endpoint.h
+++ b/programs/control/testing/simulated_endpoint.h
@@ -122,8 +122,10 @@
                 return;
             }
             const auto limit = source.log.size();
-            m_world.send(source.name, name, [this, term, log = std::vector(source.log.begin(), source.log.begin() + static_cast<std::ptrdiff_t>(limit)),
-                                             starts = source.terms] { receive(term, log, starts); });
+            m_world.send(source.name, name,
+                         [this, term, log = std::vector(source.log.begin(), source.log.begin() + static_cast<std::ptrdiff_t>(limit)), starts = source.terms] {
+                             receive(term, log, starts);
+                         });
         });
     }
 
--- a/programs/control/testing/simulated_log.h
+++ b/programs/control/testing/simulated_log.h
@@ -37,7 +37,9 @@
     LogPort port(std::size_t self)
     {
         LogPort port;
-        port.propose = [this, self](std::vector<std::byte> command, LogPort::Handler handler) { propose(self, std::move(command), std::move(handler)); };
+        port.propose = [this, self](std::vector<std::byte> command, LogPort::Handler handler) {
+            propose(self, std::move(command), std::move(handler));
+        };
         port.read = [this, self](LogPort::Handler handler) {
             // A member that was replaced never proves a read, also while it still believes to lead.
             m_world.after(m_world.random.upTo(1ms), [this, self, term = members[self].term, handler = std::move(handler)] {
@@ -48,9 +50,15 @@
                 handler(std::move(reply));
             });
         };
-        port.isLeader = [this, self] { return members[self].believesToLead; };
-        port.term = [this, self] { return members[self].term; };
-        port.leaderHint = [] { return std::string(); };
+        port.isLeader = [this, self] {
+            return members[self].believesToLead;
+        };
+        port.term = [this, self] {
+            return members[self].term;
+        };
+        port.leaderHint = [] {
+            return std::string();
+        };
         return port;
     }
 
--- a/programs/control/testing/simulated_proxy.h
+++ b/programs/control/testing/simulated_proxy.h
@@ -95,8 +95,8 @@
     /// @brief State for the trace of a failed run.
     std::string describe() const
     {
-        return m_state.group.ShortDebugString() + (alive ? " alive" : " dead") + (hasLease() ? " lease" : "") + " withdrawn " + std::to_string(m_state.withdrawn)
-            + " in flight " + std::to_string(m_state.inFlight.size());
+        return m_state.group.ShortDebugString() + (alive ? " alive" : " dead") + (hasLease() ? " lease" : "") + " withdrawn "
+            + std::to_string(m_state.withdrawn) + " in flight " + std::to_string(m_state.inFlight.size());
     }
 
     const std::string name;
