--- a/scripts/waxwing_measure.py
+++ b/scripts/waxwing_measure.py
@@ -30,6 +30,9 @@
     return result.stdout.strip()
 
 
+COMMIT = commit()  # At the start: the tree may move on during a long run.
+
+
 def write(name, seeds, values, plot):
     """Writes the values of a complete run and its plot.
 
@@ -37,7 +40,7 @@
     """
     os.makedirs(FOLDER, exist_ok=True)
     result = {"name": name, "command": " ".join(["scripts/experiment"] + sys.argv[1:]), "seeds": list(seeds),
-              "date": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()), "commit": commit(), "values": values}
+              "date": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()), "commit": COMMIT, "values": values}
     with open(os.path.join(FOLDER, name + ".json"), "w", encoding="ascii") as file:
         json.dump(result, file, indent=2)
         file.write("\n")
