Make names durable when a log is opened

Change: RaftStore syncs its folder before it reads it. The in-memory file system can now end a process before any single operation instead of at syncs only; waxwing-log-check ends processes at any operation, also during a start, with or without a crash of the machine.

--- a/packages/coordination/include/waxwing/coordination/raft_store.h
+++ b/packages/coordination/include/waxwing/coordination/raft_store.h
@@ -134,6 +134,8 @@
     {
         BOOST_OUTCOME_TRYV(m_files.createFolder(m_folder));
         BOOST_OUTCOME_TRYV(m_files.syncFolder(folderOf(m_folder)));
+        // A process that ended between a rename and the sync left names that can be read yet are not durable.
+        BOOST_OUTCOME_TRYV(m_files.syncFolder(m_folder));
         BOOST_OUTCOME_TRY(auto names, m_files.list(m_folder));
         std::vector<std::uint64_t> numbers;
         for (const auto &name : names) {
--- a/packages/coordination/src/waxwing/coordination/raft_follower.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_follower.cpp
@@ -36,7 +36,6 @@
     }
     followLeader(now, message.from());
     const auto &append = message.append();
-    const auto previousDurable = m_durableIndex;
     if (!appendFromLeader(append)) {
         if (m_failed) {
             return;
@@ -51,7 +50,7 @@
     }
     raiseCommit(std::min<LogIndex>(append.commit_index(), m_verifiedIndex));
     // New entries are acknowledged by stored(); a message without any is answered at once, whatever the disk does.
-    if (append.entries().empty() || m_writtenIndex == m_log.lastIndex() || previousDurable != m_durableIndex) {
+    if (append.entries().empty() || m_writtenIndex == m_log.lastIndex()) {
         acknowledge(append.sent_time());
     }
 }
--- a/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
@@ -51,8 +51,9 @@
 class RaftStoreTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RaftStoreTest);
-    CPPUNIT_TEST(installInterruptedAtAnySyncKeepsLogReadable);
-    CPPUNIT_TEST(compactionInterruptedAtAnySyncKeepsEntries);
+    CPPUNIT_TEST(installInterruptedAtAnyStepKeepsLogReadable);
+    CPPUNIT_TEST(compactionInterruptedAtAnyStepKeepsEntries);
+    CPPUNIT_TEST(processEndThenMachineCrashKeepsEntries);
     CPPUNIT_TEST(missingIdentityIsReported);
     CPPUNIT_TEST(damagedSegmentIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -60,14 +61,14 @@
 public:
     // Guards against a log that can't be read after a crash between the leader's snapshot and the reset record, followed by
     // further entries (seeds 10146 and 19236 of waxwing-log-check).
-    void installInterruptedAtAnySyncKeepsLogReadable()
+    void installInterruptedAtAnyStepKeepsLogReadable()
     {
-        for (std::uint64_t syncs = 0; syncs < 12; ++syncs) {
+        for (std::uint64_t operations = 0; operations < 20; ++operations) {
             MemoryDisk disk;
             auto first = open(disk);
             store(*first, entriesWrite(1, 17, 1));
-            disk.syncsUntilCrash = syncs;
-            store(*first, snapshotWrite(39, 2, true));
+            disk.operationsUntilStop = operations;
+            (void)first->add(snapshotWrite(39, 2, true));
             first.reset();
             disk.crash(dropAll);
 
@@ -83,16 +84,16 @@
     }
 
     // Guards against entries behind a snapshot that are lost when a crash interrupts the removal of old segments.
-    void compactionInterruptedAtAnySyncKeepsEntries()
+    void compactionInterruptedAtAnyStepKeepsEntries()
     {
-        for (std::uint64_t syncs = 0; syncs < 12; ++syncs) {
+        for (std::uint64_t operations = 0; operations < 20; ++operations) {
             MemoryDisk disk;
             auto first = open(disk);
             store(*first, entriesWrite(1, 10, 1));
             store(*first, snapshotWrite(4, 1, false));
             store(*first, entriesWrite(11, 10, 1));
-            disk.syncsUntilCrash = syncs;
-            store(*first, snapshotWrite(15, 1, false));
+            disk.operationsUntilStop = operations;
+            (void)first->add(snapshotWrite(15, 1, false));
             first.reset();
             disk.crash(dropAll);
             const auto state = open(disk)->takeState();
@@ -101,6 +102,30 @@
         }
     }
 
+    // Guards against files that a process created, renamed or appended to without syncing before it ended, that the next
+    // process reads and builds on, and that a crash of the machine then takes back.
+    void processEndThenMachineCrashKeepsEntries()
+    {
+        for (std::uint64_t operations = 0; operations < 20; ++operations) {
+            MemoryDisk disk;
+            auto first = open(disk);
+            store(*first, entriesWrite(1, 17, 1));
+            disk.operationsUntilStop = operations;
+            (void)first->add(snapshotWrite(39, 2, true));
+            first.reset();
+            disk.operationsUntilStop.reset();
+
+            auto second = open(disk);
+            const auto state = second->takeState();
+            const LogIndex next = (state.snapshot ? state.snapshot->index : 0) + state.entries.size() + 1;
+            store(*second, entriesWrite(next, 2, 2));
+            second.reset();
+            disk.crash(dropAll);
+            const auto last = open(disk)->takeState();
+            CPPUNIT_ASSERT_EQUAL(next + 1, (last.snapshot ? last.snapshot->index : 0) + last.entries.size());
+        }
+    }
+
     // Guards against a new identity in a folder with an old log, which would vote a second time.
     void missingIdentityIsReported()
     {
--- a/packages/state/include/waxwing/state/memory_file_system.h
+++ b/packages/state/include/waxwing/state/memory_file_system.h
@@ -30,7 +30,7 @@
     std::optional<std::uint64_t> bytesLeft; ///< free space; nothing for no limit
     bool failSync = false; ///< fsync returns an error
 
-    std::optional<std::uint64_t> syncsUntilCrash; ///< later syncs report success but store nothing, as if the crash came first
+    std::optional<std::uint64_t> operationsUntilStop; ///< then every change fails, as if the process had ended before it
 
     /// @brief Drops what was not synced.
     /// @param edit called for each file with bytes appended since the last sync, with these bytes; what it leaves in place
@@ -38,7 +38,7 @@
     template<class Edit>
     void crash(Edit &&edit)
     {
-        syncsUntilCrash.reset();
+        operationsUntilStop.reset();
         names = durableNames;
         for (auto &[name, content] : names) {
             if (content->bytes.starts_with(content->synced)) {
@@ -52,11 +52,11 @@
         }
     }
 
-    /// @brief Counts a sync.
-    /// @return false if the sync stores nothing
-    bool beginSync()
+    /// @brief Counts an operation that changes the disk.
+    /// @return false if the process has ended before it
+    bool beginOperation()
     {
-        return !syncsUntilCrash || (*syncsUntilCrash > 0 && (*syncsUntilCrash)-- > 0);
+        return !operationsUntilStop || (*operationsUntilStop > 0 && (*operationsUntilStop)-- > 0);
     }
 };
 
--- a/packages/state/src/waxwing/state/memory_file_system.cpp
+++ b/packages/state/src/waxwing/state/memory_file_system.cpp
@@ -8,6 +8,16 @@
 namespace waxwing
 {
 
+namespace
+{
+
+StateError stopped(const std::string &path)
+{
+    return makeStateError(StateErrorCode::Output, "operation after the end of the process", path, ECANCELED);
+}
+
+} // namespace
+
 MemoryFile::MemoryFile(MemoryDisk &disk, std::shared_ptr<MemoryDisk::Content> content, std::string path)
     : m_disk(&disk)
     , m_content(std::move(content))
@@ -17,6 +27,10 @@
 
 StateResult<void> MemoryFile::append(std::string_view bytes)
 {
+    if (!m_disk->beginOperation()) {
+        m_content->bytes.append(bytes.substr(0, bytes.size() / 2));
+        return stopped(m_path);
+    }
     const auto fits = m_disk->bytesLeft ? std::min<std::uint64_t>(*m_disk->bytesLeft, bytes.size()) : bytes.size();
     m_content->bytes.append(bytes.substr(0, fits));
     if (m_disk->bytesLeft) {
@@ -30,12 +44,12 @@
 
 StateResult<void> MemoryFile::sync()
 {
+    if (!m_disk->beginOperation()) {
+        return stopped(m_path);
+    }
     if (m_disk->failSync) {
         return makeStateError(StateErrorCode::SyncFailed, "fsync", m_path, EIO);
     }
-    if (!m_disk->beginSync()) {
-        return boost::outcome_v2::success();
-    }
     if (m_content->bytes.starts_with(m_content->synced)) {
         m_content->synced.append(m_content->bytes, m_content->synced.size());
     } else {
@@ -46,12 +60,18 @@
 
 StateResult<void> MemoryFile::truncate(std::uint64_t size)
 {
+    if (!m_disk->beginOperation()) {
+        return stopped(m_path);
+    }
     m_content->bytes.resize(size);
     return boost::outcome_v2::success();
 }
 
 StateResult<MemoryFileSystem::File> MemoryFileSystem::openAppend(const std::string &path)
 {
+    if (!m_disk->beginOperation()) {
+        return stopped(path);
+    }
     auto &content = m_disk->names[path];
     if (!content) {
         content = std::make_shared<MemoryDisk::Content>();
@@ -91,6 +111,9 @@
 
 StateResult<void> MemoryFileSystem::rename(const std::string &from, const std::string &to)
 {
+    if (!m_disk->beginOperation()) {
+        return stopped(from);
+    }
     const auto found = m_disk->names.find(from);
     if (found == m_disk->names.end()) {
         return makeStateError(StateErrorCode::Output, "rename", from, ENOENT);
@@ -103,18 +126,21 @@
 
 StateResult<void> MemoryFileSystem::remove(const std::string &path)
 {
+    if (!m_disk->beginOperation()) {
+        return stopped(path);
+    }
     m_disk->names.erase(path);
     return boost::outcome_v2::success();
 }
 
 StateResult<void> MemoryFileSystem::syncFolder(const std::string &path)
 {
+    if (!m_disk->beginOperation()) {
+        return stopped(path);
+    }
     if (m_disk->failSync) {
         return makeStateError(StateErrorCode::SyncFailed, "fsync", path, EIO);
     }
-    if (!m_disk->beginSync()) {
-        return boost::outcome_v2::success();
-    }
     std::erase_if(m_disk->durableNames, [&path](const auto &entry) { return folderOf(entry.first) == path; });
     for (const auto &[name, content] : m_disk->names) {
         if (folderOf(name) == path) {
--- a/packages/state/src/waxwing/state/snapshot_file_test.cpp
+++ b/packages/state/src/waxwing/state/snapshot_file_test.cpp
@@ -17,25 +17,25 @@
 class SnapshotFileTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(SnapshotFileTest);
-    CPPUNIT_TEST(crashAtAnySyncLeavesOldOrNewContent);
+    CPPUNIT_TEST(crashAtAnyStepLeavesOldOrNewContent);
     CPPUNIT_TEST(diskErrorsAreReported);
     CPPUNIT_TEST(anyDamageIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against a crash during a replacement that leaves neither the old nor the new content.
-    void crashAtAnySyncLeavesOldOrNewContent()
+    void crashAtAnyStepLeavesOldOrNewContent()
     {
-        for (std::uint64_t syncs = 0; syncs < 3; ++syncs) {
+        for (std::uint64_t operations = 0; operations < 6; ++operations) {
             MemoryDisk disk;
             MemoryFileSystem files(disk);
             CPPUNIT_ASSERT(writeSnapshotFile(files, path, "old").has_value());
-            disk.syncsUntilCrash = syncs;
-            CPPUNIT_ASSERT(writeSnapshotFile(files, path, "new").has_value());
+            disk.operationsUntilStop = operations;
+            const bool finished = writeSnapshotFile(files, path, "new").has_value();
             disk.crash([](std::string &tail) { tail.resize(tail.size() / 2); });
             const auto read = readSnapshotFile(files, path);
             CPPUNIT_ASSERT(read.has_value());
-            CPPUNIT_ASSERT_EQUAL(std::string(syncs < 2 ? "old" : "new"), read.value().value());
+            CPPUNIT_ASSERT_EQUAL(std::string(finished ? "new" : "old"), read.value().value());
         }
     }
 
--- a/tools/log-check/log_simulation.cpp
+++ b/tools/log-check/log_simulation.cpp
@@ -176,7 +176,20 @@
         if (member.process) {
             return;
         }
+        if (m_now > 0 && m_faults && m_random.chance(0.1)) {
+            member.disk->operationsUntilStop = m_random.between(0, 12);
+        }
         auto store = RaftStore<MemoryFileSystem>::open(MemoryFileSystem(*member.disk), "data/log", [this] { return ++m_lastId; });
+        const bool stopped = member.disk->operationsUntilStop == 0U;
+        member.disk->operationsUntilStop.reset();
+        if (!store && stopped) {
+            count("end during start");
+            if (m_random.chance(0.5)) {
+                dropUnsynced(place);
+            }
+            schedule(10 * millisecond, [this, place] { start(place); });
+            return;
+        }
         if (!store && store.error().code != StateErrorCode::Corrupt && (member.disk->failSync || member.disk->bytesLeft)) {
             count("disk error at start");
             dropUnsynced(place);
@@ -201,7 +214,8 @@
         pump(place);
     }
 
-    void crash(std::size_t place)
+    /// Ends a process at any step of its disk; a crash of the machine also drops what was not synced.
+    void crash(std::size_t place, bool machine = true)
     {
         auto &member = m_members[place];
         if (!member.process) {
@@ -212,14 +226,17 @@
         const bool failed = process.node->hasFailed();
         if (!process.group.empty() && !failed) {
             // The disk was in the middle of a group: some of its syncs were finished, the rest is lost or torn.
-            member.disk->syncsUntilCrash = m_random.between(0, 8);
+            member.disk->operationsUntilStop = m_random.between(0, 20);
             for (const auto &write : process.group) {
                 (void)process.store->add(write);
             }
             (void)process.store->sync();
         }
         member.process.reset();
-        dropUnsynced(place);
+        member.disk->operationsUntilStop.reset();
+        if (machine || failed) {
+            dropUnsynced(place);
+        }
     }
 
     /// Ends the armed disk errors, too.
@@ -616,7 +633,7 @@
     void crashAndRestart(std::size_t place, const std::string &kind)
     {
         count(kind);
-        crash(place);
+        crash(place, m_random.chance(0.5));
         const auto longest = m_random.chance(0.5) ? 20 : 1500;
         schedule(static_cast<std::int64_t>(m_random.between(1, longest)) * millisecond, [this, place] { start(place); });
     }
