Check how members form and join a log, and fix two cases in which one stays outside for good

Cause: the randomised check drove RaftNode only; forming a log, joining it and replacing a lost disk (LogMembership) were covered by single tests.

Change: in 40% of its runs waxwing-log-check lets the members form and manage the log themselves, and at the end demands that every lost disk has been replaced by a voter. Faults found and fixed, each with a focused test that failed before: - A first member that crashed while it stored the first membership could keep the term without the members, and then neither campaigned nor counted as empty (found by review). A learner without a leader now sends join requests.

--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -448,7 +448,7 @@
         if (empty && m_members.canBootstrap()) {
             m_node->bootstrap(Clock::now(), m_members.initialMembership());
             scheduleProcess();
-        } else if (m_node->log().membership().members().empty()) {
+        } else if (m_members.shouldJoin(m_node->log().membership(), m_node->leader() != 0)) {
             sendPackets(m_members.joinRequests());
         } else if (m_options.manageMembers && m_leads) {
             const auto now = Clock::now();
--- a/packages/coordination/include/waxwing/coordination/log_membership.h
+++ b/packages/coordination/include/waxwing/coordination/log_membership.h
@@ -41,7 +41,11 @@
     /// @return replies
     std::vector<Addressed> receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty);
 
-    /// @brief Requests to send while this member belongs to no log.
+    /// @brief Tells whether this member should send join requests: it belongs to no log, or it is a learner that no leader
+    /// contacts, because the entry that added it was replaced by a later leader.
+    bool shouldJoin(const wire::RaftMembership &membership, bool hasLeader) const;
+
+    /// @brief Join requests to all initial members.
     std::vector<Addressed> joinRequests() const;
 
     /// @brief Tells whether all initial members are known to have empty disks.
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -62,6 +62,12 @@
     return {};
 }
 
+bool LogMembership::shouldJoin(const wire::RaftMembership &membership, bool hasLeader) const
+{
+    const auto *self = findMember(membership, m_id);
+    return membership.members().empty() || (!hasLeader && self != nullptr && !self->voter());
+}
+
 std::vector<LogMembership::Addressed> LogMembership::joinRequests() const
 {
     std::vector<Addressed> requests;
--- a/packages/coordination/src/waxwing/coordination/raft_node.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node.cpp
@@ -59,6 +59,7 @@
     }
     m_writtenIndex = m_log.lastIndex();
     m_durableIndex = m_log.lastIndex();
+    m_term = std::max(m_term, m_log.lastTerm()); // see bootstrap()
     if (m_term != 0 || m_log.lastIndex() != 0) {
         // The previous process may have confirmed a leader's lease just before it ended.
         m_leaderContact = now;
@@ -71,9 +72,11 @@
     if (m_failed || m_term != 0 || m_log.lastIndex() != 0) {
         return;
     }
+    // Both go into one write, the entry first: with a term but without members, a member that crashed in between could
+    // neither campaign nor count as empty.
     m_term = 1;
-    writeHardState();
     appendLocal({m_term, wire::RAFT_ENTRY_KIND_MEMBERSHIP, membership.SerializeAsString()});
+    writeHardState();
     m_electionDeadline = now;
 }
 
--- a/packages/coordination/src/waxwing/coordination/raft_node_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node_test.cpp
@@ -60,6 +60,29 @@
     return std::any_of(output.messages.begin(), output.messages.end(), predicate);
 }
 
+void store(RaftNode &node, TimePoint now)
+{
+    const auto output = node.takeOutput(now);
+    if (!output.writes.empty()) {
+        node.stored(now, output.writes.back().sequence);
+    }
+}
+
+/// Makes the node leader with the votes of `other`.
+void lead(RaftNode &node, TimePoint now)
+{
+    node.tick(now);
+    auto vote = messageFrom(other, node.term() + 1);
+    vote.mutable_vote_reply()->set_granted(true);
+    vote.mutable_vote_reply()->set_pre_vote(true);
+    node.receive(now, vote);
+    store(node, now);
+    vote.mutable_vote_reply()->set_pre_vote(false);
+    node.receive(now, vote);
+    CPPUNIT_ASSERT(node.role() == RaftNode::Role::Leader);
+    store(node, now);
+}
+
 bool isGrant(const wire::RaftMessage &message)
 {
     return message.vote_reply().granted();
@@ -76,6 +99,8 @@
     CPPUNIT_TEST(messageToOldIdentityIsIgnored);
     CPPUNIT_TEST(entriesAreAcknowledgedOnlyWhenDurable);
     CPPUNIT_TEST(staleWriteDoesNotConfirmReplacedEntry);
+    CPPUNIT_TEST(entryOfOldTermIsNotCommittedByCounting);
+    CPPUNIT_TEST(leaderWithLeaseRefusesVote);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +164,41 @@
         CPPUNIT_ASSERT(sends(node.takeOutput(start), [](const auto &reply) { return reply.append_reply().match_index() == 2; }));
     }
 
+    // Guards against the commit of an entry that a later leader without it can still replace (Raft, figure 8).
+    void entryOfOldTermIsNotCommittedByCounting()
+    {
+        auto node = makeNode(2, {membershipEntry(1, {self, other, 3}), {2, wire::RAFT_ENTRY_KIND_COMMAND, "old"}});
+        lead(node, start + 2s);
+        auto reply = messageFrom(other, node.term());
+        reply.mutable_append_reply()->set_accepted(true);
+        reply.mutable_append_reply()->set_match_index(2);
+        node.receive(start + 2s, reply);
+        CPPUNIT_ASSERT_EQUAL(LogIndex(0), node.commitIndex());
+        reply.mutable_append_reply()->set_match_index(3);
+        node.receive(start + 2s, reply);
+        CPPUNIT_ASSERT_EQUAL(LogIndex(3), node.commitIndex());
+    }
+
+    // Guards against a vote of the leader itself, whose lease counts on its own refusal, too.
+    void leaderWithLeaseRefusesVote()
+    {
+        auto node = makeNode(2, {membershipEntry(1, {self, other, 3})});
+        const auto now = start + 2s;
+        lead(node, now);
+        auto reply = messageFrom(other, node.term());
+        reply.mutable_append_reply()->set_accepted(true);
+        reply.mutable_append_reply()->set_match_index(2);
+        reply.mutable_append_reply()->set_sent_time(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+        node.receive(now, reply);
+        CPPUNIT_ASSERT(node.canRead(now + 269ms));
+        const auto term = node.term();
+        node.receive(now + 269ms, voteRequest(term + 1, 10, term));
+        CPPUNIT_ASSERT_EQUAL(term, node.term());
+        CPPUNIT_ASSERT(!node.canRead(now + 270ms));
+        node.receive(now + 301ms, voteRequest(term + 1, 10, term));
+        CPPUNIT_ASSERT_EQUAL(term + 1, node.term());
+    }
+
     // Guards against a finished write of an entry that was replaced meanwhile, which would count the new entry as durable.
     void staleWriteDoesNotConfirmReplacedEntry()
     {
--- a/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(installInterruptedAtAnyStepKeepsLogReadable);
     CPPUNIT_TEST(compactionInterruptedAtAnyStepKeepsEntries);
     CPPUNIT_TEST(processEndThenMachineCrashKeepsEntries);
+    CPPUNIT_TEST(firstMembershipIsStoredWholeOrNotAtAll);
     CPPUNIT_TEST(missingIdentityIsReported);
     CPPUNIT_TEST(damagedSegmentIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -126,6 +127,28 @@
         }
     }
 
+    // Guards against a new log that never begins because the first member crashed while it stored the first membership: with
+    // a term but without members it can neither campaign nor count as empty.
+    void firstMembershipIsStoredWholeOrNotAtAll()
+    {
+        wire::RaftMembership membership;
+        membership.add_members()->set_id(7);
+        membership.mutable_members(0)->set_voter(true);
+        for (std::size_t kept = 0; kept < 200; ++kept) {
+            MemoryDisk disk;
+            auto first = open(disk);
+            RaftNode node(first->id(), {}, first->takeState(), 1, TimePoint(1s));
+            node.bootstrap(TimePoint(1s), membership);
+            disk.operationsUntilStop = 1;
+            (void)first->add(node.takeOutput(TimePoint(1s)).writes.front());
+            (void)first->sync();
+            first.reset();
+            disk.crash([kept](std::string &tail) { tail.resize(std::min(tail.size(), kept)); });
+            const auto state = open(disk)->takeState();
+            CPPUNIT_ASSERT(state.entries.size() == 1 || state.hardState.term() == 0);
+        }
+    }
+
     // Guards against a new identity in a folder with an old log, which would vote a second time.
     void missingIdentityIsReported()
     {
--- a/tools/log-check/log_simulation.cpp
+++ b/tools/log-check/log_simulation.cpp
@@ -82,6 +82,7 @@
         m_delay = m_random.between(1, 30) * millisecond;
         m_longDelay = m_random.chance(0.3) ? 0.02 : 0;
         m_faultMean = static_cast<double>(m_random.between(40, 1500) * millisecond);
+        m_managed = m_random.chance(0.4);
         m_leaderCrash = m_random.chance(0.3) ? 0.3 : 0;
         m_proposalMean = static_cast<double>(m_random.between(5, 100) * millisecond);
     }
@@ -153,7 +154,7 @@
     void begin()
     {
         const auto members = m_random.between(1, 5);
-        m_members.resize(members + m_random.between(0, 2));
+        m_members.resize(members + (m_managed ? 0 : m_random.between(0, 2)));
         wire::RaftMembership membership;
         for (std::size_t i = 0; i < m_members.size(); ++i) {
             start(i);
@@ -163,9 +164,11 @@
                 member.set_voter(true);
             }
         }
-        auto &first = *m_members[0].process;
-        first.node->bootstrap(localTime(first), membership);
-        pump(0);
+        if (!m_managed) {
+            auto &first = *m_members[0].process;
+            first.node->bootstrap(localTime(first), membership);
+            pump(0);
+        }
         scheduleProposal();
         scheduleFault();
     }
@@ -197,6 +200,9 @@
             return;
         }
         if (!store) {
+            for (const auto &[name, content] : member.disk->names) {
+                trace(name + ": " + std::to_string(content->bytes.size()) + " bytes, " + std::to_string(content->synced.size()) + " synced");
+            }
             throw Violation("member " + std::to_string(place) + " can't start: " + store.error().message);
         }
         auto process = std::make_unique<SimulatedProcess>();
@@ -209,7 +215,19 @@
             count("torn tail");
         }
         process->node.emplace(member.id, m_raft, process->store->takeState(), m_random.between(0, UINT64_MAX), localTime(*process));
+        if (m_managed) {
+            std::vector<std::string> addresses;
+            for (std::size_t i = 0; i < m_members.size(); ++i) {
+                addresses.push_back(std::to_string(i));
+            }
+            process->membership.emplace(std::to_string(place), addresses);
+            process->membership->start(member.id);
+        }
+        const auto number = process->number;
         member.process = std::move(process);
+        if (m_managed) {
+            upkeep(place, number);
+        }
         trace("start member " + std::to_string(place) + " id " + std::to_string(member.id));
         pump(place);
     }
@@ -227,10 +245,13 @@
         if (!process.group.empty() && !failed) {
             // The disk was in the middle of a group: some of its syncs were finished, the rest is lost or torn.
             member.disk->operationsUntilStop = m_random.between(0, 20);
-            for (const auto &write : process.group) {
-                (void)process.store->add(write);
+            StateResult<void> result = boost::outcome_v2::success();
+            for (auto write = process.group.begin(); result && write != process.group.end(); ++write) {
+                result = process.store->add(*write);
+            }
+            if (result) {
+                (void)process.store->sync();
             }
-            (void)process.store->sync();
         }
         member.process.reset();
         member.disk->operationsUntilStop.reset();
@@ -367,6 +388,61 @@
         }
     }
 
+    /// The same steps as LogHost::upkeep().
+    void upkeep(std::size_t place, std::uint64_t number)
+    {
+        onProcess(place, number, [this](SimulatedProcess &process) {
+            auto &node = *process.node;
+            auto &membership = *process.membership;
+            const auto now = localTime(process);
+            if (isEmpty(node) && membership.canBootstrap()) {
+                count("new log formed");
+                node.bootstrap(now, membership.initialMembership());
+            } else if (membership.shouldJoin(node.log().membership(), node.leader() != 0)) {
+                for (auto &request : membership.joinRequests()) {
+                    deliverJoin(std::move(request));
+                }
+            } else if (node.role() == RaftNode::Role::Leader) {
+                LogIndex index = 0;
+                const auto change = membership.nextChange(
+                    node.log().membership(), [&](MemberId id) { return node.isCaughtUp(now, id); }, [&](MemberId id) { return node.isActive(now, id); });
+                if (change && node.changeMembership(now, *change, index) == RaftChangeError::None) {
+                    count("managed membership change " + std::to_string(static_cast<int>(change->kind)));
+                }
+            }
+        });
+        if (m_members[place].process && m_members[place].process->number == number) {
+            schedule(200 * millisecond, [this, place, number] { upkeep(place, number); });
+        }
+    }
+
+    static bool isEmpty(const RaftNode &node)
+    {
+        return node.term() == 0 && node.log().lastIndex() == 0;
+    }
+
+    void deliverJoin(LogMembership::Addressed packet)
+    {
+        const auto place = std::stoul(packet.address);
+        const auto from = std::stoul(packet.packet.from_address());
+        if (m_faults && (m_cut.contains({from, place}) || m_random.chance(m_loss))) {
+            return;
+        }
+        auto delay = static_cast<std::int64_t>(m_random.between(50'000, static_cast<std::uint64_t>(m_delay)));
+        if (m_faults && m_random.chance(m_longDelay)) {
+            delay += static_cast<std::int64_t>(m_random.between(50, 3000)) * millisecond;
+        }
+        schedule(delay, [this, place, packet = std::move(packet.packet)] {
+            if (m_members[place].process) {
+                onProcess(place, m_members[place].process->number, [this, packet](SimulatedProcess &process) {
+                    for (auto &reply : process.membership->receive(packet, process.node->log().membership(), isEmpty(*process.node))) {
+                        deliverJoin(std::move(reply));
+                    }
+                });
+            }
+        });
+    }
+
     // Network
 
     void deliver(std::size_t from, wire::RaftMessage message)
@@ -521,6 +597,13 @@
         return static_cast<std::size_t>(living) > voterCount(membership) / 2;
     }
 
+    bool hasOnlyPresentMembers(const wire::RaftMembership &membership) const
+    {
+        return std::all_of(membership.members().begin(), membership.members().end(), [this](const auto &member) {
+            return std::any_of(m_members.begin(), m_members.end(), [&member](const auto &place) { return place.id == member.id(); });
+        });
+    }
+
     void traceMembers() const
     {
         for (const auto &member : m_members) {
@@ -534,7 +617,7 @@
 
     void checkProgress()
     {
-        bool expected = m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership);
+        bool expected = m_managed || (m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership));
         LogIndex last = 0;
         for (const auto &member : m_members) {
             expected
@@ -551,6 +634,12 @@
             traceMembers();
             throw Violation("progress: no leader with a lease after all faults have ended");
         }
+        if (m_managed
+            && (voterCount(leader->process->node->log().membership()) != m_members.size()
+                || !hasOnlyPresentMembers(leader->process->node->log().membership()))) {
+            traceMembers();
+            throw Violation("progress: the members with lost disks were not replaced");
+        }
         last = leader->process->node->commitIndex();
         for (const auto &member : m_members) {
             // Entries of the last moments may still be on their way.
@@ -625,7 +714,9 @@
             }
             break;
         default:
-            changeMembership();
+            if (!m_managed) {
+                changeMembership();
+            }
             break;
         }
     }
@@ -645,6 +736,8 @@
         m_members[place].id = 0;
         bool majority = m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership);
         for (const auto &member : m_members) {
+            // A member that voted before the first membership reached it can neither form nor join a log on its own.
+            majority = majority && (!m_managed || !member.process || member.process->node->log().lastIndex() != 0);
             majority
                 = majority && (!member.process || member.process->node->log().lastIndex() == 0 || hasLivingMajority(member.process->node->log().membership()));
         }
@@ -754,6 +847,7 @@
     double m_longDelay = 0;
     double m_faultMean = 0;
     double m_proposalMean = 0;
+    bool m_managed = false; ///< the members form the log and replace lost disks by LogMembership
     double m_leaderCrash = 0; ///< probability that a new leader crashes within a few messages
 
     std::int64_t m_now = 0;
--- a/tools/log-check/simulated_member.h
+++ b/tools/log-check/simulated_member.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/log_membership.h>
 #include <waxwing/coordination/raft_store.h>
 #include <waxwing/state/memory_file_system.h>
 
@@ -21,6 +22,7 @@
     std::uint64_t number = 0; ///< distinguishes the processes of one member
     std::unique_ptr<RaftStore<MemoryFileSystem>> store;
     std::optional<RaftNode> node;
+    std::optional<LogMembership> membership; ///< only in runs in which the members form and manage the log themselves
     std::deque<RaftWrite> writes; ///< wait for the disk
     std::vector<RaftWrite> group; ///< being written
     LogIndex applied = 0;
