--- a/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_store_test.cpp
@@ -51,8 +51,10 @@
 class RaftStoreTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RaftStoreTest);
-    CPPUNIT_TEST(installInterruptedAtAnySyncKeepsLogReadable);
-    CPPUNIT_TEST(compactionInterruptedAtAnySyncKeepsEntries);
+    CPPUNIT_TEST(installInterruptedAtAnyStepKeepsLogReadable);
+    CPPUNIT_TEST(compactionInterruptedAtAnyStepKeepsEntries);
+    CPPUNIT_TEST(processEndThenMachineCrashKeepsEntries);
+    CPPUNIT_TEST(firstMembershipIsStoredWholeOrNotAtAll);
     CPPUNIT_TEST(missingIdentityIsReported);
     CPPUNIT_TEST(damagedSegmentIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -60,14 +62,14 @@
 public:
     // Guards against a log that can't be read after a crash between the leader's snapshot and the reset record, followed by
     // further entries (seeds 10146 and 19236 of waxwing-log-check).
-    void installInterruptedAtAnySyncKeepsLogReadable()
+    void installInterruptedAtAnyStepKeepsLogReadable()
     {
-        for (std::uint64_t syncs = 0; syncs < 12; ++syncs) {
+        for (std::uint64_t operations = 0; operations < 20; ++operations) {
             MemoryDisk disk;
             auto first = open(disk);
             store(*first, entriesWrite(1, 17, 1));
-            disk.syncsUntilCrash = syncs;
-            store(*first, snapshotWrite(39, 2, true));
+            disk.operationsUntilStop = operations;
+            (void)first->add(snapshotWrite(39, 2, true));
             first.reset();
             disk.crash(dropAll);
 
@@ -83,16 +85,16 @@
     }
 
     // Guards against entries behind a snapshot that are lost when a crash interrupts the removal of old segments.
-    void compactionInterruptedAtAnySyncKeepsEntries()
+    void compactionInterruptedAtAnyStepKeepsEntries()
     {
-        for (std::uint64_t syncs = 0; syncs < 12; ++syncs) {
+        for (std::uint64_t operations = 0; operations < 20; ++operations) {
             MemoryDisk disk;
             auto first = open(disk);
             store(*first, entriesWrite(1, 10, 1));
             store(*first, snapshotWrite(4, 1, false));
             store(*first, entriesWrite(11, 10, 1));
-            disk.syncsUntilCrash = syncs;
-            store(*first, snapshotWrite(15, 1, false));
+            disk.operationsUntilStop = operations;
+            (void)first->add(snapshotWrite(15, 1, false));
             first.reset();
             disk.crash(dropAll);
             const auto state = open(disk)->takeState();
@@ -101,6 +103,52 @@
         }
     }
 
+    // Guards against files that a process created, renamed or appended to without syncing before it ended, that the next
+    // process reads and builds on, and that a crash of the machine then takes back.
+    void processEndThenMachineCrashKeepsEntries()
+    {
+        for (std::uint64_t operations = 0; operations < 20; ++operations) {
+            MemoryDisk disk;
+            auto first = open(disk);
+            store(*first, entriesWrite(1, 17, 1));
+            disk.operationsUntilStop = operations;
+            (void)first->add(snapshotWrite(39, 2, true));
+            first.reset();
+            disk.operationsUntilStop.reset();
+
+            auto second = open(disk);
+            const auto state = second->takeState();
+            const LogIndex next = (state.snapshot ? state.snapshot->index : 0) + state.entries.size() + 1;
+            store(*second, entriesWrite(next, 2, 2));
+            second.reset();
+            disk.crash(dropAll);
+            const auto last = open(disk)->takeState();
+            CPPUNIT_ASSERT_EQUAL(next + 1, (last.snapshot ? last.snapshot->index : 0) + last.entries.size());
+        }
+    }
+
+    // Guards against a new log that never begins because the first member crashed while it stored the first membership: with
+    // a term but without members it can neither campaign nor count as empty.
+    void firstMembershipIsStoredWholeOrNotAtAll()
+    {
+        wire::RaftMembership membership;
+        membership.add_members()->set_id(7);
+        membership.mutable_members(0)->set_voter(true);
+        for (std::size_t kept = 0; kept < 200; ++kept) {
+            MemoryDisk disk;
+            auto first = open(disk);
+            RaftNode node(first->id(), {}, first->takeState(), 1, TimePoint(1s));
+            node.bootstrap(TimePoint(1s), membership);
+            disk.operationsUntilStop = 1;
+            (void)first->add(node.takeOutput(TimePoint(1s)).writes.front());
+            (void)first->sync();
+            first.reset();
+            disk.crash([kept](std::string &tail) { tail.resize(std::min(tail.size(), kept)); });
+            const auto state = open(disk)->takeState();
+            CPPUNIT_ASSERT(state.entries.size() == 1 || state.hardState.term() == 0);
+        }
+    }
+
     // Guards against a new identity in a folder with an old log, which would vote a second time.
     void missingIdentityIsReported()
     {
