--- a/packages/coordination/include/waxwing/coordination/slot_schedule.h
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -61,10 +61,6 @@
     template<class Queue, class Places>
     std::optional<Assignment> next(const Queue &queue, std::span<const EndpointState> endpoints, Places places, Random &random, TimePoint now) const
     {
-        // Most calls find all slots taken; they end before each waiting statement is looked at.
-        if (std::none_of(endpoints.begin(), endpoints.end(), [](const EndpointState &endpoint) { return endpoint.hasFreeSlot(); })) {
-            return std::nullopt;
-        }
         if constexpr (!Queue::OrderType::separatesClasses) {
             return choose(queue, WorkClass::Short, endpoints, places, random);
         }
@@ -92,22 +88,24 @@
     static double slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
 
 private:
-    static EndpointSet free(EndpointSet set, WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
+    static EndpointSet free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
 
     template<class Queue, class Places>
     std::optional<Assignment> choose(const Queue &queue, WorkClass workClass, std::span<const EndpointState> endpoints, Places &places, Random &random) const
     {
+        // Most calls find all slots taken and end before any waiting statement is looked at.
+        const auto open = free(workClass, Queue::OrderType::separatesClasses, endpoints);
+        if (open.none()) {
+            return std::nullopt;
+        }
         EndpointSet chosen;
         const auto *statement = queue.first(workClass, [&](const QueuedStatement &candidate) {
             const RunPlaces where = places(candidate);
-            auto set = free(where.preferred, candidate.workClass, Queue::OrderType::separatesClasses, endpoints);
-            if (set.none()) {
-                set = free(where.overflow, candidate.workClass, Queue::OrderType::separatesClasses, endpoints);
-            }
-            if (set.any()) {
-                chosen = set;
+            chosen = where.preferred & open;
+            if (chosen.none()) {
+                chosen = where.overflow & open;
             }
-            return set.any();
+            return chosen.any();
         });
         if (statement == nullptr) {
             return std::nullopt;
--- a/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
@@ -10,15 +10,13 @@
 {
 }
 
-EndpointSet SlotSchedule::free(EndpointSet set, WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints)
+EndpointSet SlotSchedule::free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints)
 {
-    set = withFreeSlot(set, endpoints);
-    if (separatesClasses && workClass == WorkClass::Long) {
-        for (std::size_t i = 0; i < set.size(); ++i) {
-            if (set.test(i) && endpoints[i].runningLong >= longSlots(endpoints[i].limit)) {
-                set.reset(i);
-            }
-        }
+    EndpointSet set;
+    for (std::size_t i = 0; i < std::min(endpoints.size(), set.size()); ++i) {
+        const auto &endpoint = endpoints[i];
+        const bool isOpen = !separatesClasses || workClass == WorkClass::Short || endpoint.runningLong < longSlots(endpoint.limit);
+        set.set(i, endpoint.hasFreeSlot() && isOpen);
     }
     return set;
 }
