Cap the cost ratio of one statement in the concurrency limit at 4

Cause: stragglers with the fingerprint of short statements pushed the average ratio above 2 and lowered the limit of a healthy database to 1. Change: a single ratio counts at most 4 instead of 10. Hidden stragglers are not separated by any queue order, since they can't be recognised before they start.

--- a/packages/coordination/src/waxwing/coordination/concurrency_limit.cpp
+++ b/packages/coordination/src/waxwing/coordination/concurrency_limit.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-// A single statement that blocks for long says little about the endpoint; its ratio counts no more than this.
-constexpr double maxRatio = 10.0;
+// A single statement that blocks for long says little about the endpoint; its ratio counts no more than this. With a
+// higher value, 5% stragglers with the fingerprint of short statements lower the limit of a healthy endpoint.
+constexpr double maxRatio = 4.0;
 
 bool hasPassed(TimePoint since, Duration duration, TimePoint now)
 {
