Reserve time for the variation of costs in admission

Cause: under overload every statement started just before its deadline, and those that cost more than predicted ran in vain. With all slots held by long work, the predicted wait was ten times too long and short work was refused. Change: 1.3 times the predicted cost is reserved, the predicted wait may fill 70% of the remaining time, and at least one slot is assumed. The overdue test states costMargin 1, so that its bounds stay the same.

--- a/packages/coordination/include/waxwing/coordination/admission_queue.h
+++ b/packages/coordination/include/waxwing/coordination/admission_queue.h
@@ -26,6 +26,12 @@
     std::size_t queueLength = 1000; ///< statements that wait, of all classes
     double callerShare = 0.5; ///< part of the queue that one caller may hold; 1 for no limit
     bool predictsDeadlines = true; ///< refuses at once what can't finish in time; false is the baseline
+    /// Time reserved for a statement, relative to its predicted cost: a statement that starts too late by the variation
+    /// of its cost takes a slot and is of no use.
+    double costMargin = 1.3;
+    /// Part of the time to its deadline that a statement may be predicted to wait. The rest covers work of higher value
+    /// that arrives later, and keeps the queue short enough to drain soon after a peak.
+    double waitShare = 0.7;
     CallerShareOptions shares {};
     Duration shareInterval = 5ms; ///< how often the callers over their share are determined
 };
@@ -70,7 +76,7 @@
         if (m_options.callerShare < 1.0 && known != m_callers.end() && static_cast<double>(known->second.waiting) >= callerLimit) {
             return {.refusal = RefusalReason::CallerShareExceeded, .displaced = std::nullopt};
         }
-        if (m_options.predictsDeadlines && now + predictedWait(statement, slots) + statement.predictedCost > statement.deadline) {
+        if (m_options.predictsDeadlines && !isReachable(statement, slots, now)) {
             return {.refusal = RefusalReason::DeadlineUnreachable, .displaced = std::nullopt};
         }
         AdmissionResult result;
@@ -207,7 +213,7 @@
                 ahead += other.predictedCost;
             }
         }
-        return std::chrono::duration_cast<Duration>(ahead / std::max(slots, 0.1));
+        return std::chrono::duration_cast<Duration>(ahead / std::max(slots, 1.0));
     }
 
     /// @brief Number of statements that wait.
@@ -252,7 +258,18 @@
     TimePoint overdueAt(const QueuedStatement &statement) const
     {
         // A statement that would finish exactly at its deadline may still run.
-        return m_options.predictsDeadlines ? statement.deadline - statement.predictedCost + Duration(1) : statement.deadline;
+        return m_options.predictsDeadlines ? statement.deadline - reservedCost(statement) + Duration(1) : statement.deadline;
+    }
+
+    Duration reservedCost(const QueuedStatement &statement) const
+    {
+        return std::chrono::duration_cast<Duration>(statement.predictedCost * m_options.costMargin);
+    }
+
+    bool isReachable(const QueuedStatement &statement, double slots, TimePoint now) const
+    {
+        const Duration room = statement.deadline - now - reservedCost(statement);
+        return room >= Duration::zero() && predictedWait(statement, slots) <= room * m_options.waitShare;
     }
 
     QueueRank rankOf(const QueuedStatement &statement) const
--- a/packages/coordination/src/waxwing/coordination/admission_queue_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/admission_queue_test.cpp
@@ -118,7 +118,7 @@
     // Guards against slots spent on statements that can't meet their deadline any more.
     void overdueStatementsLeave()
     {
-        AdmissionQueue<DensityOrder> queue;
+        AdmissionQueue<DensityOrder> queue({.costMargin = 1.0});
         queue.admit(statement(1, 10ms, 100ms), 3, start);
         queue.admit(statement(2, 10ms, 30ms), 3, start);
         CPPUNIT_ASSERT(queue.nextOverdue() == start + 20ms + 1ns);
