Separate value densities more finely and count work per place

Cause: bands of a factor of 1.41 put status reads (200 per second of slot time) and batch orders (250) into one band, so that the earlier deadline of the read decided. With finer bands, the predicted wait of reads counted writes that wait for the primary as if they used the slots of replicas, and reads were refused. Change: bands of a factor of 1.09, 64 costs per fingerprint (the latest 8 after a change by more than 2), and AvailableSlots with the slots of the primary and of the replicas; a read waits no longer than the reads ahead of it take there.

--- a/packages/coordination/include/waxwing/coordination/admission_queue.h
+++ b/packages/coordination/include/waxwing/coordination/admission_queue.h
@@ -36,6 +36,13 @@
     Duration shareInterval = 5ms; ///< how often the callers over their share are determined
 };
 
+/// @brief Slots that a class of work can use, see SlotSchedule::slotsFor().
+struct AvailableSlots
+{
+    double onPrimary = 0.0;
+    double onReplicas = 0.0; ///< not usable by statements that require the primary
+};
+
 /// @brief A statement that leaves the queue without running.
 struct RefusedStatement
 {
@@ -65,8 +72,8 @@
     }
 
     /// @brief Admits a statement, or refuses it.
-    /// @param slots slots that its class can use on the databases it can run on, see SlotSchedule::slotsFor()
-    AdmissionResult admit(QueuedStatement statement, double slots, TimePoint now)
+    /// @param slots slots that its class can use
+    AdmissionResult admit(QueuedStatement statement, const AvailableSlots &slots, TimePoint now)
     {
         if (statement.deadline <= now) {
             return {.refusal = RefusalReason::DeadlinePassed, .displaced = std::nullopt};
@@ -200,20 +207,28 @@
     }
 
     /// @brief Predicts how long a statement would wait for a slot.
-    /// @param slots slots that its class can use on the databases it can run on
-    Duration predictedWait(const QueuedStatement &statement, double slots) const
+    /// @param slots slots that its class can use
+    Duration predictedWait(const QueuedStatement &statement, const AvailableSlots &slots) const
     {
         const auto rank = rankOf(statement);
-        Duration ahead = Duration::zero();
+        Duration aheadOnPrimary = Duration::zero();
+        Duration aheadAnywhere = Duration::zero();
         for (const auto &[otherRank, other] : m_entries[classIndex(statement.workClass)]) {
             if (!m_order.isBefore(otherRank, rank)) {
                 break;
             }
-            if (other.requiresPrimary >= statement.requiresPrimary) {
-                ahead += other.predictedCost;
-            }
+            (other.requiresPrimary ? aheadOnPrimary : aheadAnywhere) += other.predictedCost;
+        }
+        // When long work holds all slots, one of them is assumed to be free soon.
+        const auto drained = [](Duration work, double count) {
+            return std::chrono::duration_cast<Duration>(work / std::max(count, 1.0));
+        };
+        const auto onAll = drained(aheadOnPrimary + aheadAnywhere, slots.onPrimary + slots.onReplicas);
+        if (statement.requiresPrimary) {
+            return std::max(drained(aheadOnPrimary, slots.onPrimary), onAll);
         }
-        return std::chrono::duration_cast<Duration>(ahead / std::max(slots, 1.0));
+        // Reads wait no longer than it takes the replicas to run the reads ahead, however much work waits for the primary.
+        return slots.onReplicas > 0.0 ? std::min(drained(aheadAnywhere, slots.onReplicas), onAll) : onAll;
     }
 
     /// @brief Number of statements that wait.
@@ -266,7 +281,7 @@
         return std::chrono::duration_cast<Duration>(statement.predictedCost * m_options.costMargin);
     }
 
-    bool isReachable(const QueuedStatement &statement, double slots, TimePoint now) const
+    bool isReachable(const QueuedStatement &statement, const AvailableSlots &slots, TimePoint now) const
     {
         const Duration room = statement.deadline - now - reservedCost(statement);
         return room >= Duration::zero() && predictedWait(statement, slots) <= room * m_options.waitShare;
--- a/packages/coordination/include/waxwing/coordination/queue_order.h
+++ b/packages/coordination/include/waxwing/coordination/queue_order.h
@@ -21,10 +21,10 @@
     /// @brief Rank of a statement whose caller is within its share.
     static QueueRank of(const QueuedStatement &statement)
     {
-        // Bands of a factor of 1.41, since predicted costs vary a little from statement to statement.
+        // Bands of a factor of 1.09, about three standard deviations of the predicted cost of statements that vary by 20%.
         return {
             .isOverShare = false,
-            .band = static_cast<int>(std::floor(2.0 * std::log2(statement.density()))),
+            .band = static_cast<int>(std::floor(8.0 * std::log2(statement.density()))),
             .deadline = statement.deadline,
             .arrivedAt = statement.arrivedAt,
             .id = statement.id,
--- a/packages/coordination/include/waxwing/coordination/slot_schedule.h
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -83,9 +83,9 @@
     /// @brief Tells whether long work has had less than its share.
     bool isLongOwed(TimePoint now) const;
 
-    /// @brief Slots that a class can use on the databases that a statement can run on.
+    /// @brief Slots that the class of a statement can use.
     /// @param primary index of the primary, or the number of endpoints if none is known
-    static double slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
+    static AvailableSlots slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
 
 private:
     static EndpointSet free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
--- a/packages/coordination/include/waxwing/coordination/work_class.h
+++ b/packages/coordination/include/waxwing/coordination/work_class.h
@@ -67,8 +67,11 @@
     std::size_t size() const;
 
 private:
-    // Recent costs in a ring: an exact moving quantile that follows a change within half a ring of statements.
-    static constexpr std::size_t samplesKept = 16;
+    // Recent costs in a ring: an exact moving quantile, long enough that it varies little between statements.
+    static constexpr std::size_t samplesKept = 64;
+    // A change of cost is followed within half of the latest costs, when their quantile is far from that of the ring.
+    static constexpr std::size_t latestSamples = 8;
+    static constexpr double changeFactor = 2.0;
     static constexpr std::size_t serviceSamplesKept = 129;
 
     struct History
@@ -83,6 +86,7 @@
     History *find(std::uint64_t fingerprint);
     History &findOrCreate(std::uint64_t fingerprint);
     Duration quantileOf(const History &history) const;
+    float quantileOfLatest(const History &history, std::size_t count) const;
 
     WorkClassifierOptions m_options;
     Histories m_histories; // most recently used first
--- a/packages/coordination/src/waxwing/coordination/admission_queue_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/admission_queue_test.cpp
@@ -12,6 +12,7 @@
 {
 
 const TimePoint start = TimePoint(100s);
+constexpr AvailableSlots slots {.onPrimary = 3.0};
 
 QueuedStatement statement(std::uint64_t id, Duration cost, Duration deadline, double weight = 1.0, std::string caller = "a")
 {
@@ -53,8 +54,8 @@
     void densityComesBeforeDeadline()
     {
         AdmissionQueue<DensityOrder> queue;
-        queue.admit(statement(1, 8ms, 200ms), 3, start);
-        queue.admit(statement(2, 2ms, 900ms, 2.0), 3, start);
+        queue.admit(statement(1, 8ms, 200ms), slots, start);
+        queue.admit(statement(2, 2ms, 900ms, 2.0), slots, start);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), firstOf(queue));
     }
 
@@ -62,8 +63,8 @@
     void earlierDeadlineFirstAtEqualDensity()
     {
         AdmissionQueue<DensityOrder> queue;
-        queue.admit(statement(1, 2ms, 900ms), 3, start);
-        queue.admit(statement(2, 2ms, 200ms), 3, start);
+        queue.admit(statement(1, 2ms, 900ms), slots, start);
+        queue.admit(statement(2, 2ms, 200ms), slots, start);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), firstOf(queue));
     }
 
@@ -72,19 +73,19 @@
     {
         AdmissionQueue<DensityOrder> queue;
         for (std::uint64_t id = 1; id <= 60; ++id) {
-            CPPUNIT_ASSERT(!queue.admit(statement(id, 5ms, 150ms), 3, start).refusal);
+            CPPUNIT_ASSERT(!queue.admit(statement(id, 5ms, 150ms), slots, start).refusal);
         }
-        const auto result = queue.admit(statement(61, 5ms, 101ms + 500us, 0.1), 3, start);
+        const auto result = queue.admit(statement(61, 5ms, 101ms + 500us, 0.1), slots, start);
         CPPUNIT_ASSERT(result.refusal == RefusalReason::DeadlineUnreachable);
-        CPPUNIT_ASSERT(!queue.admit(statement(62, 5ms, 101ms + 500us, 1.0), 3, start).refusal);
+        CPPUNIT_ASSERT(!queue.admit(statement(62, 5ms, 101ms + 500us, 1.0), slots, start).refusal);
     }
 
     // Guards against a baseline that profits from the policy that it is measured against.
     void fifoIgnoresDeadlinesAndClasses()
     {
         AdmissionQueue<FifoOrder> queue({.predictsDeadlines = false});
-        queue.admit(statement(1, 500ms, 400ms), 3, start);
-        queue.admit(statement(2, 2ms, 200ms, 2.0), 3, start);
+        queue.admit(statement(1, 500ms, 400ms), slots, start);
+        queue.admit(statement(2, 2ms, 200ms, 2.0), slots, start);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), firstOf(queue));
         CPPUNIT_ASSERT(queue.takeOverdue(start + 100ms).empty());
     }
@@ -93,12 +94,12 @@
     void fullQueueKeepsTheMoreValuable()
     {
         AdmissionQueue<DensityOrder> queue({.queueLength = 2, .callerShare = 1.0});
-        queue.admit(statement(1, 2ms, 900ms), 3, start);
-        queue.admit(statement(2, 2ms, 800ms), 3, start);
-        const auto better = queue.admit(statement(3, 2ms, 900ms, 4.0), 3, start);
+        queue.admit(statement(1, 2ms, 900ms), slots, start);
+        queue.admit(statement(2, 2ms, 800ms), slots, start);
+        const auto better = queue.admit(statement(3, 2ms, 900ms, 4.0), slots, start);
         CPPUNIT_ASSERT(!better.refusal && better.displaced);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), better.displaced->statement.id);
-        CPPUNIT_ASSERT(queue.admit(statement(4, 8ms, 900ms), 3, start).refusal == RefusalReason::QueueFull);
+        CPPUNIT_ASSERT(queue.admit(statement(4, 8ms, 900ms), slots, start).refusal == RefusalReason::QueueFull);
     }
 
     // Guards against one caller that takes the whole queue, or all slots, from the others.
@@ -106,10 +107,10 @@
     {
         AdmissionQueue<DensityOrder> queue({.queueLength = 10, .callerShare = 0.5});
         for (std::uint64_t id = 1; id <= 5; ++id) {
-            CPPUNIT_ASSERT(!queue.admit(statement(id, 1ms, 500ms, 4.0, "flood"), 3, start).refusal);
+            CPPUNIT_ASSERT(!queue.admit(statement(id, 1ms, 500ms, 4.0, "flood"), slots, start).refusal);
         }
-        CPPUNIT_ASSERT(queue.admit(statement(6, 1ms, 500ms, 4.0, "flood"), 3, start).refusal == RefusalReason::CallerShareExceeded);
-        CPPUNIT_ASSERT(!queue.admit(statement(7, 2ms, 900ms, 1.0, "quiet"), 3, start).refusal);
+        CPPUNIT_ASSERT(queue.admit(statement(6, 1ms, 500ms, 4.0, "flood"), slots, start).refusal == RefusalReason::CallerShareExceeded);
+        CPPUNIT_ASSERT(!queue.admit(statement(7, 2ms, 900ms, 1.0, "quiet"), slots, start).refusal);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), firstOf(queue));
         queue.recordUse("flood", 1s, start);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), firstOf(queue));
@@ -119,8 +120,8 @@
     void overdueStatementsLeave()
     {
         AdmissionQueue<DensityOrder> queue({.costMargin = 1.0});
-        queue.admit(statement(1, 10ms, 100ms), 3, start);
-        queue.admit(statement(2, 10ms, 30ms), 3, start);
+        queue.admit(statement(1, 10ms, 100ms), slots, start);
+        queue.admit(statement(2, 10ms, 30ms), slots, start);
         CPPUNIT_ASSERT(queue.nextOverdue() == start + 20ms + 1ns);
         CPPUNIT_ASSERT(queue.takeOverdue(start + 20ms).empty());
         const auto refused = queue.takeOverdue(start + 95ms);
@@ -147,7 +148,7 @@
             auto offered = statement(id, random.upTo(40ms), {}, random.unit() + 0.5, std::string(1, static_cast<char>('a' + random.between(0, 4))));
             offered.deadline = now + random.upTo(300ms);
             offered.arrivedAt = now;
-            const auto result = queue.admit(offered, 3, now);
+            const auto result = queue.admit(offered, slots, now);
             if (!result.refusal) {
                 waiting.insert(id);
             }
--- a/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
@@ -37,19 +37,17 @@
     return m_longUse.value(now) < m_options.longShare * m_totalUse.value(now);
 }
 
-double SlotSchedule::slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary)
+AvailableSlots SlotSchedule::slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary)
 {
-    double slots = 0.0;
+    AvailableSlots slots;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
         const auto &endpoint = endpoints[i];
-        if (!endpoint.isUsable || (statement.requiresPrimary && i != primary)) {
+        if (!endpoint.isUsable) {
             continue;
         }
-        if (statement.workClass == WorkClass::Long) {
-            slots += static_cast<double>(longSlots(endpoint.limit));
-        } else {
-            slots += static_cast<double>(endpoint.limit - std::min(endpoint.limit, endpoint.runningLong));
-        }
+        const bool isLong = statement.workClass == WorkClass::Long;
+        const auto usable = isLong ? longSlots(endpoint.limit) : endpoint.limit - std::min(endpoint.limit, endpoint.runningLong);
+        (i == primary ? slots.onPrimary : slots.onReplicas) += static_cast<double>(usable);
     }
     return slots;
 }
--- a/packages/coordination/src/waxwing/coordination/slot_schedule_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule_test.cpp
@@ -9,6 +9,7 @@
 {
 
 const TimePoint start = TimePoint(100s);
+constexpr AvailableSlots slots {.onPrimary = 3.0};
 
 QueuedStatement statement(std::uint64_t id, WorkClass workClass, bool requiresPrimary = false)
 {
@@ -51,7 +52,7 @@
     void longWorkLeavesOneSlot()
     {
         AdmissionQueue<DensityOrder> queue;
-        queue.admit(statement(1, WorkClass::Long), 2, start);
+        queue.admit(statement(1, WorkClass::Long), slots, start);
         const SlotSchedule schedule;
         Random random(1);
         const std::vector full {endpoint("a", 2, 2), endpoint("b", 2, 2), endpoint("c", 2, 2)};
@@ -74,8 +75,8 @@
         auto now = start;
         for (std::uint64_t id = 1; id < 5'000; id += 2) {
             AdmissionQueue<DensityOrder> queue;
-            queue.admit(statement(id, WorkClass::Short), 3, now);
-            queue.admit(statement(id + 1, WorkClass::Long), 2, now);
+            queue.admit(statement(id, WorkClass::Short), slots, now);
+            queue.admit(statement(id + 1, WorkClass::Long), slots, now);
             const auto chosen = schedule.next(queue, one, anywhere, random, now);
             CPPUNIT_ASSERT(chosen);
             const bool isLong = chosen->statement == id + 1;
@@ -93,7 +94,7 @@
     void overflowOnlyWithoutFreePreferredSlot()
     {
         AdmissionQueue<DensityOrder> queue;
-        queue.admit(statement(1, WorkClass::Short), 3, start);
+        queue.admit(statement(1, WorkClass::Short), slots, start);
         const SlotSchedule schedule;
         Random random(1);
         const auto places = [](const QueuedStatement &) {
@@ -109,8 +110,8 @@
     void statementsThatCanNotRunAreSkipped()
     {
         AdmissionQueue<DensityOrder> queue;
-        queue.admit(statement(1, WorkClass::Short, true), 3, start);
-        queue.admit(statement(2, WorkClass::Short), 3, start);
+        queue.admit(statement(1, WorkClass::Short, true), slots, start);
+        queue.admit(statement(2, WorkClass::Short), slots, start);
         const SlotSchedule schedule;
         Random random(1);
         const std::vector one {endpoint("a", 2, 0)};
@@ -124,7 +125,7 @@
     void fifoLetsLongWorkHoldAllSlots()
     {
         AdmissionQueue<FifoOrder> queue({.predictsDeadlines = false});
-        queue.admit(statement(1, WorkClass::Long), 3, start);
+        queue.admit(statement(1, WorkClass::Long), slots, start);
         const SlotSchedule schedule;
         Random random(1);
         const std::vector one {endpoint("a", 2, 2)};
--- a/packages/coordination/src/waxwing/coordination/work_class.cpp
+++ b/packages/coordination/src/waxwing/coordination/work_class.cpp
@@ -106,14 +106,25 @@
     }
 }
 
-Duration WorkClassifier::quantileOf(const History &history) const
+float WorkClassifier::quantileOfLatest(const History &history, std::size_t count) const
 {
-    auto samples = history.milliseconds;
-    const auto count = std::max<std::size_t>(history.count, 1);
+    std::array<float, samplesKept> samples {};
+    for (std::size_t i = 0; i < count; ++i) {
+        samples[i] = history.milliseconds[(history.next + samplesKept - 1 - i) % samplesKept];
+    }
     const auto rank = std::min(count - 1, static_cast<std::size_t>(std::floor(m_options.quantile * static_cast<double>(count))));
     const auto place = samples.begin() + static_cast<std::ptrdiff_t>(rank);
     std::nth_element(samples.begin(), place, samples.begin() + static_cast<std::ptrdiff_t>(count));
-    return fromFloatMilliseconds(*place);
+    return *place;
+}
+
+Duration WorkClassifier::quantileOf(const History &history) const
+{
+    const auto count = std::max<std::size_t>(history.count, 1);
+    const float all = quantileOfLatest(history, count);
+    const float latest = quantileOfLatest(history, std::min(count, latestSamples));
+    const bool hasChanged = latest > changeFactor * all || all > changeFactor * latest;
+    return fromFloatMilliseconds(hasChanged ? latest : all);
 }
 
 Duration WorkClassifier::predictedCost(std::uint64_t fingerprint, std::optional<WorkClass> hint)
--- a/tools/policy-bench/simulation.h
+++ b/tools/policy-bench/simulation.h
@@ -119,7 +119,7 @@
             .deadline = arrival.deadline,
         };
         m_completions[index].workClass = statement.workClass;
-        const double slots = SlotSchedule::slotsFor(statement, m_endpoints, 0);
+        const auto slots = SlotSchedule::slotsFor(statement, m_endpoints, 0);
         m_queue.admit(std::move(statement), slots, now);
     }
 
