Leave the primary to statements that can run nowhere else

Cause: at the peak, reads that found all replicas busy for a moment took slots of the primary, although they could have waited; batch orders were refused, and the replicas ran reads of little value a moment later. Change: while statements wait that require the primary, a read overflows to it only after half of the time that it can wait.

--- a/packages/coordination/include/waxwing/coordination/admission_queue.h
+++ b/packages/coordination/include/waxwing/coordination/admission_queue.h
@@ -96,6 +96,7 @@
             result.displaced = RefusedStatement {*remove(last->id), RefusalReason::QueueFull};
         }
         ++m_callers[statement.caller].waiting;
+        m_forPrimary[classIndex(statement.workClass)] += statement.requiresPrimary ? 1 : 0;
         m_nextOverdue = std::min(m_nextOverdue, overdueAt(statement));
         const auto index = classIndex(statement.workClass);
         const auto id = statement.id;
@@ -134,6 +135,7 @@
         if (!WAXWING_INVARIANT(!entry.empty(), "queue-places-match")) {
             return std::nullopt;
         }
+        m_forPrimary[classIndex(entry.mapped().workClass)] -= entry.mapped().requiresPrimary ? 1 : 0;
         const auto caller = m_callers.find(entry.mapped().caller);
         if (WAXWING_INVARIANT(caller != m_callers.end(), "queue-callers-counted") && --caller->second.waiting == 0) {
             m_callers.erase(caller);
@@ -180,6 +182,7 @@
         }
         m_places.clear();
         m_callers.clear();
+        m_forPrimary = {};
         m_nextOverdue = TimePoint::max();
         return statements;
     }
@@ -243,6 +246,12 @@
         return m_entries[classIndex(workClass)].size();
     }
 
+    /// @brief Tells whether statements of a class wait that only the primary may run.
+    bool hasWaitingForPrimary(WorkClass workClass) const
+    {
+        return m_forPrimary[classIndex(workClass)] > 0;
+    }
+
 private:
     struct RankLess
     {
@@ -324,6 +333,7 @@
     std::array<Entries, 2> m_entries; // by class
     std::unordered_map<std::uint64_t, Place> m_places;
     std::map<std::string, Caller, std::less<>> m_callers; // those with waiting statements
+    std::array<std::size_t, 2> m_forPrimary {}; // by class
     TimePoint m_nextOverdue = TimePoint::max();
     TimePoint m_nextShares;
 };
--- a/packages/coordination/include/waxwing/coordination/slot_schedule.h
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -24,6 +24,8 @@
     double longShare = 0.2;
     /// Half-life of the slot time by which the share is measured.
     Duration shareHalfLife = 2s;
+    /// Part of the time that a statement can wait after which it counts as urgent.
+    double patience = 0.5;
 };
 
 /// @brief Where a statement may run: on a preferred endpoint, or on an overflow one if no preferred one has a free slot.
@@ -62,14 +64,14 @@
     std::optional<Assignment> next(const Queue &queue, std::span<const EndpointState> endpoints, Places places, Random &random, TimePoint now) const
     {
         if constexpr (!Queue::OrderType::separatesClasses) {
-            return choose(queue, WorkClass::Short, endpoints, places, random);
+            return choose(queue, WorkClass::Short, endpoints, places, random, now);
         }
         std::array classes {WorkClass::Short, WorkClass::Long};
         if (isLongOwed(now)) {
             std::swap(classes[0], classes[1]);
         }
         for (const auto workClass : classes) {
-            if (const auto assignment = choose(queue, workClass, endpoints, places, random)) {
+            if (const auto assignment = choose(queue, workClass, endpoints, places, random, now)) {
                 return assignment;
             }
         }
@@ -88,21 +90,26 @@
     static AvailableSlots slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
 
 private:
+    bool isUrgent(const QueuedStatement &statement, TimePoint now) const;
     static EndpointSet free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
 
     template<class Queue, class Places>
-    std::optional<Assignment> choose(const Queue &queue, WorkClass workClass, std::span<const EndpointState> endpoints, Places &places, Random &random) const
+    std::optional<Assignment> choose(const Queue &queue, WorkClass workClass, std::span<const EndpointState> endpoints, Places &places, Random &random,
+                                     TimePoint now) const
     {
         // Most calls find all slots taken and end before any waiting statement is looked at.
         const auto open = free(workClass, Queue::OrderType::separatesClasses, endpoints);
         if (open.none()) {
             return std::nullopt;
         }
+        // The overflow endpoint is the primary. Reads leave it to the statements that can run nowhere else, as long as
+        // they can wait for a replica. The baseline does not look at other statements.
+        const bool sparesOverflow = Queue::OrderType::separatesClasses && queue.hasWaitingForPrimary(workClass);
         EndpointSet chosen;
         const auto *statement = queue.first(workClass, [&](const QueuedStatement &candidate) {
             const RunPlaces where = places(candidate);
             chosen = where.preferred & open;
-            if (chosen.none()) {
+            if (chosen.none() && (!sparesOverflow || isUrgent(candidate, now))) {
                 chosen = where.overflow & open;
             }
             return chosen.any();
--- a/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
@@ -21,6 +21,12 @@
     return set;
 }
 
+bool SlotSchedule::isUrgent(const QueuedStatement &statement, TimePoint now) const
+{
+    const Duration room = statement.deadline - statement.arrivedAt - statement.predictedCost;
+    return now - statement.arrivedAt >= room * m_options.patience;
+}
+
 void SlotSchedule::recordUse(WorkClass workClass, Duration slotTime, bool longWaits, TimePoint now)
 {
     const double seconds = std::chrono::duration<double>(slotTime).count();
