Keep slots for short work by its load

Cause: with 5% stragglers on 3 slots, two of them held two slots for a third of the time, and short work queued for the one slot left. Change: long work leaves short load + sqrt(short load) slots free and takes more, up to slots - 1, only after a wait of 1.2 s (at most half of its room) or when it is owed its share. Long reads go to the primary only after half of their room. At 0.7 the stragglers need 1.5 of 3 slots, so that short work has one slot for more than half of the time under any order.

--- a/packages/coordination/include/waxwing/coordination/slot_schedule.h
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -26,6 +26,10 @@
     Duration shareHalfLife = 2s;
     /// Part of the time that a statement can wait after which it counts as urgent.
     double patience = 0.5;
+    /// Wait after which long work may take slots that are otherwise kept for short work; at most the part above.
+    Duration longPatience = 1200ms;
+    /// Slots kept for short work: its load plus this many times the square root of it (square-root staffing).
+    double shortReserve = 1.0;
 };
 
 /// @brief Where a statement may run: on a preferred endpoint, or on an overflow one if no preferred one has a free slot.
@@ -90,7 +94,8 @@
     static AvailableSlots slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
 
 private:
-    bool isUrgent(const QueuedStatement &statement, TimePoint now) const;
+    bool hasWaited(const QueuedStatement &statement, Duration limit, TimePoint now) const;
+    EndpointSet withReserve(std::span<const EndpointState> endpoints, TimePoint now) const;
     static EndpointSet free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
 
     template<class Queue, class Places>
@@ -98,19 +103,25 @@
                                      TimePoint now) const
     {
         // Most calls find all slots taken and end before any waiting statement is looked at.
-        const auto open = free(workClass, Queue::OrderType::separatesClasses, endpoints);
+        constexpr bool separatesClasses = Queue::OrderType::separatesClasses;
+        const auto open = free(workClass, separatesClasses, endpoints);
         if (open.none()) {
             return std::nullopt;
         }
+        const bool isLong = separatesClasses && workClass == WorkClass::Long;
+        const auto unreserved = isLong ? open & withReserve(endpoints, now) : open;
+        const bool isOwed = isLong && isLongOwed(now);
         // The overflow endpoint is the primary. Reads leave it to the statements that can run nowhere else, as long as
         // they can wait for a replica. The baseline does not look at other statements.
-        const bool sparesOverflow = Queue::OrderType::separatesClasses && queue.hasWaitingForPrimary(workClass);
+        const bool sparesOverflow = isLong || (separatesClasses && queue.hasWaitingForPrimary(workClass));
         EndpointSet chosen;
         const auto *statement = queue.first(workClass, [&](const QueuedStatement &candidate) {
             const RunPlaces where = places(candidate);
-            chosen = where.preferred & open;
-            if (chosen.none() && (!sparesOverflow || isUrgent(candidate, now))) {
-                chosen = where.overflow & open;
+            const bool isImpatient = isLong && (isOwed || hasWaited(candidate, m_options.longPatience, now));
+            const auto &usable = isImpatient ? open : unreserved;
+            chosen = where.preferred & usable;
+            if (chosen.none() && (!sparesOverflow || hasWaited(candidate, Duration::max(), now))) {
+                chosen = where.overflow & usable;
             }
             return chosen.any();
         });
@@ -123,7 +134,8 @@
 
     SlotScheduleOptions m_options;
     DecayingSum m_longUse;
-    DecayingSum m_totalUse;
+    DecayingSum m_totalUse; ///< while long work waits
+    DecayingSum m_shortUse;
 };
 
 } // namespace waxwing
--- a/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
@@ -1,5 +1,8 @@
 #include <waxwing/coordination/slot_schedule.h>
 
+#include <cmath>
+#include <numbers>
+
 namespace waxwing
 {
 
@@ -7,6 +10,7 @@
     : m_options(options)
     , m_longUse(options.shareHalfLife)
     , m_totalUse(options.shareHalfLife)
+    , m_shortUse(options.shareHalfLife)
 {
 }
 
@@ -21,10 +25,25 @@
     return set;
 }
 
-bool SlotSchedule::isUrgent(const QueuedStatement &statement, TimePoint now) const
+bool SlotSchedule::hasWaited(const QueuedStatement &statement, Duration limit, TimePoint now) const
 {
     const Duration room = statement.deadline - statement.arrivedAt - statement.predictedCost;
-    return now - statement.arrivedAt >= room * m_options.patience;
+    return now - statement.arrivedAt >= std::min(limit, std::chrono::duration_cast<Duration>(room * m_options.patience));
+}
+
+EndpointSet SlotSchedule::withReserve(std::span<const EndpointState> endpoints, TimePoint now) const
+{
+    const auto usable = std::count_if(endpoints.begin(), endpoints.end(), [](const EndpointState &endpoint) { return endpoint.isUsable; });
+    // A decaying sum of slot time settles at load * half-life / ln 2.
+    const double settled = std::chrono::duration<double>(m_options.shareHalfLife).count() / std::numbers::ln2;
+    const double load = m_shortUse.value(now) / settled / static_cast<double>(std::max<std::ptrdiff_t>(usable, 1));
+    const double reserve = load + m_options.shortReserve * std::sqrt(load);
+    EndpointSet set;
+    for (std::size_t i = 0; i < std::min(endpoints.size(), set.size()); ++i) {
+        const auto &endpoint = endpoints[i];
+        set.set(i, static_cast<double>(endpoint.limit) >= static_cast<double>(endpoint.runningLong) + 1.0 + reserve);
+    }
+    return set;
 }
 
 void SlotSchedule::recordUse(WorkClass workClass, Duration slotTime, bool longWaits, TimePoint now)
@@ -33,7 +52,10 @@
     if (workClass == WorkClass::Long) {
         m_longUse.add(seconds, now);
         m_totalUse.add(seconds, now);
-    } else if (longWaits) {
+        return;
+    }
+    m_shortUse.add(seconds, now);
+    if (longWaits) {
         m_totalUse.add(seconds, now);
     }
 }
