Accept the fields of a caller in transaction steps, report a primary without its role

After ledger-1 had restarted as a replica, its group served no writes for 60 s: it answered probes, so that no proxy reported it.

--- a/packages/protocol/src/waxwing/protocol/caller_codec.cpp
+++ b/packages/protocol/src/waxwing/protocol/caller_codec.cpp
@@ -67,19 +67,20 @@
         request.set_kind(reader.choice("kind", kinds, Presence::Required) == "write" ? wire::WRITE : wire::READ);
     } else {
         request.set_kind(wire::WRITE);
-        if (kind == CallerRequestKind::Begin) {
-            reader.choice("kind", kinds);
-        }
+        reader.choice("kind", kinds);
     }
+    request.set_service(reader.text("service", maxNameLength, isNew ? Presence::Required : Presence::Optional));
+    request.set_session(reader.text("session", maxTokenLength));
+    request.set_caller(reader.text("caller", maxNameLength));
+    request.set_operation(reader.text("operation", maxNameLength));
+    request.set_work_class(reader.choice("work_class", workClasses));
     if (isNew) {
-        request.set_service(reader.text("service", maxNameLength, Presence::Required));
-        request.set_session(reader.text("session", maxTokenLength));
-        request.set_caller(reader.text("caller", maxNameLength));
-        request.set_operation(reader.text("operation", maxNameLength));
-        request.set_work_class(reader.choice("work_class", workClasses));
         decodeFreshness(reader, request);
         decodeKey(reader, request);
     }
+    if (kind == CallerRequestKind::Begin && request.must_not_repeat()) {
+        reader.report("must_not_repeat", "not supported for transactions");
+    }
     request.set_deadline_ms(reader.number("deadline_ms", deadlineRange));
     reader.refuseUnknownFields();
     return reader.error();
--- a/packages/protocol/src/waxwing/protocol/codec_test.cpp
+++ b/packages/protocol/src/waxwing/protocol/codec_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(CodecTest);
     CPPUNIT_TEST(allProblemsAreNamedByField);
     CPPUNIT_TEST(mustNotRepeatRequiresAKey);
+    CPPUNIT_TEST(stepsOfATransactionMayRepeatItsFields);
     CPPUNIT_TEST(lateAndTornAnswersAreErrors);
     CPPUNIT_TEST(announcementSurvivesTheRoundTrip);
     CPPUNIT_TEST(statusWithFurtherFieldsIsRead);
@@ -46,6 +47,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("idempotency_key: missing; must_not_repeat requires it"), error);
     }
 
+    // Guards against clients that send the same fields with each step and have all their transactions refused.
+    void stepsOfATransactionMayRepeatItsFields()
+    {
+        wire::StatementRequest request;
+        const auto *fields = R"({"service":"s","session":"t","caller":"c","operation":"o","kind":"write","deadline_ms":5,"statement":"write k v"})";
+        CPPUNIT_ASSERT_EQUAL(std::string(), decodeCallerRequest(fields, CallerRequestKind::TransactionStatement, request));
+        CPPUNIT_ASSERT_EQUAL(std::string("s"), request.service());
+        CPPUNIT_ASSERT_EQUAL(std::string(), decodeCallerRequest(R"({"service":"s","session":"t","kind":"write"})", CallerRequestKind::Finish, request));
+        CPPUNIT_ASSERT_EQUAL(std::string("statement: unknown field"), decodeCallerRequest(fields, CallerRequestKind::Finish, request));
+    }
+
     // Guards against handing a caller the answer to another request, or a part of an answer.
     void lateAndTornAnswersAreErrors()
     {
--- a/programs/proxy/group_members.cpp
+++ b/programs/proxy/group_members.cpp
@@ -58,6 +58,9 @@
     const bool isFirst = m_members.empty();
     if (directory.term() > m_view.term() || directory.primary() != m_view.primary()) {
         m_view.setTerm(directory.term(), directory.primary());
+        if (auto *next = primary()) {
+            next->probe.forgetRole();
+        }
     }
     for (const auto &term : directory.term_history()) {
         m_history.add({.term = term.term(), .start = term.start()});
--- a/programs/proxy/owned_group.cpp
+++ b/programs/proxy/owned_group.cpp
@@ -170,9 +170,16 @@
     if (transaction == nullptr) {
         return m_transactions.whyEnded(id);
     }
-    if (transaction->isBusy) {
+    if (transaction->isBusy || (!run.request().service().empty() && run.request().service() != transaction->service)) {
         return RefusalReason::BadTransaction;
     }
+    if (!run.request().session().empty()) {
+        const auto token = decodeSessionToken(run.request().session(), m_context.keys);
+        if (!token) {
+            return RefusalReason::BadSessionToken;
+        }
+        transaction->token.merge(*token);
+    }
     transaction->isBusy = true;
     run.holdsTransaction = true;
     run.service = transaction->service;
--- a/programs/proxy/ownership_test.cpp
+++ b/programs/proxy/ownership_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(heldWritesWaitAndRunInTheNextTerm);
     CPPUNIT_TEST(queuedStatementIsCancelledAndRunningOneIsNot);
     CPPUNIT_TEST(unreachablePrimaryIsReported);
+    CPPUNIT_TEST(primaryWithoutItsRoleIsReported);
     CPPUNIT_TEST_SUITE_END();
 
     using Behaviour = FakeEndpoint::Behaviour;
@@ -258,6 +259,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string("orders-1"), cluster.control.renewals["b"].evidence(0).database());
         CPPUNIT_ASSERT(!cluster.control.renewals["b"].evidence(0).refused());
     }
+
+    // Guards against a primary that restarted as a replica and keeps its group without writes, since it answers probes.
+    void primaryWithoutItsRoleIsReported()
+    {
+        ProxyCluster cluster;
+        cluster.endpoints[0]->isPrimary = false;
+        cluster.runUntil([&] { return cluster.control.renewals["a"].evidence_size() == 1 && cluster.control.renewals["b"].evidence_size() == 1; });
+        CPPUNIT_ASSERT(cluster.control.renewals["b"].evidence(0).refused());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
--- a/programs/proxy/primary_witness.cpp
+++ b/programs/proxy/primary_witness.cpp
@@ -25,7 +25,7 @@
 
 bool isEvidence(const StatusProbe &probe, TimePoint now)
 {
-    return probe.isRefused() || probe.silence(now) >= silenceLimit;
+    return probe.isRefused() || probe.silence(now) >= silenceLimit || probe.withoutRole(now) >= silenceLimit;
 }
 
 void addEvidence(const wire::GroupDirectory &group, const StatusProbe &probe, TimePoint now, wire::Renewal &renewal)
@@ -37,7 +37,8 @@
     evidence.set_group(group.group());
     evidence.set_database(group.primary());
     evidence.set_term(group.term());
-    evidence.set_refused(probe.isRefused());
+    // A database that answers but is no longer the primary, e.g. after a restart, refuses all writes.
+    evidence.set_refused(probe.isRefused() || probe.withoutRole(now) >= silenceLimit);
     evidence.set_silent_ms(static_cast<std::uint32_t>(toMilliseconds(probe.silence(now)).count()));
 }
 
--- a/programs/proxy/primary_witness.h
+++ b/programs/proxy/primary_witness.h
@@ -14,7 +14,7 @@
 
 class Directory;
 
-/// @brief Tells whether a probe shows that a primary can't be reached.
+/// @brief Tells whether a probe of the database that should be the primary shows that it can't be reached or is no primary.
 bool isEvidence(const StatusProbe &probe, TimePoint now);
 
 /// @brief Adds what a probe of a primary shows to a renewal, if it can't be reached.
--- a/programs/proxy/status_probe.cpp
+++ b/programs/proxy/status_probe.cpp
@@ -68,7 +68,13 @@
         m_isRefused = false;
         m_isFailing = false;
         m_lastHeard = Clock::now();
-        m_handler(std::get<EndpointStatus>(status), sentAt);
+        const auto &received = std::get<EndpointStatus>(status);
+        if (received.isPrimary) {
+            m_notPrimarySince.reset();
+        } else if (!m_notPrimarySince) {
+            m_notPrimarySince = sentAt;
+        }
+        m_handler(received, sentAt);
     });
 }
 
@@ -83,6 +89,16 @@
     }
 }
 
+Duration StatusProbe::withoutRole(TimePoint now) const
+{
+    return m_notPrimarySince ? Duration(now - *m_notPrimarySince) : Duration::zero();
+}
+
+void StatusProbe::forgetRole()
+{
+    m_notPrimarySince.reset();
+}
+
 Duration StatusProbe::silence(TimePoint now) const
 {
     return m_isFailing && m_lastHeard ? Duration(now - *m_lastHeard) : Duration::zero();
--- a/programs/proxy/status_probe.h
+++ b/programs/proxy/status_probe.h
@@ -36,6 +36,12 @@
         return m_isRefused;
     }
 
+    /// @brief Time for which the endpoint has reported that it is not a primary; zero if it has not.
+    Duration withoutRole(TimePoint now) const;
+
+    /// @brief Forgets the role reported so far, when the endpoint becomes the primary.
+    void forgetRole();
+
     /// @brief Time since the last status was received or, without any, since the first probe; zero while probes succeed.
     Duration silence(TimePoint now) const;
 
@@ -57,6 +63,7 @@
     bool m_isRefused = false;
     bool m_isFailing = false;
     std::optional<TimePoint> m_lastHeard;
+    std::optional<TimePoint> m_notPrimarySince;
 };
 
 } // namespace waxwing
