Keep a pending accept from using a server that is gone

The accept handler checked the state that sessions share; an open session keeps that state alive after the acceptor is destroyed. Change: the handler watches an object that lives and dies with the acceptor. Test: serverMayGoWhileARequestIsHandled.

--- a/packages/transport/src/waxwing/transport/http_server.cpp
+++ b/packages/transport/src/waxwing/transport/http_server.cpp
@@ -36,7 +36,7 @@
 
     void accept()
     {
-        acceptor.async_accept([this, alive = std::weak_ptr(state)](const boost::system::error_code &error, tcp::socket socket) {
+        acceptor.async_accept([this, alive = std::weak_ptr(lifetime)](const boost::system::error_code &error, tcp::socket socket) {
             if (alive.expired() || !acceptor.is_open()) {
                 return;
             }
@@ -74,6 +74,8 @@
 
     tcp::acceptor acceptor;
     std::shared_ptr<HttpServerState> state; // Shared with the sessions, which may outlive the server object.
+    // Watched by the pending accept, which runs once more after this object is gone; sessions may keep `state` longer.
+    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
 
 TransportResult<HttpServer> HttpServer::start(boost::asio::io_context &context, HttpServerOptions options, Handler handler)
--- a/packages/transport/src/waxwing/transport/http_server_test.cpp
+++ b/packages/transport/src/waxwing/transport/http_server_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(refusedConnectIsNotHandedOver);
     CPPUNIT_TEST(drainAnswersTheRequestInFlightAndCloses);
     CPPUNIT_TEST(lostConnectionAfterSendingCountsAsHandedOver);
+    CPPUNIT_TEST(serverMayGoWhileARequestIsHandled);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -129,6 +130,20 @@
         CPPUNIT_ASSERT(result->error == TransportError::ConnectionLost);
         CPPUNIT_ASSERT(result->handedOver);
     }
+
+    // Guards against a pending accept that uses the server after its end because a connection is still open.
+    void serverMayGoWhileARequestIsHandled()
+    {
+        std::optional<HttpReply> held;
+        auto server = std::make_optional(serve([&](HttpRequest &&, HttpReply reply) { held = std::move(reply); }));
+        auto connection = connect(*server);
+        std::optional<HttpExchange> result;
+        connection.exchange({}, 5s, [&](HttpExchange &&done) { result = std::move(done); });
+        runUntil([&] { return held.has_value(); });
+        server.reset();
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->error == TransportError::ConnectionLost);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
