Keep the proxies' endpoints over a change of the control leader

Cause: a new leader's directory was empty until the endpoints announced themselves again, so its first grant took all endpoints away from the owner; a write took 0.45 s after the leader was killed. Change: a new leader sends leases without a directory until every group that has a primary is complete, at most 2 s.

--- a/programs/control/control_service.h
+++ b/programs/control/control_service.h
@@ -27,6 +27,9 @@
     FailureDetector::Options detector;
     PromotionRunnerOptions promotion;
     Duration assignmentInterval = 100ms; ///< owners are checked this often, and on each event that may change them
+    /// A new leader sends no directory before the endpoints of all groups have announced themselves again, or for this
+    /// long: an empty one would take away the endpoints that the proxies know. Announcements arrive within 1.4 s.
+    Duration directoryCollection = 2s;
     Duration proxyRetention = 600s; ///< a proxy without a lease for this long is removed from the log
     unsigned removalsPerSecond = 50;
 };
@@ -106,6 +109,7 @@
     void sendNotLeader(const std::string &proxy);
 
     void refreshGroups();
+    bool isDirectoryComplete() const;
     void refreshDirectory();
     void push();
     void assignOwners();
@@ -129,6 +133,7 @@
     std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
     std::uint64_t m_term = 0; ///< term of the config log in which this process leads
     TimePoint m_activeSince;
+    bool m_directoryReady = false; ///< the directory may be sent
     bool m_applied = false; ///< entries were applied since the directory was compared
     bool m_assignmentDue = false;
     bool m_assignmentRunning = false;
--- a/programs/control/control_state.h
+++ b/programs/control/control_state.h
@@ -26,6 +26,7 @@
     std::uint64_t directoryVersion = 0; ///< in effect on the proxy
     std::uint64_t sentConfigVersion = 0;
     std::uint64_t sentDirectoryVersion = 0;
+    bool granted = false; ///< this leader has sent it a grant
     bool draining = false;
     bool registering = false; ///< its registration is under way
     std::set<std::string, std::less<>> owned; ///< groups that it considers its own
