--- /dev/null
+++ b/programs/control/control_service_test.cpp
@@ -0,0 +1,406 @@
+#include "control_service.h"
+#include "operator_api.h"
+
+#include <waxwing/coordination/memory_log.h>
+#include <waxwing/state/config_machine.h>
+#include <waxwing/state/intent_machine.h>
+#include <waxwing/support/identifier.h>
+#include <waxwing/transport/http_request.h>
+#include <waxwing/transport/http_response.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace waxwing;
+using namespace waxwing::control;
+
+/// Service over in-memory logs with a manual clock; proxies and endpoints are played by the tests.
+class ControlServiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ControlServiceTest);
+    CPPUNIT_TEST(restartedReplicaIsToldToFollow);
+    CPPUNIT_TEST(newIncarnationIsNotTheOwnerOfItsPredecessor);
+    CPPUNIT_TEST(newLeaderKeepsDirectoryUntilEndpointsAnnounced);
+    CPPUNIT_TEST(leaderOfNewTermWaitsForLeasesOfTheEarlierOne);
+    CPPUNIT_TEST(drainingOwnerIsHolderUntilItLetsGo);
+    CPPUNIT_TEST(ownerThatIgnoresWithdrawalGetsNoLease);
+    CPPUNIT_TEST(intentOfEndedOwnerIsNotRepeated);
+    CPPUNIT_TEST(acceptedChangeIsPushed);
+    CPPUNIT_TEST(followerNamesTheLeader);
+    CPPUNIT_TEST(operatorReceivesAllErrorsAndTheWinner);
+    CPPUNIT_TEST(operatorReadsNoOlderVersionAndWatchesChanges);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimePoint m_now = TimePoint(100s);
+    bool m_leads = true;
+    std::uint64_t m_term = 1;
+    ConfigMachine m_machine;
+    IntentMachine m_intents;
+    MemoryLog<ConfigMachine> m_configLog {m_machine};
+    MemoryLog<IntentMachine> m_intentLog {m_intents};
+    std::map<std::string, std::vector<wire::Envelope>> m_sent;
+    std::vector<EndpointCall> m_calls;
+    std::map<std::string, std::uint64_t> m_directoryVersions;
+    std::optional<ControlService> m_service;
+
+public:
+    void setUp() override
+    {
+        auto config = m_configLog.port();
+        config.isLeader = [this] {
+            return m_leads;
+        };
+        config.term = [this] {
+            return m_term;
+        };
+        ControlPorts ports;
+        ports.sendToProxy = [this](const std::string &proxy, const wire::Envelope &message) {
+            m_sent[proxy].push_back(message);
+        };
+        ports.callEndpoint = [this](EndpointCall call, std::function<void(EndpointAnswer &&)>) {
+            m_calls.push_back(std::move(call));
+        };
+        ports.now = [this] {
+            return m_now;
+        };
+        ports.wallClockMs = [] {
+            return unixMilliseconds();
+        };
+        ports.leaderLinkAddress = [] {
+            return std::string("10.0.0.1:7");
+        };
+        m_service.emplace(ControlServiceOptions {}, m_machine, std::move(config), m_intentLog.port(), std::move(ports));
+        m_configLog.observe([this](LogIndex) { m_service->handleApplied(); });
+        m_service->tick();
+        putGroup();
+    }
+
+private:
+    void putGroup()
+    {
+        wire::ConfigCommand command;
+        command.mutable_put()->set_kind("group");
+        command.mutable_put()->set_name("g");
+        command.mutable_put()->set_spec_json("{\"databases_expected\":3}");
+        m_service->change(command, [](LogFailure, const wire::ConfigResult &) {});
+    }
+
+    wire::Renewal renewal(const std::string &proxy, std::uint64_t incarnation = 1)
+    {
+        wire::Renewal content;
+        content.set_sequence(1);
+        content.set_proxy(proxy);
+        content.set_incarnation(incarnation);
+        content.set_failure_domain("fd-" + proxy);
+        content.set_config_version(1);
+        content.set_directory_version(m_directoryVersions[proxy]);
+        return content;
+    }
+
+    void send(const std::string &proxy, const wire::Renewal &content)
+    {
+        wire::Envelope message;
+        *message.mutable_renewal() = content;
+        m_service->handleMessage(proxy, std::move(message));
+    }
+
+    static wire::Announcement announcement(const std::string &database, bool primary = false, std::uint64_t position = 5)
+    {
+        wire::Announcement content;
+        content.set_group("g");
+        content.set_database(database);
+        content.set_address(database);
+        content.set_term(1);
+        content.set_primary(primary);
+        content.set_position(position);
+        return content;
+    }
+
+    void announceAll(const std::string &proxy)
+    {
+        auto content = renewal(proxy);
+        *content.add_announcements() = announcement("a", true);
+        *content.add_announcements() = announcement("b");
+        *content.add_announcements() = announcement("c");
+        send(proxy, content);
+    }
+
+    /// Time passes while the proxies renew.
+    void pass(Duration duration, const std::vector<std::string> &proxies)
+    {
+        for (const auto end = m_now + duration; m_now < end; m_now += 100ms) {
+            m_service->tick();
+            for (const auto &proxy : proxies) {
+                send(proxy, renewal(proxy));
+            }
+        }
+        m_service->tick();
+    }
+
+    /// Group with primary a and owner p.
+    void makeReady()
+    {
+        announceAll("p");
+        pass(2s, {"p"});
+        announceAll("p");
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), m_machine.group("g")->primary());
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), m_machine.group("g")->owner());
+        m_sent.clear();
+        m_calls.clear();
+    }
+
+    /// Last grant to a proxy that shows the group.
+    std::optional<wire::GroupDirectory> shown(const std::string &proxy) const
+    {
+        std::optional<wire::GroupDirectory> group;
+        const auto sent = m_sent.find(proxy);
+        for (const auto &message : sent == m_sent.end() ? std::vector<wire::Envelope>() : sent->second) {
+            for (const auto &content : message.grant().groups()) {
+                group = content;
+            }
+        }
+        return group;
+    }
+
+    std::ptrdiff_t grants(const std::string &proxy)
+    {
+        return std::count_if(m_sent[proxy].begin(), m_sent[proxy].end(), [](const wire::Envelope &message) { return message.grant().sequence() != 0; });
+    }
+
+    std::size_t followCalls(const std::string &database) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_calls.begin(), m_calls.end(), [&](const EndpointCall &call) { return call.target == "/v1/follow" && call.address == database; }));
+    }
+
+public:
+    // Guards against a replica that lost the address of its primary at a restart and never replicates again.
+    void restartedReplicaIsToldToFollow()
+    {
+        makeReady();
+        pass(2s, {"p"});
+        announceAll("p");
+        pass(100ms, {"p"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), std::min<std::size_t>(1, followCalls("b")));
+    }
+
+    // Guards against two owners: a new incarnation is not among the holders that a promotion waits for.
+    void newIncarnationIsNotTheOwnerOfItsPredecessor()
+    {
+        makeReady();
+        send("p", renewal("p", 2));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), grants("p")); // the predecessor may still hold its lease
+        m_now += 1'260ms;
+        send("p", renewal("p", 2));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), grants("p"));
+        CPPUNIT_ASSERT(shown("p")->owner().empty());
+        m_service->tick();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_machine.group("g")->owner_incarnation());
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), shown("p")->owner());
+    }
+
+    // Guards against an empty directory that takes the endpoints away from all proxies after a change of leader.
+    void newLeaderKeepsDirectoryUntilEndpointsAnnounced()
+    {
+        makeReady();
+        ++m_term;
+        send("p", renewal("p"));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), grants("p"));
+        CPPUNIT_ASSERT(!shown("p"));
+        announceAll("p");
+        m_service->tick();
+        CPPUNIT_ASSERT(shown("p") && shown("p")->members_size() == 3);
+        ++m_term;
+        m_sent.clear();
+        pass(2'100ms, {"p"}); // an endpoint that is gone must not hold the directory back for ever
+        CPPUNIT_ASSERT(shown("p").has_value());
+    }
+
+    // Guards against a new owner while the earlier one may still hold the lease of another leader, also in one process.
+    void leaderOfNewTermWaitsForLeasesOfTheEarlierOne()
+    {
+        makeReady();
+        ++m_term;
+        send("q", renewal("q"));
+        pass(1'100ms, {"q"});
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), m_machine.group("g")->owner());
+        pass(300ms, {"q"});
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), m_machine.group("g")->owner());
+        CPPUNIT_ASSERT_EQUAL(1, m_machine.group("g")->holders_size());
+    }
+
+    // Guards against a promotion that does not wait for a draining owner with statements in flight.
+    void drainingOwnerIsHolderUntilItLetsGo()
+    {
+        makeReady();
+        send("q", renewal("q"));
+        auto draining = renewal("p");
+        draining.set_draining(true);
+        draining.add_owned()->set_group("g");
+        send("p", draining);
+        m_service->tick();
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), m_machine.group("g")->owner());
+        draining.clear_owned(); // sent before the change of owner arrived
+        send("p", draining);
+        pass(200ms, {"q"});
+        CPPUNIT_ASSERT_EQUAL(2, m_machine.group("g")->holders_size());
+        draining.set_directory_version(m_sent["p"].back().grant().directory_version());
+        send("p", draining);
+        pass(200ms, {"q"});
+        CPPUNIT_ASSERT_EQUAL(1, m_machine.group("g")->holders_size());
+    }
+
+    // Guards against a group that stays without a primary because its live owner never confirms.
+    void ownerThatIgnoresWithdrawalGetsNoLease()
+    {
+        makeReady();
+        m_now += 2s; // the announcements of the primary have stopped
+        m_service->tick();
+        for (int i = 0; i < 30; ++i) {
+            auto content = renewal("p");
+            auto &evidence = *content.add_evidence();
+            evidence.set_group("g");
+            evidence.set_database("a");
+            evidence.set_term(1);
+            evidence.set_refused(true);
+            send("p", content);
+            m_now += 100ms;
+            m_service->tick();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_machine.group("g")->term());
+        CPPUNIT_ASSERT(std::any_of(m_calls.begin(), m_calls.end(), [](const EndpointCall &call) { return call.target == "/v1/status"; }));
+    }
+
+    // Guards against a retry that waits for the statement of an owner that is gone, and against owners without a lease.
+    void intentOfEndedOwnerIsNotRepeated()
+    {
+        makeReady();
+        wire::Envelope begin;
+        auto &request = *begin.mutable_intent_begin();
+        request.set_service("s");
+        request.set_key(makeUuid7());
+        request.set_proxy("p");
+        request.set_incarnation(1);
+        m_service->handleMessage("p", wire::Envelope(begin));
+        CPPUNIT_ASSERT_EQUAL(wire::GRANTED, m_sent["p"].back().intent_reply().state());
+        request.set_proxy("q");
+        request.set_attempt(1);
+        m_service->handleMessage("q", wire::Envelope(begin));
+        CPPUNIT_ASSERT_EQUAL(wire::UNAVAILABLE, m_sent["q"].back().intent_reply().state());
+        send("q", renewal("q"));
+        m_service->handleMessage("q", wire::Envelope(begin));
+        CPPUNIT_ASSERT_EQUAL(wire::IN_PROGRESS, m_sent["q"].back().intent_reply().state());
+        pass(1'300ms, {"q"});
+        m_service->handleMessage("q", wire::Envelope(begin));
+        CPPUNIT_ASSERT_EQUAL(wire::NOT_REPEATED, m_sent["q"].back().intent_reply().state());
+    }
+
+    // Guards against changes that wait for the next renewal.
+    void acceptedChangeIsPushed()
+    {
+        makeReady();
+        wire::ConfigCommand command;
+        command.mutable_put()->set_kind("limits");
+        command.mutable_put()->set_name("l");
+        command.mutable_put()->set_spec_json("{}");
+        m_service->change(command, [](LogFailure, const wire::ConfigResult &) {});
+        const auto &grant = m_sent["p"].back().grant();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), grant.sequence());
+        CPPUNIT_ASSERT(grant.resources_size() == 1 && grant.resources(0).name() == "l" && !grant.config_full());
+    }
+
+    // Guards against proxies that stay with a process which no longer leads.
+    void followerNamesTheLeader()
+    {
+        makeReady();
+        m_leads = false;
+        send("p", renewal("p"));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7"), m_sent["p"].back().not_leader().leader_link_address());
+    }
+
+private:
+    static constexpr const char *changeId = "0190aaaa-bbbb-7ccc-8ddd-eeeeeeeeeeee";
+
+    HttpResponse request(OperatorApi &api, const std::string &method, const std::string &target, const std::string &body = {}, const std::string &token = "t")
+    {
+        HttpRequest content;
+        content.method = method;
+        content.target = target;
+        content.body = body;
+        content.authorization = "Bearer " + token;
+        HttpResponse result;
+        result.status = 0;
+        api.handle(content, [&result](HttpResponse &&response) { result = std::move(response); });
+        return result;
+    }
+
+    OperatorApi makeApi()
+    {
+        OperatorApiOptions options;
+        options.token = "t";
+        options.leaderHttpAddress = [] {
+            return std::string("10.0.0.1:8");
+        };
+        options.logStatus = [] {
+            return boost::json::object();
+        };
+        return {std::move(options), *m_service};
+    }
+
+public:
+    // Guards against error replies that show one problem at a time, and against a conflict without the winner.
+    void operatorReceivesAllErrorsAndTheWinner()
+    {
+        auto api = makeApi();
+        CPPUNIT_ASSERT_EQUAL(401U, request(api, "GET", "/v1/status", {}, "other").status);
+        const auto invalid = request(api, "PUT", "/v1/resources/limits/l", R"({"version": -1, "change_id": "x", "spec": {"slots": 0}, "more": 1})");
+        CPPUNIT_ASSERT_EQUAL(400U, invalid.status);
+        for (const auto *field : {"\"version\"", "\"change_id\"", "\"spec.slots\"", "\"more\""}) {
+            CPPUNIT_ASSERT(invalid.body.find(field) != std::string::npos);
+        }
+        const auto body = std::string(R"({"version": 0, "change_id": ")") + changeId + R"(", "spec": {"slots": 3}})";
+        const auto first = request(api, "PUT", "/v1/resources/limits/l", body);
+        CPPUNIT_ASSERT_EQUAL(200U, first.status);
+        CPPUNIT_ASSERT_EQUAL(first.body, request(api, "PUT", "/v1/resources/limits/l", body).body);
+        const auto conflict
+            = request(api, "PUT", "/v1/resources/limits/l", R"({"version": 0, "change_id": "0190aaaa-bbbb-7ccc-8ddd-ffffffffffff", "spec": {}})");
+        CPPUNIT_ASSERT_EQUAL(409U, conflict.status);
+        CPPUNIT_ASSERT(conflict.body.find("\"slots\":3") != std::string::npos);
+        m_leads = false;
+        m_service->tick();
+        const auto redirect = request(api, "DELETE", "/v1/resources/limits/l?version=2");
+        CPPUNIT_ASSERT_EQUAL(307U, redirect.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("http://10.0.0.1:8/v1/resources/limits/l?version=2"), redirect.headers.front().second);
+    }
+
+    // Guards against reads that go back in time, and watches that miss or hold back a change.
+    void operatorReadsNoOlderVersionAndWatchesChanges()
+    {
+        auto api = makeApi();
+        CPPUNIT_ASSERT_EQUAL(200U, request(api, "GET", "/v1/resources?min_version=1").status);
+        CPPUNIT_ASSERT_EQUAL(412U, request(api, "GET", "/v1/resources/group/g?min_version=2").status);
+        HttpRequest watch;
+        watch.target = "/v1/watch?from=1";
+        watch.authorization = "Bearer t";
+        std::vector<std::string> lines;
+        api.handle(watch, [&lines](HttpResponse &&response) { lines.push_back(response.body); });
+        api.tick();
+        CPPUNIT_ASSERT(lines.empty());
+        const auto removed = request(api, "DELETE", std::string("/v1/resources/group/g?version=1&change_id=") + changeId);
+        CPPUNIT_ASSERT_EQUAL(200U, removed.status);
+        api.tick();
+        CPPUNIT_ASSERT(lines.size() == 1 && lines.front().find("\"deleted\":true") != std::string::npos);
+        watch.target = "/v1/watch?from=2";
+        api.handle(watch, [&lines](HttpResponse &&response) { lines.push_back(response.body); });
+        m_now += 25s;
+        api.tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), lines.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlServiceTest);
