--- a/packages/coordination/include/waxwing/coordination/admission_queue.h
+++ b/packages/coordination/include/waxwing/coordination/admission_queue.h
@@ -26,10 +26,23 @@
     std::size_t queueLength = 1000; ///< statements that wait, of all classes
     double callerShare = 0.5; ///< part of the queue that one caller may hold; 1 for no limit
     bool predictsDeadlines = true; ///< refuses at once what can't finish in time; false is the baseline
+    /// Time reserved for a statement, relative to its predicted cost: a statement that starts too late by the variation
+    /// of its cost takes a slot and is of no use.
+    double costMargin = 1.3;
+    /// Part of the time to its deadline that a statement may be predicted to wait. The rest covers work of higher value
+    /// that arrives later, and keeps the queue short enough to drain soon after a peak.
+    double waitShare = 0.7;
     CallerShareOptions shares {};
     Duration shareInterval = 5ms; ///< how often the callers over their share are determined
 };
 
+/// @brief Slots that a class of work can use, see SlotSchedule::slotsFor().
+struct AvailableSlots
+{
+    double onPrimary = 0.0;
+    double onReplicas = 0.0; ///< not usable by statements that require the primary
+};
+
 /// @brief A statement that leaves the queue without running.
 struct RefusedStatement
 {
@@ -59,8 +72,8 @@
     }
 
     /// @brief Admits a statement, or refuses it.
-    /// @param slots slots that its class can use on the databases it can run on, see SlotSchedule::slotsFor()
-    AdmissionResult admit(QueuedStatement statement, double slots, TimePoint now)
+    /// @param slots slots that its class can use
+    AdmissionResult admit(QueuedStatement statement, const AvailableSlots &slots, TimePoint now)
     {
         if (statement.deadline <= now) {
             return {.refusal = RefusalReason::DeadlinePassed, .displaced = std::nullopt};
@@ -70,7 +83,7 @@
         if (m_options.callerShare < 1.0 && known != m_callers.end() && static_cast<double>(known->second.waiting) >= callerLimit) {
             return {.refusal = RefusalReason::CallerShareExceeded, .displaced = std::nullopt};
         }
-        if (m_options.predictsDeadlines && now + predictedWait(statement, slots) + statement.predictedCost > statement.deadline) {
+        if (m_options.predictsDeadlines && !isReachable(statement, slots, now)) {
             return {.refusal = RefusalReason::DeadlineUnreachable, .displaced = std::nullopt};
         }
         AdmissionResult result;
@@ -83,6 +96,7 @@
             result.displaced = RefusedStatement {*remove(last->id), RefusalReason::QueueFull};
         }
         ++m_callers[statement.caller].waiting;
+        m_forPrimary[classIndex(statement.workClass)] += statement.requiresPrimary ? 1 : 0;
         m_nextOverdue = std::min(m_nextOverdue, overdueAt(statement));
         const auto index = classIndex(statement.workClass);
         const auto id = statement.id;
@@ -121,6 +135,7 @@
         if (!WAXWING_INVARIANT(!entry.empty(), "queue-places-match")) {
             return std::nullopt;
         }
+        m_forPrimary[classIndex(entry.mapped().workClass)] -= entry.mapped().requiresPrimary ? 1 : 0;
         const auto caller = m_callers.find(entry.mapped().caller);
         if (WAXWING_INVARIANT(caller != m_callers.end(), "queue-callers-counted") && --caller->second.waiting == 0) {
             m_callers.erase(caller);
@@ -167,6 +182,7 @@
         }
         m_places.clear();
         m_callers.clear();
+        m_forPrimary = {};
         m_nextOverdue = TimePoint::max();
         return statements;
     }
@@ -194,20 +210,28 @@
     }
 
     /// @brief Predicts how long a statement would wait for a slot.
-    /// @param slots slots that its class can use on the databases it can run on
-    Duration predictedWait(const QueuedStatement &statement, double slots) const
+    /// @param slots slots that its class can use
+    Duration predictedWait(const QueuedStatement &statement, const AvailableSlots &slots) const
     {
         const auto rank = rankOf(statement);
-        Duration ahead = Duration::zero();
+        Duration aheadOnPrimary = Duration::zero();
+        Duration aheadAnywhere = Duration::zero();
         for (const auto &[otherRank, other] : m_entries[classIndex(statement.workClass)]) {
             if (!m_order.isBefore(otherRank, rank)) {
                 break;
             }
-            if (other.requiresPrimary >= statement.requiresPrimary) {
-                ahead += other.predictedCost;
-            }
+            (other.requiresPrimary ? aheadOnPrimary : aheadAnywhere) += other.predictedCost;
         }
-        return std::chrono::duration_cast<Duration>(ahead / std::max(slots, 0.1));
+        // When long work holds all slots, one of them is assumed to be free soon.
+        const auto drained = [](Duration work, double count) {
+            return std::chrono::duration_cast<Duration>(work / std::max(count, 1.0));
+        };
+        const auto onAll = drained(aheadOnPrimary + aheadAnywhere, slots.onPrimary + slots.onReplicas);
+        if (statement.requiresPrimary) {
+            return std::max(drained(aheadOnPrimary, slots.onPrimary), onAll);
+        }
+        // Reads wait no longer than it takes the replicas to run the reads ahead, however much work waits for the primary.
+        return slots.onReplicas > 0.0 ? std::min(drained(aheadAnywhere, slots.onReplicas), onAll) : onAll;
     }
 
     /// @brief Number of statements that wait.
@@ -222,6 +246,12 @@
         return m_entries[classIndex(workClass)].size();
     }
 
+    /// @brief Tells whether statements of a class wait that only the primary may run.
+    bool hasWaitingForPrimary(WorkClass workClass) const
+    {
+        return m_forPrimary[classIndex(workClass)] > 0;
+    }
+
 private:
     struct RankLess
     {
@@ -252,7 +282,18 @@
     TimePoint overdueAt(const QueuedStatement &statement) const
     {
         // A statement that would finish exactly at its deadline may still run.
-        return m_options.predictsDeadlines ? statement.deadline - statement.predictedCost + Duration(1) : statement.deadline;
+        return m_options.predictsDeadlines ? statement.deadline - reservedCost(statement) + Duration(1) : statement.deadline;
+    }
+
+    Duration reservedCost(const QueuedStatement &statement) const
+    {
+        return std::chrono::duration_cast<Duration>(statement.predictedCost * m_options.costMargin);
+    }
+
+    bool isReachable(const QueuedStatement &statement, const AvailableSlots &slots, TimePoint now) const
+    {
+        const Duration room = statement.deadline - now - reservedCost(statement);
+        return room >= Duration::zero() && predictedWait(statement, slots) <= room * m_options.waitShare;
     }
 
     QueueRank rankOf(const QueuedStatement &statement) const
@@ -292,6 +333,7 @@
     std::array<Entries, 2> m_entries; // by class
     std::unordered_map<std::uint64_t, Place> m_places;
     std::map<std::string, Caller, std::less<>> m_callers; // those with waiting statements
+    std::array<std::size_t, 2> m_forPrimary {}; // by class
     TimePoint m_nextOverdue = TimePoint::max();
     TimePoint m_nextShares;
 };
--- a/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule.cpp
@@ -1,5 +1,8 @@
 #include <waxwing/coordination/slot_schedule.h>
 
+#include <cmath>
+#include <numbers>
+
 namespace waxwing
 {
 
@@ -7,18 +10,38 @@
     : m_options(options)
     , m_longUse(options.shareHalfLife)
     , m_totalUse(options.shareHalfLife)
+    , m_shortUse(options.shareHalfLife)
 {
 }
 
-EndpointSet SlotSchedule::free(EndpointSet set, WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints)
+EndpointSet SlotSchedule::free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints)
 {
-    set = withFreeSlot(set, endpoints);
-    if (separatesClasses && workClass == WorkClass::Long) {
-        for (std::size_t i = 0; i < set.size(); ++i) {
-            if (set.test(i) && endpoints[i].runningLong >= longSlots(endpoints[i].limit)) {
-                set.reset(i);
-            }
-        }
+    EndpointSet set;
+    for (std::size_t i = 0; i < std::min(endpoints.size(), set.size()); ++i) {
+        const auto &endpoint = endpoints[i];
+        const bool isOpen = !separatesClasses || workClass == WorkClass::Short || endpoint.runningLong < longSlots(endpoint.limit);
+        set.set(i, endpoint.hasFreeSlot() && isOpen);
+    }
+    return set;
+}
+
+bool SlotSchedule::hasWaited(const QueuedStatement &statement, Duration limit, TimePoint now) const
+{
+    const Duration room = statement.deadline - statement.arrivedAt - statement.predictedCost;
+    return now - statement.arrivedAt >= std::min(limit, std::chrono::duration_cast<Duration>(room * m_options.patience));
+}
+
+EndpointSet SlotSchedule::withReserve(std::span<const EndpointState> endpoints, TimePoint now) const
+{
+    const auto usable = std::count_if(endpoints.begin(), endpoints.end(), [](const EndpointState &endpoint) { return endpoint.isUsable; });
+    // A decaying sum of slot time settles at load * half-life / ln 2.
+    const double settled = std::chrono::duration<double>(m_options.shareHalfLife).count() / std::numbers::ln2;
+    const double load = m_shortUse.value(now) / settled / static_cast<double>(std::max<std::ptrdiff_t>(usable, 1));
+    const double reserve = load + m_options.shortReserve * std::sqrt(load);
+    EndpointSet set;
+    for (std::size_t i = 0; i < std::min(endpoints.size(), set.size()); ++i) {
+        const auto &endpoint = endpoints[i];
+        set.set(i, static_cast<double>(endpoint.limit) >= static_cast<double>(endpoint.runningLong) + 1.0 + reserve);
     }
     return set;
 }
@@ -29,7 +52,10 @@
     if (workClass == WorkClass::Long) {
         m_longUse.add(seconds, now);
         m_totalUse.add(seconds, now);
-    } else if (longWaits) {
+        return;
+    }
+    m_shortUse.add(seconds, now);
+    if (longWaits) {
         m_totalUse.add(seconds, now);
     }
 }
@@ -39,19 +65,17 @@
     return m_longUse.value(now) < m_options.longShare * m_totalUse.value(now);
 }
 
-double SlotSchedule::slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary)
+AvailableSlots SlotSchedule::slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary)
 {
-    double slots = 0.0;
+    AvailableSlots slots;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
         const auto &endpoint = endpoints[i];
-        if (!endpoint.isUsable || (statement.requiresPrimary && i != primary)) {
+        if (!endpoint.isUsable) {
             continue;
         }
-        if (statement.workClass == WorkClass::Long) {
-            slots += static_cast<double>(longSlots(endpoint.limit));
-        } else {
-            slots += static_cast<double>(endpoint.limit - std::min(endpoint.limit, endpoint.runningLong));
-        }
+        const bool isLong = statement.workClass == WorkClass::Long;
+        const auto usable = isLong ? longSlots(endpoint.limit) : endpoint.limit - std::min(endpoint.limit, endpoint.runningLong);
+        (i == primary ? slots.onPrimary : slots.onReplicas) += static_cast<double>(usable);
     }
     return slots;
 }
