--- a/scripts/experiment_failover.py
+++ b/scripts/experiment_failover.py
@@ -1,6 +1,5 @@
 """Gaps in writes: a killed primary, and a planned switchover."""
 
-import json
 import time
 import uuid
 
@@ -25,12 +24,7 @@
 
 def _first_write_after(cluster, load, term):
     """Time, on the monotonic clock, of the first acknowledged write of a term above the given one."""
-    times = []
-    with open(cluster.path(load.name + ".callers"), encoding="utf-8") as file:
-        for line in file:
-            record = json.loads(line)
-            if record["write"] and record["outcome"] == "done" and record["term"] > term:
-                times.append(record["received"] / 1e6)
+    times = [record["received"] / 1e6 for record in cluster.records(load) if record["write"] and record["outcome"] == "done" and record["term"] > term]
     return min(times)
 
 
--- a/scripts/experiment_overhead.py
+++ b/scripts/experiment_overhead.py
@@ -1,5 +1,6 @@
 """Cost of the proxy: latency beside a direct run at the same time, statements per second and core, and planned stops under load."""
 
+import collections
 import time
 
 from waxwing_cluster import Cluster, program
@@ -68,9 +69,10 @@
             code = proxy.stop()
             proxy.start()
             result = cluster.finish_load(load)
-            cut = sum(count for reason, count in result["reasons"].items())
-            cuts.append(cut)
-            print(f"seed {seed}: drained {proxy.name}, exit code {code}, {cut} requests without a result: {result['reasons']}", flush=True)
+            # Each attempt counts, also one whose retry hid that it was cut.
+            reasons = collections.Counter(f"{record['outcome']}/{record['reason']}" for record in cluster.records(load) if record["outcome"] != "done")
+            cuts.append(sum(reasons.values()))
+            print(f"seed {seed}: drained {proxy.name}, exit code {code}, {cuts[-1]} of {result['planned']} requests without a result: {dict(reasons)}", flush=True)
             address = cluster.proxy_addresses[seed % len(cluster.proxies)][0]
             wait_for("the proxy is back", lambda a=address: request(a, "GET", "/healthz")[0] == 200)
             if code != 0:
--- a/scripts/waxwing_cluster.py
+++ b/scripts/waxwing_cluster.py
@@ -206,6 +206,12 @@
         with open(self.path(process.name + ".json"), encoding="utf-8") as file:
             return json.load(file)
 
+    def records(self, process):
+        """Records of the caller history of a load process."""
+        with open(self.path(process.name + ".callers"), encoding="utf-8") as file:
+            for line in file:
+                yield json.loads(line)
+
     def check(self, acknowledge=None):
         """Runs the history checker; returns its summary, with the printed text under `text`."""
         callers = [self.path(name) for name in sorted(os.listdir(self.folder)) if name.endswith(".callers")]
