Add the experiment failover-silent

Cause: a killed process refuses connections at once, a lost VM does not; the goal of the gap is about both. Change: failover-silent suspends the primary instead of killing it, and resumes it after the run.

--- a/scripts/experiment_failover.py
+++ b/scripts/experiment_failover.py
@@ -28,30 +28,41 @@
     return min(times)
 
 
-def _run_failover(cluster, seed):
-    """Kills the primary under load; the gap ends with the first write that the new primary took."""
+def _run_failover(cluster, seed, silent):
+    """Kills or suspends the primary under load; the gap ends with the first write that the new primary took."""
     wait_for("the group is complete", lambda: _settled(cluster, "orders"), 30)
     cluster.wait_ready()
-    load = cluster.load(f"load-{seed}", "failover", ["--seed", seed])
+    load = cluster.load(f"load-{seed}", "failover", ["--seed", seed] + (["--duration", 14] if silent else []))
     time.sleep(3)
     primary = cluster.primary("orders")
     term = primary.status()["term"]
-    primary.process.kill()
+    if silent:
+        primary.process.suspend()
+    else:
+        primary.process.kill()
     killed = time.monotonic()
     result = cluster.finish_load(load)
-    primary.process.start()
+    if silent:
+        primary.process.resume()
+    else:
+        primary.process.start()
     gap = _first_write_after(cluster, load, term) - killed
     silence = result["write_gap_ms"]["orders"] / 1000
-    print(f"seed {seed}: killed {primary.name}, gap {gap:.3f} s, longest time without an acknowledged write {silence:.3f} s, {result['reasons']}", flush=True)
+    print(f"seed {seed}: {'suspended' if silent else 'killed'} {primary.name}, gap {gap:.3f} s, longest time without an acknowledged write {silence:.3f} s, {result['reasons']}", flush=True)
     return max(gap, silence)
 
 
-def failover(seeds):
+def _failover(seeds, silent):
     with Cluster(proxies=3) as cluster:
         cluster.start()
-        gaps = [_run_failover(cluster, seed) for seed in seeds]
+        gaps = [_run_failover(cluster, seed, silent) for seed in seeds]
         summary = cluster.check()
     print(summary["text"], flush=True)
+    return gaps, summary
+
+
+def failover(seeds):
+    gaps, summary = _failover(seeds, False)
     values = {"failover_gap_p50_s": measured(median(gaps), "s", "<= 1.5"), "failover_gap_max_s": measured(max(gaps), "s", "<= 3"),
               "acknowledged_writes_lost": measured(summary["by_check"].get("acknowledged-lost", 0), "writes", "0"),
               "writes_run_twice": measured(summary["by_check"].get("at-most-once", 0), "writes", "0")}
@@ -59,6 +70,15 @@
     return summary["violations"]
 
 
+def failover_silent(seeds):
+    """A lost VM refuses no connections, unlike a killed process: the primary is suspended instead."""
+    gaps, summary = _failover(seeds, True)
+    values = {"failover_silent_gap_p50_s": measured(median(gaps), "s", "<= 1.5"), "failover_silent_gap_max_s": measured(max(gaps), "s", "<= 3")}
+    write("failover-silent", seeds, values, {"title": "Gap in writes after the primary falls silent", "y": "seconds",
+                                             "series": {"gap": list(zip(seeds, gaps))}})
+    return summary["violations"]
+
+
 def _run_switchover(cluster, seed):
     wait_for("the group is complete", lambda: _settled(cluster, "orders"), 30)
     load = cluster.load(f"load-{seed}", "switchover", ["--seed", seed])
