Pass the slots of primary and replicas to the admission of the proxy

Cause: the admission queue took one number of slots; it now takes those of the primary and of the replicas apart, which the proxy did not know yet. Change: the proxy passes AvailableSlots; the retry path keeps withFreeSlot.

--- a/packages/coordination/include/waxwing/coordination/endpoint_state.h
+++ b/packages/coordination/include/waxwing/coordination/endpoint_state.h
@@ -2,6 +2,7 @@
 
 #include <bitset>
 #include <cstddef>
+#include <span>
 #include <string>
 
 namespace waxwing
@@ -35,4 +36,15 @@
     }
 };
 
+/// @brief Members of @p set that have a free slot.
+inline EndpointSet withFreeSlot(EndpointSet set, std::span<const EndpointState> endpoints)
+{
+    for (std::size_t i = 0; i < set.size(); ++i) {
+        if (set.test(i) && (i >= endpoints.size() || !endpoints[i].hasFreeSlot())) {
+            set.reset(i);
+        }
+    }
+    return set;
+}
+
 } // namespace waxwing
--- a/programs/proxy/group_queue.h
+++ b/programs/proxy/group_queue.h
@@ -38,7 +38,7 @@
     }
 
     /// @brief Admits a statement, or refuses it.
-    AdmissionResult admit(QueuedStatement statement, double slots, TimePoint now)
+    AdmissionResult admit(QueuedStatement statement, const AvailableSlots &slots, TimePoint now)
     {
         return std::visit([&](auto &queue) { return queue.admit(std::move(statement), slots, now); }, m_queue);
     }
@@ -90,7 +90,7 @@
     }
 
 private:
-    static constexpr double unlimitedSlots = 1e9;
+    static constexpr AvailableSlots unlimitedSlots {.onPrimary = 1e9, .onReplicas = 1e9};
 
     bool m_isConfigured = false;
     ServiceLimits m_limits;
--- a/programs/proxy/owned_group.cpp
+++ b/programs/proxy/owned_group.cpp
@@ -317,11 +317,11 @@
                             .arrivedAt = run.job.arrivedAt,
                             .deadline = run.job.deadline};
     auto slots = SlotSchedule::slotsFor(queued, m_members.states(), m_members.primaryIndex());
-    if (slots <= 0.0) {
+    if (slots.onPrimary <= 0.0 && (queued.requiresPrimary || slots.onReplicas <= 0.0)) {
         // During a failover no slot is there yet; the prediction then assumes those of the next primary.
         const auto states = m_members.states();
         const auto most = std::max_element(states.begin(), states.end(), [](const auto &a, const auto &b) { return a.limit < b.limit; });
-        slots = most == states.end() ? 1.0 : static_cast<double>(std::max<std::size_t>(1, most->limit));
+        slots.onPrimary = most == states.end() ? 1.0 : static_cast<double>(std::max<std::size_t>(1, most->limit));
     }
     const auto result = m_queue.admit(std::move(queued), slots, now);
     if (result.displaced) {
