Fix the use of a statement that left the full queue during its admission

Cause: at 4,600 statements/s with a full queue the proxy ended with a segmentation fault (gdb: ExplainRing::add under OwnedGroup::admit). A newcomer displaced a write, a read of that write's session then entered the queue and displaced the newcomer, which admit() went on to use. Change: admit() records its decision before it refuses the displaced statement and does not touch the newcomer afterwards.

--- a/programs/proxy/owned_group.cpp
+++ b/programs/proxy/owned_group.cpp
@@ -324,6 +324,10 @@
         slots = most == states.end() ? 1.0 : static_cast<double>(std::max<std::size_t>(1, most->limit));
     }
     const auto result = m_queue.admit(std::move(queued), slots, now);
+    if (!result.refusal) {
+        explain(run, "queued", run.workClass == WorkClass::Long ? "long" : "short");
+    }
+    // From here on the run may be gone: the refusal below ends the write of a session whose reads then enter the queue.
     if (result.displaced) {
         if (auto *displaced = find(result.displaced->statement.id)) {
             refuse(*displaced, result.displaced->reason);
@@ -331,9 +335,7 @@
     }
     if (result.refusal) {
         refuse(run, *result.refusal);
-        return;
     }
-    explain(run, "queued", run.workClass == WorkClass::Long ? "long" : "short");
 }
 
 bool OwnedGroup::cancel(const std::string &requestId)
