Send the terms with every lease

A new leader sent leases without a directory while it collected the endpoints; an owner that had missed a promotion got its lease back and acknowledged for the replaced primary. Change: every grant carries the directory; only the members of a group are left out until they are complete, and a proxy keeps the members it knows when the list is empty. Focused test: newLeaderShowsTermsAtOnceAndMembersWhenComplete.

--- a/programs/control/control_service.cpp
+++ b/programs/control/control_service.cpp
@@ -156,7 +156,7 @@
     }
     m_publisher.reset(static_cast<std::uint32_t>(m_config.term()));
     m_groupsVersion = 0;
-    m_directoryReady = false;
+    m_collecting = true;
     m_applied = true;
     refreshGroups();
     refreshDirectory();
@@ -301,10 +301,9 @@
     content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_options.lease.lease).count()));
     content.set_control_term(m_config.term());
     fillConfig(session.configVersion, content);
-    if (m_directoryReady) {
-        m_publisher.fill(session.directoryVersion, content);
-        fillPeers(content);
-    }
+    // A lease always comes with the terms: a proxy whose lease had ended may have missed a promotion.
+    m_publisher.fill(session.directoryVersion, content);
+    fillPeers(content);
     session.granted = true;
     session.sentConfigVersion = content.config_version();
     session.sentDirectoryVersion = content.directory_version();
@@ -384,17 +383,10 @@
     m_state.groups = std::move(groups);
 }
 
-bool ControlService::isDirectoryComplete() const
+bool ControlService::knowsMembers(const std::string &group) const
 {
-    if (m_ports.now() - m_activeSince >= m_options.directoryCollection) {
-        return true;
-    }
-    return std::all_of(m_state.groups.begin(), m_state.groups.end(), [this](const auto &entry) {
-        const auto *record = m_state.machine.group(entry.first);
-        const auto *members = m_state.directory.members(entry.first);
-        // A group without a primary has nothing to lose, and its promotion must not wait.
-        return record == nullptr || record->primary().empty() || (members != nullptr && members->size() >= entry.second);
-    });
+    const auto *members = m_state.directory.members(group);
+    return !m_collecting || (members != nullptr && members->size() >= m_state.groups.at(group));
 }
 
 void ControlService::refreshDirectory()
@@ -402,8 +394,8 @@
     if (!m_active) {
         return;
     }
-    if (!m_directoryReady && isDirectoryComplete()) {
-        m_directoryReady = true;
+    if (m_collecting && m_ports.now() - m_activeSince >= m_options.directoryCollection) {
+        m_collecting = false;
         m_applied = true;
     }
     if (!m_applied && m_changedGroups.empty()) {
@@ -429,7 +421,7 @@
             content.set_owner_epoch(record->owner_epoch());
             *content.mutable_term_history() = record->term_history();
         }
-        if (const auto *members = m_state.directory.members(name)) {
+        if (const auto *members = m_state.directory.members(name); members != nullptr && knowsMembers(name)) {
             for (const auto &[database, member] : *members) {
                 auto &announcement = *content.add_members();
                 announcement = member.announcement;
@@ -454,8 +446,7 @@
 {
     const auto now = m_ports.now();
     for (auto &[proxy, session] : m_state.sessions) {
-        const bool behind
-            = session.sentConfigVersion != m_state.machine.version() || (m_directoryReady && session.sentDirectoryVersion != m_publisher.version());
+        const bool behind = session.sentConfigVersion != m_state.machine.version() || session.sentDirectoryVersion != m_publisher.version();
         // A proxy without a grant has received nothing yet; its grant will carry everything.
         if (!behind || !session.granted || !m_state.leases.isLive({proxy, session.incarnation}, now)) {
             continue;
@@ -464,10 +455,8 @@
         auto &content = *message.mutable_grant();
         content.set_control_term(m_config.term());
         fillConfig(session.sentConfigVersion, content);
-        if (m_directoryReady) {
-            m_publisher.fill(session.sentDirectoryVersion, content);
-            fillPeers(content);
-        }
+        m_publisher.fill(session.sentDirectoryVersion, content);
+        fillPeers(content);
         session.sentConfigVersion = content.config_version();
         session.sentDirectoryVersion = content.directory_version();
         m_ports.sendToProxy(proxy, message);
--- a/programs/control/control_service.h
+++ b/programs/control/control_service.h
@@ -27,8 +27,8 @@
     FailureDetector::Options detector;
     PromotionRunnerOptions promotion;
     Duration assignmentInterval = 100ms; ///< owners are checked this often, and on each event that may change them
-    /// A new leader sends no directory before the endpoints of all groups have announced themselves again, or for this
-    /// long: an empty one would take away the endpoints that the proxies know. Announcements arrive within 1.4 s.
+    /// A new leader shows a group without its members, so that proxies keep those they know, until all members have
+    /// announced themselves again, or for this long. Announcements arrive within 1.4 s.
     Duration directoryCollection = 2s;
     Duration proxyRetention = 600s; ///< a proxy without a lease for this long is removed from the log
     unsigned removalsPerSecond = 50;
@@ -109,7 +109,7 @@
     void sendNotLeader(const std::string &proxy);
 
     void refreshGroups();
-    bool isDirectoryComplete() const;
+    bool knowsMembers(const std::string &group) const;
     void refreshDirectory();
     void push();
     void assignOwners();
@@ -133,7 +133,7 @@
     std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
     std::uint64_t m_term = 0; ///< term of the config log in which this process leads
     TimePoint m_activeSince;
-    bool m_directoryReady = false; ///< the directory may be sent
+    bool m_collecting = false; ///< members may be missing because this process leads only since a moment ago
     bool m_applied = false; ///< entries were applied since the directory was compared
     bool m_assignmentDue = false;
     bool m_assignmentRunning = false;
--- a/programs/control/control_service_test.cpp
+++ b/programs/control/control_service_test.cpp
@@ -25,7 +25,7 @@
     CPPUNIT_TEST_SUITE(ControlServiceTest);
     CPPUNIT_TEST(restartedReplicaIsToldToFollow);
     CPPUNIT_TEST(newIncarnationIsNotTheOwnerOfItsPredecessor);
-    CPPUNIT_TEST(newLeaderKeepsDirectoryUntilEndpointsAnnounced);
+    CPPUNIT_TEST(newLeaderShowsTermsAtOnceAndMembersWhenComplete);
     CPPUNIT_TEST(leaderOfNewTermWaitsForLeasesOfTheEarlierOne);
     CPPUNIT_TEST(drainingOwnerIsHolderUntilItLetsGo);
     CPPUNIT_TEST(ownerThatIgnoresWithdrawalGetsNoLease);
@@ -214,21 +214,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string("p"), shown("p")->owner());
     }
 
-    // Guards against an empty directory that takes the endpoints away from all proxies after a change of leader.
-    void newLeaderKeepsDirectoryUntilEndpointsAnnounced()
+    // Guards against an incomplete list that takes endpoints away from all proxies after a change of leader, and against a
+    // lease without the terms: a proxy that missed a promotion would acknowledge for the replaced primary.
+    void newLeaderShowsTermsAtOnceAndMembersWhenComplete()
     {
         makeReady();
         ++m_term;
-        send("p", renewal("p"));
+        auto content = renewal("p");
+        *content.add_announcements() = announcement("a", true);
+        send("p", content);
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), grants("p"));
-        CPPUNIT_ASSERT(!shown("p"));
+        CPPUNIT_ASSERT(shown("p")->term() == 1 && shown("p")->members_size() == 0);
         announceAll("p");
         m_service->tick();
-        CPPUNIT_ASSERT(shown("p") && shown("p")->members_size() == 3);
+        CPPUNIT_ASSERT_EQUAL(3, shown("p")->members_size());
         ++m_term;
-        m_sent.clear();
-        pass(2'100ms, {"p"}); // an endpoint that is gone must not hold the directory back for ever
-        CPPUNIT_ASSERT(shown("p").has_value());
+        send("p", content);
+        CPPUNIT_ASSERT_EQUAL(0, shown("p")->members_size());
+        pass(2'100ms, {"p"}); // an endpoint that is gone must not hold the members back for ever
+        CPPUNIT_ASSERT_EQUAL(1, shown("p")->members_size());
     }
 
     // Guards against a new owner while the earlier one may still hold the lease of another leader, also in one process.
--- a/programs/control/promotion_random_test.cpp
+++ b/programs/control/promotion_random_test.cpp
@@ -264,7 +264,7 @@
         }
         m_world.after(300ms + m_world.random.upTo(3s), [this] { fault(); });
         const auto length = 200ms + m_world.random.upTo(4s);
-        switch (m_world.random.between(0, 7)) {
+        switch (m_world.random.between(0, 9)) {
         case 0:
             killEndpoint(m_primary, length);
             break;
@@ -282,6 +282,10 @@
             cut("proxy-" + std::to_string(m_world.random.between(1, 6)), length);
             break;
         case 6:
+        case 7:
+            cutPrimaryWithOwner(length);
+            break;
+        case 8:
             changeLeader();
             break;
         default:
@@ -339,11 +343,37 @@
             others.push_back(endpoint);
         }
         for (const auto &other : others) {
-            m_world.setCut(name, other, true);
-            m_world.after(length, [this, name, other] { m_world.setCut(name, other, false); });
+            cutLink(name, other, length);
+        }
+    }
+
+    /// Cuts the primary and the owner off from the control service and the other proxies, but not from the replicas: the
+    /// owner still finds a majority while the others promote.
+    void cutPrimaryWithOwner(Duration length)
+    {
+        const auto *record = m_log.reference().group("orders");
+        const std::string owner = record == nullptr ? std::string() : record->owner();
+        if (owner.empty() || m_primary.empty()) {
+            return;
+        }
+        trace("cut with owner", {{"primary", m_primary}, {"owner", owner}, {"ms", toMilliseconds(length).count()}});
+        for (std::size_t i = 0; i < controlMembers; ++i) {
+            cutLink(owner, control(i), length);
+            cutLink(m_primary, control(i), length);
+        }
+        for (const auto &[proxy, entry] : m_proxies) {
+            if (proxy != owner) {
+                cutLink(m_primary, proxy, length);
+            }
         }
     }
 
+    void cutLink(const std::string &a, const std::string &b, Duration length)
+    {
+        m_world.setCut(a, b, true);
+        m_world.after(length, [this, a, b] { m_world.setCut(a, b, false); });
+    }
+
     void switchover()
     {
         if (m_log.leader >= controlMembers) {
--- a/programs/control/testing/simulated_log.h
+++ b/programs/control/testing/simulated_log.h
@@ -84,6 +84,12 @@
         });
     }
 
+    /// @brief State after all committed entries.
+    const ConfigMachine &reference() const
+    {
+        return m_reference;
+    }
+
     std::vector<Member> members;
     std::size_t leader = 0; ///< number of members while there is none
     std::function<void(std::size_t member)> onApplied;
--- a/programs/proxy/directory.cpp
+++ b/programs/proxy/directory.cpp
@@ -96,7 +96,12 @@
         if (group.deleted()) {
             m_groups.erase(group.group());
         } else {
+            // A control leader that has just taken over sends no members until they have announced themselves again.
+            const auto members = std::exchange(*known.mutable_members(), {});
             known = group;
+            if (known.members().empty()) {
+                *known.mutable_members() = members;
+            }
         }
         change.groups.insert(group.group());
     }
