--- a/packages/coordination/src/waxwing/coordination/raft_node_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node_test.cpp
@@ -101,6 +101,8 @@
     CPPUNIT_TEST(staleWriteDoesNotConfirmReplacedEntry);
     CPPUNIT_TEST(entryOfOldTermIsNotCommittedByCounting);
     CPPUNIT_TEST(leaderWithLeaseRefusesVote);
+    CPPUNIT_TEST(voteSurvivesRestart);
+    CPPUNIT_TEST(membershipChangeWaitsForOwnEntry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +201,41 @@
         CPPUNIT_ASSERT_EQUAL(term + 1, node.term());
     }
 
+    // Guards against a second vote in a term after a restart.
+    void voteSurvivesRestart()
+    {
+        RaftStoredState stored;
+        stored.hardState.set_term(3);
+        stored.hardState.set_vote(3);
+        stored.entries = {membershipEntry(1, {self, other, 3})};
+        RaftNode node(self, {}, std::move(stored), 1, start);
+        const auto later = start + 310ms;
+        node.receive(later, voteRequest(3, 1, 1));
+        CPPUNIT_ASSERT(!sends(node.takeOutput(later), isGrant));
+        auto repeated = voteRequest(3, 1, 1);
+        repeated.set_from(3);
+        node.receive(later, repeated);
+        CPPUNIT_ASSERT(sends(node.takeOutput(later), isGrant));
+    }
+
+    // Guards against two quorums without a common member: a new leader that changes members before it knows whether an
+    // earlier change was committed (the known fault of one-at-a-time changes).
+    void membershipChangeWaitsForOwnEntry()
+    {
+        auto node = makeNode(2, {membershipEntry(1, {self, other, 3})});
+        const auto now = start + 2s;
+        lead(node, now);
+        LogIndex index = 0;
+        const RaftMembershipChange change {RaftMembershipChange::Kind::Remove, 3, {}};
+        CPPUNIT_ASSERT(node.changeMembership(now, change, index) == RaftChangeError::NotReady);
+        auto reply = messageFrom(other, node.term());
+        reply.mutable_append_reply()->set_accepted(true);
+        reply.mutable_append_reply()->set_match_index(2);
+        node.receive(now, reply);
+        CPPUNIT_ASSERT(node.changeMembership(now, change, index) == RaftChangeError::None);
+        CPPUNIT_ASSERT(node.changeMembership(now, change, index) == RaftChangeError::InProgress);
+    }
+
     // Guards against a finished write of an entry that was replaced meanwhile, which would count the new entry as durable.
     void staleWriteDoesNotConfirmReplacedEntry()
     {
