Measure the surge at two deviations of the costs

Cause: the clairvoyant bound knows each single cost, so that the ratio depends on how much costs vary within one operation. Change: the surge is measured at standard deviations of 5% and 20%.

--- a/tools/policy-bench/main.cpp
+++ b/tools/policy-bench/main.cpp
@@ -65,26 +65,27 @@
                 baseline.highest(), clean.median(), longPolicy.median(), longBaseline.median(), stragglerGoal, verdict(policy.highest() <= stragglerGoal));
 }
 
-void printSurge(const Profile &profile, double stragglers, double longShare, const std::vector<std::uint64_t> &seeds)
+void printSurge(const Profile &profile, const SurgeOptions &options, const std::vector<std::uint64_t> &seeds)
 {
     Series policy;
     Series baseline;
     Series recoveryPolicy;
     Series recoveryBaseline;
     for (const auto seed : seeds) {
-        const auto result = measureSurge(profile, stragglers, longShare, seed);
+        const auto result = measureSurge(profile, options, seed);
         policy.values.push_back(result.policy);
         baseline.values.push_back(result.baseline);
         recoveryPolicy.values.push_back(result.recoveryPolicy);
         recoveryBaseline.values.push_back(result.recoveryBaseline);
     }
+    std::printf("surge      %-15s deviation %.2f stragglers %.2f long share %.2f weight on time / bound: policy median %.3f worst %.3f, fifo median %.3f worst "
+                "%.3f; goal %.2f %s\n",
+                profile.name.c_str(), options.deviation, options.stragglers, options.longShare, policy.median(), policy.lowest(), baseline.median(),
+                baseline.lowest(), surgeGoal, verdict(policy.lowest() >= surgeGoal));
     std::printf(
-        "surge      %-15s stragglers %.2f long share %.2f weight on time / bound: policy median %.3f worst %.3f, fifo median %.3f worst %.3f; goal %.2f %s\n",
-        profile.name.c_str(), stragglers, longShare, policy.median(), policy.lowest(), baseline.median(), baseline.lowest(), surgeGoal,
-        verdict(policy.lowest() >= surgeGoal));
-    std::printf("recovery   %-15s stragglers %.2f long share %.2f seconds: policy median %.2f worst %.2f, fifo median %.2f worst %.2f; goal %.1f %s\n",
-                profile.name.c_str(), stragglers, longShare, recoveryPolicy.median(), recoveryPolicy.highest(), recoveryBaseline.median(),
-                recoveryBaseline.highest(), recoveryGoal, verdict(recoveryPolicy.highest() <= recoveryGoal));
+        "recovery   %-15s deviation %.2f stragglers %.2f long share %.2f seconds: policy median %.2f worst %.2f, fifo median %.2f worst %.2f; goal %.1f %s\n",
+        profile.name.c_str(), options.deviation, options.stragglers, options.longShare, recoveryPolicy.median(), recoveryPolicy.highest(),
+        recoveryBaseline.median(), recoveryBaseline.highest(), recoveryGoal, verdict(recoveryPolicy.highest() <= recoveryGoal));
 }
 
 constexpr const char *usage = "usage: waxwing-policy-bench [--seeds N] [--first-seed N]\n"
@@ -140,9 +141,10 @@
             printStragglers(profile, load, true, seeds);
         }
         printStragglers(profile, 0.5, false, seeds);
-        printSurge(profile, 0.0, 0.2, seeds);
-        printSurge(profile, 0.02, 0.2, seeds);
-        printSurge(profile, 0.02, 0.0, seeds);
+        printSurge(profile, {.deviation = 0.05}, seeds);
+        printSurge(profile, {}, seeds);
+        printSurge(profile, {.stragglers = 0.02}, seeds);
+        printSurge(profile, {.stragglers = 0.02, .longShare = 0.0}, seeds);
     }
     return 0;
 }
--- a/tools/policy-bench/scenarios.cpp
+++ b/tools/policy-bench/scenarios.cpp
@@ -115,13 +115,17 @@
     };
 }
 
-SurgeResult measureSurge(const Profile &profile, double stragglers, double longShare, std::uint64_t seed)
+SurgeResult measureSurge(const Profile &profile, const SurgeOptions &surgeOptions, std::uint64_t seed)
 {
+    auto varied = profile;
+    for (auto &operation : varied.operations) {
+        operation.deviation = surgeOptions.deviation;
+    }
     constexpr std::size_t endpoints = 3;
     Random random(seed);
     const std::vector<Phase> phases {{.duration = warmUp, .load = normalLoad}, {.duration = surge, .load = surgeLoad}, {.duration = after, .load = normalLoad}};
-    const auto arrivals = generateArrivals(profile, phases, {.share = stragglers}, endpoints * slots, random);
-    const SimulationOptions options {.endpoints = endpoints, .slots = slots, .schedule = {.longShare = longShare}};
+    const auto arrivals = generateArrivals(varied, phases, {.share = surgeOptions.stragglers}, endpoints * slots, random);
+    const SimulationOptions options {.endpoints = endpoints, .slots = slots, .schedule = {.longShare = surgeOptions.longShare}};
     const auto policy = PolicyRun(options, seed).run(arrivals);
     const auto baseline = BaselineRun(baselineOptions(endpoints), seed).run(arrivals);
 
--- a/tools/policy-bench/scenarios.h
+++ b/tools/policy-bench/scenarios.h
@@ -32,9 +32,14 @@
     double recoveryBaseline = 0.0;
 };
 
+struct SurgeOptions
+{
+    double stragglers = 0.0; ///< part of the arrivals that is 50 times longer
+    double longShare = 0.2; ///< part of the slot time that is guaranteed to long work
+    double deviation = 0.2; ///< standard deviation of the costs of an operation relative to their mean
+};
+
 /// @brief Runs 5 s at normal demand, 10 s at 3 times the capacity, and normal demand again.
-/// @param stragglers part of the arrivals that is 50 times longer
-/// @param longShare part of the slot time that is guaranteed to long work
-SurgeResult measureSurge(const Profile &profile, double stragglers, double longShare, std::uint64_t seed);
+SurgeResult measureSurge(const Profile &profile, const SurgeOptions &options, std::uint64_t seed);
 
 } // namespace waxwing
