--- a/packages/coordination/include/waxwing/coordination/admission_queue.h
+++ b/packages/coordination/include/waxwing/coordination/admission_queue.h
@@ -31,7 +31,7 @@
     double costMargin = 1.3;
     /// Part of the time to its deadline that a statement may be predicted to wait. The rest covers work of higher value
     /// that arrives later, and keeps the queue short enough to drain soon after a peak.
-    double waitShare = 0.7;
+    double waitShare = 0.75;
     CallerShareOptions shares {};
     Duration shareInterval = 5ms; ///< how often the callers over their share are determined
 };
