--- a/tools/standin/endpoint.h
+++ b/tools/standin/endpoint.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "executor.h"
-#include "replicator.h"
 
 #include <waxwing/transport/http_reply.h>
 #include <waxwing/transport/http_server.h>
@@ -28,8 +27,8 @@
 class Endpoint
 {
 public:
-    /// @brief Binds to a member and its replicator, which must outlive this object.
-    Endpoint(boost::asio::io_context &context, Member &member, Replicator &replicator);
+    /// @brief Binds to a member, which must outlive this object.
+    Endpoint(boost::asio::io_context &context, Member &member);
 
     /// @brief Opens the listening sockets.
     /// @return false if an address cannot be used
@@ -57,16 +56,18 @@
     void send(const HttpReply &reply, unsigned status, std::string body, Duration delay);
     void administrate(const HttpRequest &request, const HttpReply &reply);
     void applyFaults();
+    void closeConnection(std::uint64_t connection);
     bool admitConnection(std::uint64_t connection);
     void after(Duration delay, std::function<void()> action);
     void tick();
 
     boost::asio::io_context &m_context;
     Member &m_member;
-    Replicator &m_replicator;
     Executor m_executor;
     std::optional<HttpServer> m_server;
     std::optional<HttpServer> m_adminServer;
+    std::vector<HttpServer> m_retired; // Servers closed by the fault `refuse`.
+    std::uint64_t m_generation = 0; // Number of the present server, in the upper bits of connection identifiers.
     std::set<std::uint64_t> m_known; // Connections whose cost of opening has been paid.
     std::set<std::uint64_t> m_sessions; // Connections that run statements.
     std::vector<std::function<void()>> m_stalled;
--- a/tools/standin/executor.cpp
+++ b/tools/standin/executor.cpp
@@ -84,7 +84,7 @@
     auto answer = response(request, "done");
     answer["rows"] = rows;
     answer["checksum"] = toHex(hash64(result));
-    answer["result"] = std::move(result);
+    answer["result"] = result;
     return answer;
 }
 
@@ -129,11 +129,6 @@
     m_transactions.erase(connection);
 }
 
-void Executor::allConnectionsClosed()
-{
-    m_transactions.clear();
-}
-
 json::object Executor::response(const ExecuteRequest &request, std::string_view outcome) const
 {
     return {{"correlation_id", request.correlation},    {"outcome", outcome}, {"reason", ""}, {"term", m_member.database.term()},
