Test the reserve for short work, the overflow and random loads

Cause: the tuned rules of the slot schedule had no test of their own. Change: tests for the reserve by load, reads that leave the primary to writes, writes that do not delay reads, and a randomised test of the schedule.

--- a/packages/coordination/src/waxwing/coordination/admission_queue_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/admission_queue_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(densityComesBeforeDeadline);
     CPPUNIT_TEST(earlierDeadlineFirstAtEqualDensity);
     CPPUNIT_TEST(unreachableDeadlineIsRefusedAtOnce);
+    CPPUNIT_TEST(writesAheadDoNotDelayReads);
     CPPUNIT_TEST(fifoIgnoresDeadlinesAndClasses);
     CPPUNIT_TEST(fullQueueKeepsTheMoreValuable);
     CPPUNIT_TEST(floodingCallerIsRefusedAndRanksLast);
@@ -80,6 +81,20 @@
         CPPUNIT_ASSERT(!queue.admit(statement(62, 5ms, 101ms + 500us, 1.0), slots, start).refusal);
     }
 
+    // Guards against reads that are refused because of writes that wait for the primary while replicas are free.
+    void writesAheadDoNotDelayReads()
+    {
+        AdmissionQueue<DensityOrder> queue({.waitShare = 1.0});
+        for (std::uint64_t id = 1; id <= 100; ++id) {
+            auto write = statement(id, 5ms, 2s, 4.0);
+            write.requiresPrimary = true;
+            queue.admit(write, {.onPrimary = 3.0, .onReplicas = 6.0}, start);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), queue.size());
+        CPPUNIT_ASSERT(!queue.admit(statement(101, 5ms, 10ms), {.onPrimary = 3.0, .onReplicas = 6.0}, start).refusal);
+        CPPUNIT_ASSERT(queue.admit(statement(102, 5ms, 10ms), {.onPrimary = 3.0}, start).refusal == RefusalReason::DeadlineUnreachable);
+    }
+
     // Guards against a baseline that profits from the policy that it is measured against.
     void fifoIgnoresDeadlinesAndClasses()
     {
--- a/packages/coordination/src/waxwing/coordination/slot_schedule_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/slot_schedule_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <iostream>
+
 using namespace waxwing;
 
 namespace
@@ -45,6 +47,9 @@
     CPPUNIT_TEST(overflowOnlyWithoutFreePreferredSlot);
     CPPUNIT_TEST(statementsThatCanNotRunAreSkipped);
     CPPUNIT_TEST(fifoLetsLongWorkHoldAllSlots);
+    CPPUNIT_TEST(longWorkLeavesTheLoadOfShortWork);
+    CPPUNIT_TEST(readsLeaveThePrimaryToWrites);
+    CPPUNIT_TEST(randomLoadKeepsLimits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +136,97 @@
         const std::vector one {endpoint("a", 2, 2)};
         CPPUNIT_ASSERT(schedule.next(queue, one, anywhere, random, start));
     }
+
+    // Guards against a second long statement that leaves short work less than the slots its load needs, and against long
+    // work that then waits without end.
+    void longWorkLeavesTheLoadOfShortWork()
+    {
+        AdmissionQueue<DensityOrder> queue;
+        queue.admit(statement(1, WorkClass::Long), slots, start);
+        SlotSchedule schedule({.longShare = 0.0});
+        Random random(1);
+        const std::vector one {endpoint("a", 1, 1)};
+        CPPUNIT_ASSERT(schedule.next(queue, one, anywhere, random, start));
+        // 0.5 s of slot time in each second.
+        for (auto now = start - 20s; now < start; now += 10ms) {
+            schedule.recordUse(WorkClass::Short, 5ms, false, now);
+        }
+        CPPUNIT_ASSERT(!schedule.next(queue, one, anywhere, random, start));
+        CPPUNIT_ASSERT(schedule.next(queue, {{endpoint("a", 0, 0)}}, anywhere, random, start));
+        CPPUNIT_ASSERT(schedule.next(queue, one, anywhere, random, start + 1200ms));
+    }
+
+    // Guards against reads that take the slots of the primary, for which writes wait that can run nowhere else.
+    void readsLeaveThePrimaryToWrites()
+    {
+        AdmissionQueue<DensityOrder> queue;
+        auto read = statement(1, WorkClass::Short);
+        read.weight = 4.0;
+        queue.admit(read, slots, start);
+        queue.admit(statement(2, WorkClass::Short, true), slots, start);
+        const SlotSchedule schedule;
+        Random random(1);
+        const std::vector busy {endpoint("a", 2, 0), endpoint("b", 3, 0)};
+        const auto places = [](const QueuedStatement &candidate) {
+            return candidate.requiresPrimary ? RunPlaces {.preferred = EndpointSet(0b01)}
+                                             : RunPlaces {.preferred = EndpointSet(0b10), .overflow = EndpointSet(0b01)};
+        };
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), schedule.next(queue, busy, places, random, start)->statement);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), schedule.next(queue, busy, places, random, start + 6s)->statement);
+        queue.remove(2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), schedule.next(queue, busy, places, random, start)->statement);
+    }
+
+    // Guards against a statement on a full, unusable or unsuitable endpoint, and long work on all slots, for any load.
+    void randomLoadKeepsLimits()
+    {
+        constexpr std::uint64_t seed = 71;
+        std::cerr << " seed " << seed << ' ';
+        Random random(seed);
+        AdmissionQueue<DensityOrder> queue;
+        SlotSchedule schedule;
+        std::vector endpoints {endpoint("a", 0, 0), endpoint("b", 0, 0), endpoint("c", 0, 0)};
+        std::vector<std::pair<std::size_t, WorkClass>> running;
+        auto now = start;
+        std::size_t started = 0;
+        for (std::uint64_t id = 1; id <= 50'000; ++id) {
+            now += random.upTo(2ms);
+            auto offered = statement(id, random.chance(0.1) ? WorkClass::Long : WorkClass::Short, random.chance(0.3));
+            offered.arrivedAt = now;
+            offered.deadline = now + 100ms + random.upTo(2s);
+            queue.admit(offered, SlotSchedule::slotsFor(offered, endpoints, 0), now);
+            queue.takeOverdue(now);
+            auto &changed = endpoints[random.between(0, 2)];
+            if (random.chance(0.02)) {
+                changed.isUsable = !changed.isUsable;
+                changed.limit = random.between(1, 5);
+            }
+            const auto places = [](const QueuedStatement &candidate) {
+                return candidate.requiresPrimary ? RunPlaces {.preferred = EndpointSet(0b001)}
+                                                 : RunPlaces {.preferred = EndpointSet(0b110), .overflow = EndpointSet(0b001)};
+            };
+            while (const auto chosen = schedule.next(queue, endpoints, places, random, now)) {
+                const auto taken = queue.remove(chosen->statement);
+                auto &target = endpoints[chosen->endpoint];
+                CPPUNIT_ASSERT(taken && target.isUsable && target.running < target.limit);
+                CPPUNIT_ASSERT(!taken->requiresPrimary || chosen->endpoint == 0);
+                const bool isLong = taken->workClass == WorkClass::Long;
+                ++target.running;
+                target.runningLong += isLong ? 1 : 0;
+                CPPUNIT_ASSERT(!isLong || target.limit == 1 || target.runningLong < target.limit);
+                running.emplace_back(chosen->endpoint, taken->workClass);
+                ++started;
+            }
+            while (!running.empty() && random.chance(0.6)) {
+                const auto done = running.begin() + static_cast<std::ptrdiff_t>(random.between(0, running.size() - 1));
+                --endpoints[done->first].running;
+                endpoints[done->first].runningLong -= done->second == WorkClass::Long ? 1 : 0;
+                schedule.recordUse(done->second, random.upTo(5ms), queue.size(WorkClass::Long) > 0, now);
+                running.erase(done);
+            }
+        }
+        CPPUNIT_ASSERT(started > 10'000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlotScheduleTest);
