Open connections at once for waiting statements, select hedging by a setting

Cause: a statement without an idle connection waited for the next tick, up to 5 ms. The setting reads.hedge_after_ms had no effect, since the hedging policy takes its delay from the predicted cost. Names with a colon broke transaction identifiers.

--- a/programs/proxy/dispatcher.cpp
+++ b/programs/proxy/dispatcher.cpp
@@ -22,6 +22,7 @@
 constexpr auto storeInterval = 1s;
 // Longest wait for another owner at a planned stop; with no other proxy there is none.
 constexpr auto handoverLimit = 3s;
+constexpr auto gaugeInterval = 1s;
 
 } // namespace
 
@@ -36,7 +37,7 @@
     , m_witness(context)
     , m_control({.addresses = m_options.controlAddresses}, m_sender, [this](wire::Renewal &renewal) { fillRenewal(renewal); })
     , m_intents({.proxy = m_options.name, .incarnation = m_options.incarnation}, [this](const wire::Envelope &message) { return m_control.send(message); })
-    , m_groupContext {context, m_random, m_lease, m_keys, m_explain, m_intents, m_directory, m_options.name}
+    , m_groupContext {context, m_random, m_lease, m_keys, m_explain, m_intents, m_directory, m_options.name, m_options.hedgesReads}
     , m_router({.proxy = m_options.name, .maxWaiting = m_options.maxWaiting}, m_directory, m_explain, m_random, m_sender,
                [this](const std::string &name, const wire::StatementRequest &request, bool ownerFailed) { return localGroup(name, request, ownerFailed); })
 {
@@ -107,6 +108,22 @@
     }
     m_control.tick(now);
     store(now);
+    reportGauges(now);
+}
+
+void Dispatcher::reportGauges(TimePoint now)
+{
+    if (now - m_reportedAt < gaugeInterval) {
+        return;
+    }
+    m_reportedAt = now;
+    auto &metrics = Metrics::instance();
+    metrics.gauge("waxwing_open_requests").set(static_cast<std::int64_t>(m_router.open()));
+    metrics.gauge("waxwing_pending_intent_messages").set(static_cast<std::int64_t>(m_intents.pending()));
+    metrics.gauge("waxwing_groups_owned").set(static_cast<std::int64_t>(m_groups.size()));
+    for (const auto &[name, owned] : m_groups) {
+        metrics.gauge("waxwing_queue_length", "group", name).set(static_cast<std::int64_t>(owned.group->queueLength()));
+    }
 }
 
 std::size_t Dispatcher::unreachablePrimaries(TimePoint now)
--- a/programs/proxy/dispatcher.h
+++ b/programs/proxy/dispatcher.h
@@ -42,6 +42,7 @@
         std::vector<std::string> controlAddresses;
         std::size_t explainCapacity = 4'096;
         std::size_t maxWaiting = 10'000;
+        bool hedgesReads = true;
         std::uint64_t seed = 1;
     };
 
@@ -124,6 +125,7 @@
     void fillRenewal(wire::Renewal &renewal);
     std::size_t unreachablePrimaries(TimePoint now);
     void store(TimePoint now);
+    void reportGauges(TimePoint now);
 
     Options m_options;
     TokenKeyRing m_keys;
@@ -147,6 +149,7 @@
     bool m_hadLease = false;
     bool m_isStorePending = false;
     TimePoint m_storedAt {};
+    TimePoint m_reportedAt {};
     std::optional<TimePoint> m_drainStarted;
 };
 
--- a/programs/proxy/group_context.h
+++ b/programs/proxy/group_context.h
@@ -28,6 +28,7 @@
     IntentClient &intents;
     const Directory &directory;
     std::string proxy; ///< name of this proxy
+    bool hedgesReads = true;
 };
 
 } // namespace waxwing
--- a/programs/proxy/group_members.cpp
+++ b/programs/proxy/group_members.cpp
@@ -194,6 +194,15 @@
     }
 }
 
+void GroupMembers::openConnections(std::size_t waiting, TimePoint now)
+{
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        if (m_states[i].hasFreeSlot() && !m_members[i]->pool.hasIdle()) {
+            m_members[i]->pool.maintain(waiting, now);
+        }
+    }
+}
+
 void GroupMembers::observe(const GroupMember &member, TermPosition applied, TimePoint sentAt)
 {
     m_view.observe(member.name(), applied, sentAt);
--- a/programs/proxy/group_members.h
+++ b/programs/proxy/group_members.h
@@ -46,6 +46,9 @@
     /// @param pollsReplicas whether writes wait for the positions of replicas
     void tick(std::size_t waiting, bool pollsReplicas, TimePoint now);
 
+    /// @brief Opens the connections that waiting statements could use.
+    void openConnections(std::size_t waiting, TimePoint now);
+
     /// @brief Takes over a position from a response.
     void observe(const GroupMember &member, TermPosition applied, TimePoint sentAt);
 
--- a/programs/proxy/owned_group.h
+++ b/programs/proxy/owned_group.h
@@ -83,6 +83,12 @@
         return m_openRequests;
     }
 
+    /// @brief Number of statements that wait for a slot.
+    std::size_t queueLength() const
+    {
+        return m_queue.size();
+    }
+
     GroupMembers &members()
     {
         return m_members;
--- a/programs/proxy/owned_group_schedule.cpp
+++ b/programs/proxy/owned_group_schedule.cpp
@@ -108,6 +108,10 @@
             start(*run, assignment->endpoint, now);
         }
     }
+    if (m_queue.size() > 0 && m_members.hasFreeSlot()) {
+        // What waits may lack only a connection; the next tick is milliseconds away.
+        m_members.openConnections(m_queue.size(), now);
+    }
     m_isScheduling = false;
     for (const auto id : refused) {
         if (auto *run = find(id); run != nullptr && run->phase == StatementRun::Phase::Queued && run->retryOutcome) {
@@ -310,7 +314,7 @@
 
 void OwnedGroup::hedgeDue(TimePoint now)
 {
-    if (m_queue.size() > 0 || !m_members.hasFreeSlot()) {
+    if (!m_context.hedgesReads || m_queue.size() > 0 || !m_members.hasFreeSlot()) {
         return;
     }
     const HedgePolicy policy;
--- a/programs/proxy/proxy_process.cpp
+++ b/programs/proxy/proxy_process.cpp
@@ -40,6 +40,7 @@
             .controlAddresses = settings.controlAddresses,
             .explainCapacity = settings.explainCapacity,
             .maxWaiting = settings.maxWaiting,
+            .hedgesReads = settings.hedgesReads,
             .seed = randomIdentifier()};
 }
 
--- a/programs/proxy/proxy_settings.cpp
+++ b/programs/proxy/proxy_settings.cpp
@@ -15,6 +15,13 @@
 
 constexpr std::array logLevels = {"info"sv, "debug"sv, "warning"sv, "error"sv};
 
+// Transaction identifiers join the names of proxy and group with a colon.
+bool isName(std::string_view text)
+{
+    constexpr std::size_t maxLength = 63;
+    return !text.empty() && text.size() <= maxLength && text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_.") == std::string_view::npos;
+}
+
 void checkAddress(std::vector<std::string> &errors, const std::string &path, std::string_view key, const std::string &address)
 {
     if (!address.empty() && !parseSocketAddress(address)) {
@@ -48,9 +55,12 @@
     values.maxWaiting = static_cast<std::size_t>(file.integer("limits.waiting_for_owner", {.low = 0, .high = 1 << 20, .fallback = 10'000}));
     values.drainNotice = file.milliseconds("drain.notice_ms", {.low = 0, .high = 600'000, .fallback = 2'000});
     values.drainLimit = file.milliseconds("drain.limit_ms", {.low = 0, .high = 3'600'000, .fallback = 30'000});
-    values.hedgeDelay = file.milliseconds("reads.hedge_after_ms", {.low = 0, .high = 600'000, .fallback = 0});
+    values.hedgesReads = file.boolean("reads.hedging", true);
     file.refuseUnknownKeys();
     loaded.errors = file.errors();
+    if (!isName(values.name)) {
+        loaded.errors.push_back(path + ": proxy.name: must be 1 to 63 characters of a-z, 0-9, '-', '_', '.'");
+    }
     if (values.controlAddresses.empty()) {
         loaded.errors.push_back(path + ": control.addresses: missing; at least one address is required");
     }
--- a/programs/proxy/proxy_settings.h
+++ b/programs/proxy/proxy_settings.h
@@ -32,7 +32,7 @@
     std::size_t maxWaiting = 10'000; ///< statements that wait for an owner
     Duration drainNotice = 2s; ///< /healthz answers 503 for this long before connections are closed
     Duration drainLimit = 30s; ///< longest wait for work in flight at a planned stop
-    Duration hedgeDelay = 0ms; ///< a read without an answer after this long is sent to a second replica; 0 for never
+    bool hedgesReads = true; ///< short reads that are stuck are sent to a second replica
 };
 
 /// @brief Result of reading a settings file.
