--- a/programs/control/control_service.cpp
+++ b/programs/control/control_service.cpp
@@ -156,6 +156,7 @@
     }
     m_publisher.reset(static_cast<std::uint32_t>(m_config.term()));
     m_groupsVersion = 0;
+    m_collecting = true;
     m_applied = true;
     refreshGroups();
     refreshDirectory();
@@ -300,8 +301,10 @@
     content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_options.lease.lease).count()));
     content.set_control_term(m_config.term());
     fillConfig(session.configVersion, content);
+    // A lease always comes with the terms: a proxy whose lease had ended may have missed a promotion.
     m_publisher.fill(session.directoryVersion, content);
     fillPeers(content);
+    session.granted = true;
     session.sentConfigVersion = content.config_version();
     session.sentDirectoryVersion = content.directory_version();
     m_ports.sendToProxy(proxy, message);
@@ -380,9 +383,22 @@
     m_state.groups = std::move(groups);
 }
 
+bool ControlService::knowsMembers(const std::string &group) const
+{
+    const auto *members = m_state.directory.members(group);
+    return !m_collecting || (members != nullptr && members->size() >= m_state.groups.at(group));
+}
+
 void ControlService::refreshDirectory()
 {
-    if (!m_active || (!m_applied && m_changedGroups.empty())) {
+    if (!m_active) {
+        return;
+    }
+    if (m_collecting && m_ports.now() - m_activeSince >= m_options.directoryCollection) {
+        m_collecting = false;
+        m_applied = true;
+    }
+    if (!m_applied && m_changedGroups.empty()) {
         return;
     }
     refreshGroups();
@@ -405,7 +421,7 @@
             content.set_owner_epoch(record->owner_epoch());
             *content.mutable_term_history() = record->term_history();
         }
-        if (const auto *members = m_state.directory.members(name)) {
+        if (const auto *members = m_state.directory.members(name); members != nullptr && knowsMembers(name)) {
             for (const auto &[database, member] : *members) {
                 auto &announcement = *content.add_members();
                 announcement = member.announcement;
@@ -432,7 +448,7 @@
     for (auto &[proxy, session] : m_state.sessions) {
         const bool behind = session.sentConfigVersion != m_state.machine.version() || session.sentDirectoryVersion != m_publisher.version();
         // A proxy without a grant has received nothing yet; its grant will carry everything.
-        if (!behind || session.sentDirectoryVersion == 0 || !m_state.leases.isLive({proxy, session.incarnation}, now)) {
+        if (!behind || !session.granted || !m_state.leases.isLive({proxy, session.incarnation}, now)) {
             continue;
         }
         wire::Envelope message;
