Switch over from a primary that announces that it leaves

Cause: a planned stop of a primary was handled like a failure after it was gone. Change: the leader starts a switchover to the most advanced replica that stays; leaving members are the last choice among equals in a promotion.

--- a/packages/coordination/include/waxwing/coordination/promotion.h
+++ b/packages/coordination/include/waxwing/coordination/promotion.h
@@ -22,6 +22,7 @@
     std::string database;
     std::string address;
     std::string failureDomain;
+    bool leaving = false; ///< it announced that it will stop
 };
 
 /// @brief Answer of an endpoint to a status query.
--- a/packages/coordination/src/waxwing/coordination/promotion.cpp
+++ b/packages/coordination/src/waxwing/coordination/promotion.cpp
@@ -257,7 +257,7 @@
 
 bool Promotion::choose(const PromotionFacts &facts, TimePoint now)
 {
-    using Rank = std::tuple<std::uint64_t, std::uint64_t, bool, bool, bool, bool>;
+    using Rank = std::tuple<std::uint64_t, std::uint64_t, bool, bool, bool, bool, bool>;
     std::optional<Rank> best;
     const PromotionMember *chosen = nullptr;
     for (const auto &[database, answer] : m_answers) {
@@ -267,9 +267,13 @@
         }
         // Term and position decide alone: a less advanced member would lose acknowledged writes, so even a member
         // that failed before is asked again if it is the only one that has them.
-        const Rank rank {dataTerm(*facts.record, *answer), answer->position,
-                         !m_excluded.contains(database),   database == m_target,
-                         database != m_failedPrimary,      member->failureDomain != m_failedDomain};
+        const Rank rank {dataTerm(*facts.record, *answer),
+                         answer->position,
+                         !m_excluded.contains(database),
+                         !member->leaving,
+                         database == m_target,
+                         database != m_failedPrimary,
+                         member->failureDomain != m_failedDomain};
         if (!best || rank > *best) {
             best = rank;
             chosen = member;
--- a/programs/control/control_service_test.cpp
+++ b/programs/control/control_service_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(drainingOwnerIsHolderUntilItLetsGo);
     CPPUNIT_TEST(ownerThatIgnoresWithdrawalGetsNoLease);
     CPPUNIT_TEST(intentOfEndedOwnerIsNotRepeated);
+    CPPUNIT_TEST(leavingPrimaryIsSwitchedOver);
     CPPUNIT_TEST(acceptedChangeIsPushed);
     CPPUNIT_TEST(followerNamesTheLeader);
     CPPUNIT_TEST(operatorReceivesAllErrorsAndTheWinner);
@@ -314,6 +315,26 @@
         CPPUNIT_ASSERT_EQUAL(wire::NOT_REPEATED, m_sent["q"].back().intent_reply().state());
     }
 
+    // Guards against writes that fail because a primary stops as announced.
+    void leavingPrimaryIsSwitchedOver()
+    {
+        makeReady();
+        auto content = renewal("p");
+        *content.add_announcements() = announcement("a", true);
+        content.mutable_announcements(0)->set_leaving(true);
+        *content.add_announcements() = announcement("b", false, 4);
+        send("p", content);
+        pass(100ms, {});
+        const auto &hold = m_sent["p"].back().hold_writes();
+        CPPUNIT_ASSERT(hold.group() == "g" && hold.hold_ms() > 0);
+        wire::Envelope held;
+        held.mutable_writes_held()->set_group("g");
+        held.mutable_writes_held()->set_term(1);
+        held.mutable_writes_held()->set_drained(true);
+        m_service->handleMessage("p", std::move(held));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), m_calls.back().address); // more advanced than b
+    }
+
     // Guards against changes that wait for the next renewal.
     void acceptedChangeIsPushed()
     {
--- a/programs/control/promotion_random_test.cpp
+++ b/programs/control/promotion_random_test.cpp
@@ -416,12 +416,14 @@
     void noAcknowledgedWriteIsLostAndNoReplacedPrimaryAcknowledges()
     {
         const char *only = std::getenv("WAXWING_SEED");
-        if (only != nullptr) {
+        const char *more = std::getenv("WAXWING_RUNS");
+        const auto runs = more != nullptr ? std::strtoull(more, nullptr, 10) : only != nullptr ? 1 : seeds;
+        if (runs == 1) {
             log::start({.process = "promotion-random-test"}); // the trace of one seed
         }
         const auto first = only == nullptr ? 1 : std::strtoull(only, nullptr, 10);
         Totals totals;
-        for (std::uint64_t seed = first; seed < first + (only == nullptr ? seeds : 1); ++seed) {
+        for (std::uint64_t seed = first; seed < first + runs; ++seed) {
             Run run(seed);
             const auto result = run.run();
             CPPUNIT_ASSERT_MESSAGE("WAXWING_SEED=" + std::to_string(seed) + ": " + run.violation(), run.violation().empty());
@@ -432,8 +434,8 @@
         }
         std::cout << " seeds from " << first << ": " << totals.acknowledged << " acknowledged writes, " << totals.promotions << " published primaries, "
                   << totals.takenOver << " by a later leader, " << totals.switchovers << " switchovers ";
-        if (only == nullptr) {
-            CPPUNIT_ASSERT(totals.promotions > 3 * seeds && totals.takenOver > 0 && totals.switchovers > 0);
+        if (runs >= seeds) {
+            CPPUNIT_ASSERT(totals.promotions > 3 * runs && totals.takenOver > 0 && totals.switchovers > 0);
         }
     }
 };
--- a/programs/control/promotion_runner.cpp
+++ b/programs/control/promotion_runner.cpp
@@ -85,6 +85,7 @@
     m_published.clear();
     m_followers.clear();
     m_firstPrimaries.clear();
+    m_leavingAttempts.clear();
     for (auto &[group, running] : dropped) {
         for (const auto &waiter : running.waiters) {
             waiter({.reason = "this control process lost leadership; repeat the request with the same change_id"});
@@ -140,7 +141,37 @@
         }
         return;
     }
-    repairFollowers(group);
+    considerLeavingPrimary(group);
+    if (!m_running.contains(group)) {
+        repairFollowers(group);
+    }
+}
+
+void PromotionRunner::considerLeavingPrimary(const std::string &group)
+{
+    const auto &record = *m_state.machine.group(group);
+    const auto *primary = m_state.directory.member(group, record.primary());
+    if (primary == nullptr || !primary->announcement.leaving()) {
+        return;
+    }
+    const auto now = m_ports.now();
+    auto &last = m_leavingAttempts[group];
+    if (now - last < m_options.leavingRetry) {
+        return;
+    }
+    last = now;
+    // The switchover waits until the target has every write, so the position only decides how long.
+    const wire::Announcement *target = nullptr;
+    for (const auto &[name, member] : *m_state.directory.members(group)) {
+        const auto &announced = member.announcement;
+        if (name != record.primary() && !announced.leaving() && announced.term() == record.term()
+            && (target == nullptr || announced.position() > target->position())) {
+            target = &announced;
+        }
+    }
+    if (target != nullptr) {
+        start(group, Promotion::switchover(m_options.promotion, target->database(), now), "primary leaves");
+    }
 }
 
 void PromotionRunner::considerFirstPrimary(const std::string &group, const wire::GroupRecord *record)
@@ -279,8 +310,7 @@
     facts.groupSize = m_state.groupSize(group);
     if (const auto *members = m_state.directory.members(group)) {
         for (const auto &[name, member] : *members) {
-            // A leaving member may answer, since its position counts, and it is followed by its replacement.
-            facts.members.push_back({name, member.announcement.address(), member.announcement.failure_domain()});
+            facts.members.push_back({name, member.announcement.address(), member.announcement.failure_domain(), member.announcement.leaving()});
         }
     }
     facts.mayHold = [this](const wire::Holder &holder) {
--- a/programs/control/promotion_runner.h
+++ b/programs/control/promotion_runner.h
@@ -27,6 +27,7 @@
     Duration cooldown = 5s; ///< between a published promotion and the next one after a failure, against flapping
     Duration endpointTimeout = 500ms; ///< of one call to an endpoint
     Duration followInterval = 500ms; ///< between two calls to a member that does not follow the primary
+    Duration leavingRetry = 1s; ///< between two attempts to switch over from a primary that leaves
     /// A replica that is behind and does not advance for this long was restarted and no longer knows its primary.
     Duration followStall = 1'500ms;
     /// A member is judged by its announcements only this long after a promotion, so that they are newer than it.
@@ -114,6 +115,7 @@
     bool hasFailed(const std::string &group, const wire::GroupRecord &record) const;
     bool areAnnouncementsSettled(const std::string &group) const;
     void start(const std::string &group, Promotion promotion, std::string_view cause);
+    void considerLeavingPrimary(const std::string &group);
     void repairFollowers(const std::string &group);
     void run(const std::string &group);
     void perform(const std::string &group, const PromotionAction &action);
@@ -133,6 +135,7 @@
     std::map<std::string, TimePoint> m_published;
     std::map<std::string, std::map<std::string, Follower>> m_followers; ///< by group and database
     std::map<std::string, FirstPrimary> m_firstPrimaries;
+    std::map<std::string, TimePoint> m_leavingAttempts;
     std::string m_inside; ///< group whose promotion is being advanced
     wire::GroupRecord m_emptyRecord;
     TimePoint m_resetAt;
