--- a/packages/coordination/include/waxwing/coordination/slot_schedule.h
+++ b/packages/coordination/include/waxwing/coordination/slot_schedule.h
@@ -24,6 +24,12 @@
     double longShare = 0.2;
     /// Half-life of the slot time by which the share is measured.
     Duration shareHalfLife = 2s;
+    /// Part of the time that a statement can wait after which it counts as urgent.
+    double patience = 0.5;
+    /// Wait after which long work may take slots that are otherwise kept for short work; at most the part above.
+    Duration longPatience = 1200ms;
+    /// Slots kept for short work: its load plus this many times the square root of it (square-root staffing).
+    double shortReserve = 1.0;
 };
 
 /// @brief Where a statement may run: on a preferred endpoint, or on an overflow one if no preferred one has a free slot.
@@ -61,19 +67,15 @@
     template<class Queue, class Places>
     std::optional<Assignment> next(const Queue &queue, std::span<const EndpointState> endpoints, Places places, Random &random, TimePoint now) const
     {
-        // Most calls find all slots taken; they end before each waiting statement is looked at.
-        if (std::none_of(endpoints.begin(), endpoints.end(), [](const EndpointState &endpoint) { return endpoint.hasFreeSlot(); })) {
-            return std::nullopt;
-        }
         if constexpr (!Queue::OrderType::separatesClasses) {
-            return choose(queue, WorkClass::Short, endpoints, places, random);
+            return choose(queue, WorkClass::Short, endpoints, places, random, now);
         }
         std::array classes {WorkClass::Short, WorkClass::Long};
         if (isLongOwed(now)) {
             std::swap(classes[0], classes[1]);
         }
         for (const auto workClass : classes) {
-            if (const auto assignment = choose(queue, workClass, endpoints, places, random)) {
+            if (const auto assignment = choose(queue, workClass, endpoints, places, random, now)) {
                 return assignment;
             }
         }
@@ -87,27 +89,41 @@
     /// @brief Tells whether long work has had less than its share.
     bool isLongOwed(TimePoint now) const;
 
-    /// @brief Slots that a class can use on the databases that a statement can run on.
+    /// @brief Slots that the class of a statement can use.
     /// @param primary index of the primary, or the number of endpoints if none is known
-    static double slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
+    static AvailableSlots slotsFor(const QueuedStatement &statement, std::span<const EndpointState> endpoints, std::size_t primary);
 
 private:
-    static EndpointSet free(EndpointSet set, WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
+    bool hasWaited(const QueuedStatement &statement, Duration limit, TimePoint now) const;
+    EndpointSet withReserve(std::span<const EndpointState> endpoints, TimePoint now) const;
+    static EndpointSet free(WorkClass workClass, bool separatesClasses, std::span<const EndpointState> endpoints);
 
     template<class Queue, class Places>
-    std::optional<Assignment> choose(const Queue &queue, WorkClass workClass, std::span<const EndpointState> endpoints, Places &places, Random &random) const
+    std::optional<Assignment> choose(const Queue &queue, WorkClass workClass, std::span<const EndpointState> endpoints, Places &places, Random &random,
+                                     TimePoint now) const
     {
+        // Most calls find all slots taken and end before any waiting statement is looked at.
+        constexpr bool separatesClasses = Queue::OrderType::separatesClasses;
+        const auto open = free(workClass, separatesClasses, endpoints);
+        if (open.none()) {
+            return std::nullopt;
+        }
+        const bool isLong = separatesClasses && workClass == WorkClass::Long;
+        const auto unreserved = isLong ? open & withReserve(endpoints, now) : open;
+        const bool isOwed = isLong && isLongOwed(now);
+        // The overflow endpoint is the primary. Reads leave it to the statements that can run nowhere else, as long as
+        // they can wait for a replica. The baseline does not look at other statements.
+        const bool sparesOverflow = isLong || (separatesClasses && queue.hasWaitingForPrimary(workClass));
         EndpointSet chosen;
         const auto *statement = queue.first(workClass, [&](const QueuedStatement &candidate) {
             const RunPlaces where = places(candidate);
-            auto set = free(where.preferred, candidate.workClass, Queue::OrderType::separatesClasses, endpoints);
-            if (set.none()) {
-                set = free(where.overflow, candidate.workClass, Queue::OrderType::separatesClasses, endpoints);
-            }
-            if (set.any()) {
-                chosen = set;
+            const bool isImpatient = isLong && (isOwed || hasWaited(candidate, m_options.longPatience, now));
+            const auto &usable = isImpatient ? open : unreserved;
+            chosen = where.preferred & usable;
+            if (chosen.none() && (!sparesOverflow || hasWaited(candidate, Duration::max(), now))) {
+                chosen = where.overflow & usable;
             }
-            return set.any();
+            return chosen.any();
         });
         if (statement == nullptr) {
             return std::nullopt;
@@ -118,7 +134,8 @@
 
     SlotScheduleOptions m_options;
     DecayingSum m_longUse;
-    DecayingSum m_totalUse;
+    DecayingSum m_totalUse; ///< while long work waits
+    DecayingSum m_shortUse;
 };
 
 } // namespace waxwing
--- a/programs/proxy/owned_group.cpp
+++ b/programs/proxy/owned_group.cpp
@@ -170,9 +170,16 @@
     if (transaction == nullptr) {
         return m_transactions.whyEnded(id);
     }
-    if (transaction->isBusy) {
+    if (transaction->isBusy || (!run.request().service().empty() && run.request().service() != transaction->service)) {
         return RefusalReason::BadTransaction;
     }
+    if (!run.request().session().empty()) {
+        const auto token = decodeSessionToken(run.request().session(), m_context.keys);
+        if (!token) {
+            return RefusalReason::BadSessionToken;
+        }
+        transaction->token.merge(*token);
+    }
     transaction->isBusy = true;
     run.holdsTransaction = true;
     run.service = transaction->service;
@@ -310,13 +317,17 @@
                             .arrivedAt = run.job.arrivedAt,
                             .deadline = run.job.deadline};
     auto slots = SlotSchedule::slotsFor(queued, m_members.states(), m_members.primaryIndex());
-    if (slots <= 0.0) {
+    if (slots.onPrimary <= 0.0 && (queued.requiresPrimary || slots.onReplicas <= 0.0)) {
         // During a failover no slot is there yet; the prediction then assumes those of the next primary.
         const auto states = m_members.states();
         const auto most = std::max_element(states.begin(), states.end(), [](const auto &a, const auto &b) { return a.limit < b.limit; });
-        slots = most == states.end() ? 1.0 : static_cast<double>(std::max<std::size_t>(1, most->limit));
+        slots.onPrimary = most == states.end() ? 1.0 : static_cast<double>(std::max<std::size_t>(1, most->limit));
     }
     const auto result = m_queue.admit(std::move(queued), slots, now);
+    if (!result.refusal) {
+        explain(run, "queued", run.workClass == WorkClass::Long ? "long" : "short");
+    }
+    // From here on the run may be gone: the refusal below ends the write of a session whose reads then enter the queue.
     if (result.displaced) {
         if (auto *displaced = find(result.displaced->statement.id)) {
             refuse(*displaced, result.displaced->reason);
@@ -324,9 +335,7 @@
     }
     if (result.refusal) {
         refuse(run, *result.refusal);
-        return;
     }
-    explain(run, "queued", run.workClass == WorkClass::Long ? "long" : "short");
 }
 
 bool OwnedGroup::cancel(const std::string &requestId)
