--- a/programs/control/control_service.cpp
+++ b/programs/control/control_service.cpp
@@ -34,6 +34,11 @@
     return Metrics::instance().counter(name);
 }
 
+void countRefusal(std::string_view reason)
+{
+    Metrics::instance().counter("waxwing_control_refusals_total", "reason", reason).add();
+}
+
 } // namespace
 
 ControlService::ControlService(const ControlServiceOptions &options, const ConfigMachine &machine, LogPort config, LogPort intents, ControlPorts ports)
@@ -260,6 +265,7 @@
     const auto known = m_state.machine.proxies().find(proxy);
     if (known != m_state.machine.proxies().end() && known->second.incarnation() != session.incarnation
         && m_state.leases.mayHold({proxy, known->second.incarnation()}, m_ports.now())) {
+        countRefusal("other-incarnation");
         return;
     }
     session.registering = true;
@@ -285,12 +291,17 @@
 void ControlService::grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence)
 {
     auto &session = m_state.sessions[proxy];
-    if (session.incarnation != incarnation || m_promotions.blocksLease(proxy)) {
+    if (session.incarnation != incarnation) {
+        return;
+    }
+    if (m_promotions.blocksLease(proxy)) {
+        countRefusal("withdrawal-not-confirmed");
         return;
     }
     const auto now = m_ports.now();
     const bool wasLive = m_state.leases.isLive({proxy, incarnation}, now);
     if (!m_state.leases.grant({proxy, incarnation}, now)) {
+        countRefusal("other-incarnation");
         return;
     }
     m_lastLive[proxy] = now;
@@ -356,6 +367,7 @@
 
 void ControlService::sendNotLeader(const std::string &proxy)
 {
+    countRefusal("not-leader");
     wire::Envelope message;
     message.mutable_not_leader()->set_leader_link_address(m_ports.leaderLinkAddress());
     m_ports.sendToProxy(proxy, message);
@@ -586,6 +598,7 @@
         if (!m_state.leases.isLive({message.intent_begin().proxy(), message.intent_begin().incarnation()}, m_ports.now())) {
             wire::IntentResult refused;
             refused.set_state(wire::UNAVAILABLE);
+            countRefusal("intent-without-lease");
             answerIntent(proxy, correlation, refused);
             return;
         }
--- a/programs/control/operator_api.cpp
+++ b/programs/control/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "http_target.h"
 
 #include <waxwing/state/resource.h>
+#include <waxwing/support/counter.h>
 #include <waxwing/support/metrics.h>
 #include <waxwing/transport/http_request.h>
 #include <waxwing/transport/http_response.h>
@@ -125,6 +126,10 @@
 
 void OperatorApi::handle(const HttpRequest &request, Respond respond)
 {
+    respond = [respond = std::move(respond)](HttpResponse &&response) {
+        Metrics::instance().counter("waxwing_control_responses_total", "status", std::to_string(response.status)).add();
+        respond(std::move(response));
+    };
     const auto target = HttpTarget::parse(request.target);
     const auto &path = target.path;
     if (path.size() == 1 && path[0] == "healthz" && request.method == "GET") {
--- a/programs/control/serve.cpp
+++ b/programs/control/serve.cpp
@@ -177,7 +177,8 @@
             return leader == nullptr || leader->name == m_settings.self.name ? std::string() : leader->httpAddress;
         };
         options.logStatus = [this] {
-            return boost::json::object {{"logs", boost::json::object {{"config", describe(m_configLog)}, {"intents", describe(m_intentLog)}}}};
+            return boost::json::object {{"failure_domain", m_settings.failureDomain},
+                                        {"logs", boost::json::object {{"config", describe(m_configLog)}, {"intents", describe(m_intentLog)}}}};
         };
         return options;
     }
