Allow for the majority's confirmation in admission, tick slowly when idle, count link bytes

Change: ConfirmationTime (90th percentile of the latest 64 waits) moves the deadline of majority writes in the queue forward; the tick is 25 ms without open statements; waxwing_link_bytes_total.

--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/confirmation_time.cpp
@@ -0,0 +1,34 @@
+#include <waxwing/coordination/confirmation_time.h>
+
+#include <algorithm>
+
+namespace waxwing
+{
+
+void ConfirmationTime::observe(Duration waited)
+{
+    m_latest[m_next] = waited;
+    m_next = (m_next + 1) % capacity;
+    m_count = std::min(m_count + 1, capacity);
+    auto sorted = m_latest;
+    const auto place = m_count * 9 / 10;
+    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(m_count);
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(place), end);
+    m_estimate = sorted[place];
+}
+
+Duration ConfirmationTime::estimate() const
+{
+    return m_estimate;
+}
+
+TimePoint ConfirmationTime::runBy(TimePoint deadline, TimePoint now) const
+{
+    if (deadline <= now) {
+        return deadline;
+    }
+    // An estimate from a slow moment must not refuse every write, or no write would correct it.
+    return deadline - std::min(m_estimate, (deadline - now) / 2);
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/confirmation_time_test.cpp
@@ -0,0 +1,50 @@
+#include <waxwing/coordination/confirmation_time.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace waxwing;
+
+class ConfirmationTimeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfirmationTimeTest);
+    CPPUNIT_TEST(estimateCoversNineOfTenWrites);
+    CPPUNIT_TEST(writeIsNeverGivenLessThanHalfOfItsTime);
+    CPPUNIT_TEST(oldWritesAreForgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against running writes whose confirmation then misses the deadline.
+    void estimateCoversNineOfTenWrites()
+    {
+        ConfirmationTime confirmation;
+        for (int i = 1; i <= 20; ++i) {
+            confirmation.observe(std::chrono::milliseconds(10 * i));
+        }
+        CPPUNIT_ASSERT(confirmation.estimate() == 190ms);
+        const TimePoint now {};
+        CPPUNIT_ASSERT(confirmation.runBy(now + 1s, now) == now + 810ms);
+    }
+
+    // Guards against an estimate that refuses all writes for good.
+    void writeIsNeverGivenLessThanHalfOfItsTime()
+    {
+        ConfirmationTime confirmation;
+        confirmation.observe(60s);
+        const TimePoint now {};
+        CPPUNIT_ASSERT(confirmation.runBy(now + 1s, now) == now + 500ms);
+        CPPUNIT_ASSERT(confirmation.runBy(now, now + 1s) == now);
+    }
+
+    // Guards against an estimate that stays high after the replicas have caught up.
+    void oldWritesAreForgotten()
+    {
+        ConfirmationTime confirmation;
+        confirmation.observe(60s);
+        for (int i = 0; i < 64; ++i) {
+            confirmation.observe(5ms);
+        }
+        CPPUNIT_ASSERT(confirmation.estimate() == 5ms);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfirmationTimeTest);
--- a/packages/transport/src/waxwing/transport/link_thread.cpp
+++ b/packages/transport/src/waxwing/transport/link_thread.cpp
@@ -29,6 +29,13 @@
     Metrics::instance().counter("waxwing_link_refusals_total", "reason", reason).add();
 }
 
+void countBytes(std::string_view direction, std::size_t size)
+{
+    static auto &sent = Metrics::instance().counter("waxwing_link_bytes_total", "direction", "sent");
+    static auto &received = Metrics::instance().counter("waxwing_link_bytes_total", "direction", "received");
+    (direction == "sent" ? sent : received).add(static_cast<std::int64_t>(size));
+}
+
 } // namespace
 
 LinkThread::LinkThread(const MessageLinkOptions &options, std::function<void()> notify)
@@ -185,7 +192,9 @@
     } catch (const zmq::error_t &) {
         sent = false; // The ROUTER socket has no such peer.
     }
-    if (!sent) {
+    if (sent) {
+        countBytes("sent", item.frame.size());
+    } else {
         countDrop("not-connected");
         item.kind = Item::Kind::NotSent;
         deliver(std::move(item));
@@ -251,6 +260,9 @@
 
 void LinkThread::deliver(Item &&item)
 {
+    if (item.kind == Item::Kind::Message) {
+        countBytes("received", item.frame.size());
+    }
     if (!m_inbound.push(std::move(item))) {
         countDrop("ring-full");
         return;
--- a/programs/proxy/dispatcher.cpp
+++ b/programs/proxy/dispatcher.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr auto tickInterval = 5ms;
+// Without open statements only probes and renewals are due, every 100 ms and more.
+constexpr auto idleTickInterval = 25ms;
 // Directory changes are stored at most this often; the stored directory only helps to find peers after a restart.
 constexpr auto storeInterval = 1s;
 // Longest wait for another owner at a planned stop; with no other proxy there is none.
@@ -56,9 +58,23 @@
     schedule();
 }
 
+bool Dispatcher::isIdle() const
+{
+    return !m_drainStarted && m_router.open() == 0 && m_intents.pending() == 0
+        && std::all_of(m_groups.begin(), m_groups.end(), [](const auto &entry) { return entry.second.group->isIdle(); });
+}
+
+void Dispatcher::leaveIdle()
+{
+    if (m_isIdle) {
+        schedule(); // Replaces the pending, longer wait.
+    }
+}
+
 void Dispatcher::schedule()
 {
-    m_timer.expires_after(tickInterval);
+    m_isIdle = isIdle();
+    m_timer.expires_after(m_isIdle ? Duration(idleTickInterval) : Duration(tickInterval));
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             tick(Clock::now());
@@ -167,6 +183,7 @@
 void Dispatcher::submit(wire::StatementRequest &&request, StatementJob::Responder respond)
 {
     m_router.submit(std::move(request), Clock::now(), std::move(respond));
+    leaveIdle();
 }
 
 void Dispatcher::announce(const wire::Announcement &announcement)
@@ -369,6 +386,7 @@
                        *reply.mutable_answer() = std::move(answer);
                        m_sender(from, message);
                    }});
+    leaveIdle();
 }
 
 void Dispatcher::onForwardCancel(const LinkPeer &from, const wire::ForwardCancel &cancel)
--- a/programs/proxy/dispatcher.h
+++ b/programs/proxy/dispatcher.h
@@ -114,6 +114,8 @@
 
     void schedule();
     void tick(TimePoint now);
+    bool isIdle() const;
+    void leaveIdle();
     void onGrant(const LinkPeer &from, const wire::Grant &grant);
     void onForward(const LinkPeer &from, wire::Forward &&forward);
     void onForwardCancel(const LinkPeer &from, const wire::ForwardCancel &cancel);
@@ -146,6 +148,7 @@
     std::map<std::pair<std::string, std::uint64_t>, std::pair<std::string, std::string>> m_forwardedHere; // peer and correlation to group and request id
     std::size_t m_unreachable = 0;
     bool m_isReady = false;
+    bool m_isIdle = false; ///< the pending tick is at the longer interval
     bool m_hadLease = false;
     bool m_isStorePending = false;
     TimePoint m_storedAt {};
--- a/programs/proxy/owned_group.cpp
+++ b/programs/proxy/owned_group.cpp
@@ -316,6 +316,9 @@
                             .predictedCost = run.predictedCost,
                             .arrivedAt = run.job.arrivedAt,
                             .deadline = run.job.deadline};
+    if (m_service.policy.predictsDeadlines && run.acknowledgesMajority && run.isAcknowledgedWrite()) {
+        queued.deadline = m_confirmations.runBy(queued.deadline, now);
+    }
     auto slots = SlotSchedule::slotsFor(queued, m_members.states(), m_members.primaryIndex());
     if (slots.onPrimary <= 0.0 && (queued.requiresPrimary || slots.onReplicas <= 0.0)) {
         // During a failover no slot is there yet; the prediction then assumes those of the next primary.
@@ -409,6 +412,7 @@
             beginIntent(*run, now);
         } else if (run->phase == StatementRun::Phase::Acknowledging) {
             m_majority.cancel(id);
+            m_confirmations.observe(now - run->ranAt);
             leaveUnknown(*run, UnknownReason::MajorityNotConfirmed);
         } else if (run->attemptsRunning > 0) {
             leaveUnknown(*run, UnknownReason::DeadlinePassedRunning);
--- a/programs/proxy/owned_group.h
+++ b/programs/proxy/owned_group.h
@@ -9,6 +9,7 @@
 #include "statement_run.h"
 #include "transaction_table.h"
 
+#include <waxwing/coordination/confirmation_time.h>
 #include <waxwing/coordination/majority_wait.h>
 #include <waxwing/coordination/retry_policy.h>
 #include <waxwing/wire/waxwing.pb.h>
@@ -180,6 +181,7 @@
     GroupMembers m_members;
     GroupQueue m_queue;
     MajorityWait m_majority;
+    ConfirmationTime m_confirmations;
     RetryPolicy m_retries;
     TransactionTable m_transactions;
     std::optional<Hold> m_hold;
--- a/programs/proxy/owned_group_outcome.cpp
+++ b/programs/proxy/owned_group_outcome.cpp
@@ -56,6 +56,7 @@
         return;
     }
     run.phase = StatementRun::Phase::Acknowledging;
+    run.ranAt = now;
     run.answer = std::move(response);
     run.servedBy = attempt.member->name();
     m_majority.add(run.id, run.servedBy, position, run.job.deadline);
@@ -186,6 +187,7 @@
         if (run == nullptr || run->phase != StatementRun::Phase::Acknowledging) {
             continue;
         }
+        m_confirmations.observe(now - run->ranAt);
         // The lease may have ended while the write waited.
         if (m_context.lease.acknowledgement(m_name, run->answer.term, now) == Acknowledgement::Allowed) {
             finish(*run, run->answer, run->servedBy);
--- a/programs/proxy/statement_run.h
+++ b/programs/proxy/statement_run.h
@@ -56,6 +56,7 @@
     bool holdsTransaction = false; ///< its transaction is busy with this step
     std::string openedTransaction; ///< by a begin
     EndpointAnswer answer; ///< while acknowledging
+    TimePoint ranAt {}; ///< when the primary answered, while acknowledging
     std::string servedBy;
 
     const wire::StatementRequest &request() const
