--- a/tools/load/generator.cpp
+++ b/tools/load/generator.cpp
@@ -20,7 +20,6 @@
 constexpr auto responseMargin = 1s;
 constexpr unsigned maxAttempts = 6;
 constexpr auto retryDelay = 100ms;
-constexpr auto retryWindow = 5s; // A caller gives up on a keyed write after this time.
 constexpr double ownKeyShare = 0.5; // Share of session reads of the key that the session wrote last.
 constexpr double rollbackShare = 0.2;
 constexpr unsigned transactionWrites = 3;
@@ -159,9 +158,10 @@
 void Generator::exchange(const OperationPointer &operation, ConnectionPool::Connection connection)
 {
     const auto sent = Clock::now();
-    // The planned arrival starts the deadline; a retry gets the full time again.
+    // The planned arrival starts the deadline; a retry gets the full time again, up to the end of the retry window.
     const auto begin = operation->attempt == 0 ? operation->planned : sent;
-    const auto remaining = std::max<Duration>(begin + m_options.deadline - sent, 1ms);
+    const auto end = operation->attempt == 0 ? begin + m_options.deadline : std::min(begin + m_options.deadline, operation->planned + m_options.retryWindow);
+    const auto remaining = std::max<Duration>(end - sent, 1ms);
     const auto request = m_api.request(*operation, m_sessions[operation->session], remaining);
     auto &target = *connection;
     // Shared with the handler, which returns the connection to the pool.
@@ -203,7 +203,8 @@
     if (!operation.operationClass->mustNotRepeat || m_options.isDirect || answer.outcome == "done" || answer.outcome == "failed") {
         return false;
     }
-    return operation.attempt + 1 < maxAttempts && answer.status != 400 && answer.status != 409 && Clock::now() < operation.planned + retryWindow;
+    return operation.attempt + 1 < maxAttempts && answer.status != 400 && answer.status != 409
+        && Clock::now() + retryDelay < operation.planned + m_options.retryWindow;
 }
 
 void Generator::finish(const OperationPointer &operation, const Answer &answer)
