Reserve the 98th percentile of the confirmation time

Cause: 125 of about 1,160 writes that ran in the surge were not confirmed by their deadline. Change: the 98th percentile of the latest 64 waits is reserved instead of the 90th.

--- a/packages/coordination/include/waxwing/coordination/confirmation_time.h
+++ b/packages/coordination/include/waxwing/coordination/confirmation_time.h
@@ -15,7 +15,7 @@
     /// @brief Adds the time from the answer of the primary to the confirmation, or to giving up the wait.
     void observe(Duration waited);
 
-    /// @brief 90th percentile of the latest 64 writes; zero without any.
+    /// @brief 98th percentile of the latest 64 writes; zero without any.
     Duration estimate() const;
 
     /// @brief Latest time at which the primary should have run a write, so that it is confirmed by its deadline.
--- a/packages/coordination/src/waxwing/coordination/confirmation_time.cpp
+++ b/packages/coordination/src/waxwing/coordination/confirmation_time.cpp
@@ -11,7 +11,7 @@
     m_next = (m_next + 1) % capacity;
     m_count = std::min(m_count + 1, capacity);
     auto sorted = m_latest;
-    const auto place = m_count * 9 / 10;
+    const auto place = m_count * 98 / 100;
     const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(m_count);
     std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(place), end);
     m_estimate = sorted[place];
--- a/packages/coordination/src/waxwing/coordination/confirmation_time_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/confirmation_time_test.cpp
@@ -7,22 +7,22 @@
 class ConfirmationTimeTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ConfirmationTimeTest);
-    CPPUNIT_TEST(estimateCoversNineOfTenWrites);
+    CPPUNIT_TEST(estimateCoversAlmostAllWrites);
     CPPUNIT_TEST(writeIsNeverGivenLessThanHalfOfItsTime);
     CPPUNIT_TEST(oldWritesAreForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against running writes whose confirmation then misses the deadline.
-    void estimateCoversNineOfTenWrites()
+    void estimateCoversAlmostAllWrites()
     {
         ConfirmationTime confirmation;
         for (int i = 1; i <= 20; ++i) {
             confirmation.observe(std::chrono::milliseconds(10 * i));
         }
-        CPPUNIT_ASSERT(confirmation.estimate() == 190ms);
+        CPPUNIT_ASSERT(confirmation.estimate() == 200ms);
         const TimePoint now {};
-        CPPUNIT_ASSERT(confirmation.runBy(now + 1s, now) == now + 810ms);
+        CPPUNIT_ASSERT(confirmation.runBy(now + 1s, now) == now + 800ms);
     }
 
     // Guards against an estimate that refuses all writes for good.
