Refuse majority writes that can't be confirmed in time

Cause: traced with the caller history: the 125 unconfirmed writes of the surge were late retries (e.g. attempt 4 with 155 ms left), admitted because the reserve was capped at half of the remaining time. Change: the whole estimate is reserved while it is fresh (2 s); an older one takes at most half of the time, so that writes can correct it. Such a refusal is named deadline-unreachable. The bound knows each single cost and ignores confirmation and latency.

--- a/packages/coordination/src/waxwing/coordination/confirmation_time.cpp
+++ b/packages/coordination/src/waxwing/coordination/confirmation_time.cpp
@@ -5,8 +5,17 @@
 namespace waxwing
 {
 
-void ConfirmationTime::observe(Duration waited)
+namespace
 {
+
+// An estimate from a slow moment must not refuse every write for good, since no write would then correct it.
+constexpr auto trustedFor = 2s;
+
+} // namespace
+
+void ConfirmationTime::observe(Duration waited, TimePoint now)
+{
+    m_observedAt = now;
     m_latest[m_next] = waited;
     m_next = (m_next + 1) % capacity;
     m_count = std::min(m_count + 1, capacity);
@@ -27,8 +36,8 @@
     if (deadline <= now) {
         return deadline;
     }
-    // An estimate from a slow moment must not refuse every write, or no write would correct it.
-    return deadline - std::min(m_estimate, (deadline - now) / 2);
+    const bool isTrusted = m_observedAt + trustedFor >= now;
+    return deadline - (isTrusted ? m_estimate : std::min(m_estimate, (deadline - now) / 2));
 }
 
 } // namespace waxwing
--- a/packages/coordination/src/waxwing/coordination/confirmation_time_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/confirmation_time_test.cpp
@@ -8,7 +8,8 @@
 {
     CPPUNIT_TEST_SUITE(ConfirmationTimeTest);
     CPPUNIT_TEST(estimateCoversAlmostAllWrites);
-    CPPUNIT_TEST(writeIsNeverGivenLessThanHalfOfItsTime);
+    CPPUNIT_TEST(oldEstimateLeavesHalfOfTheTime);
+    CPPUNIT_TEST(writeThatCannotBeConfirmedIsOverdue);
     CPPUNIT_TEST(oldWritesAreForgotten);
     CPPUNIT_TEST_SUITE_END();
 
@@ -18,7 +19,7 @@
     {
         ConfirmationTime confirmation;
         for (int i = 1; i <= 20; ++i) {
-            confirmation.observe(std::chrono::milliseconds(10 * i));
+            confirmation.observe(std::chrono::milliseconds(10 * i), TimePoint {});
         }
         CPPUNIT_ASSERT(confirmation.estimate() == 200ms);
         const TimePoint now {};
@@ -26,22 +27,31 @@
     }
 
     // Guards against an estimate that refuses all writes for good.
-    void writeIsNeverGivenLessThanHalfOfItsTime()
+    void oldEstimateLeavesHalfOfTheTime()
     {
         ConfirmationTime confirmation;
-        confirmation.observe(60s);
-        const TimePoint now {};
+        confirmation.observe(60s, TimePoint {});
+        const auto now = TimePoint {} + 3s;
         CPPUNIT_ASSERT(confirmation.runBy(now + 1s, now) == now + 500ms);
         CPPUNIT_ASSERT(confirmation.runBy(now, now + 1s) == now);
     }
 
+    // Guards against running a late retry whose confirmation is known to miss its deadline.
+    void writeThatCannotBeConfirmedIsOverdue()
+    {
+        ConfirmationTime confirmation;
+        confirmation.observe(200ms, TimePoint {});
+        const auto now = TimePoint {} + 1s;
+        CPPUNIT_ASSERT(confirmation.runBy(now + 155ms, now) < now);
+    }
+
     // Guards against an estimate that stays high after the replicas have caught up.
     void oldWritesAreForgotten()
     {
         ConfirmationTime confirmation;
-        confirmation.observe(60s);
+        confirmation.observe(60s, TimePoint {});
         for (int i = 0; i < 64; ++i) {
-            confirmation.observe(5ms);
+            confirmation.observe(5ms, TimePoint {});
         }
         CPPUNIT_ASSERT(confirmation.estimate() == 5ms);
     }
--- a/programs/proxy/owned_group.cpp
+++ b/programs/proxy/owned_group.cpp
@@ -337,7 +337,7 @@
         }
     }
     if (result.refusal) {
-        refuse(run, *result.refusal);
+        refuse(run, *result.refusal == RefusalReason::DeadlinePassed ? waitReason(run, now) : *result.refusal);
     }
 }
 
@@ -388,7 +388,8 @@
             return RefusalReason::ConnectionFailed;
         }
     }
-    return RefusalReason::DeadlinePassed;
+    // A majority write leaves the queue ahead of its deadline, by the time that its confirmation takes.
+    return run.job.deadline > now ? RefusalReason::DeadlineUnreachable : RefusalReason::DeadlinePassed;
 }
 
 void OwnedGroup::checkDeadlines(TimePoint now)
@@ -412,7 +413,7 @@
             beginIntent(*run, now);
         } else if (run->phase == StatementRun::Phase::Acknowledging) {
             m_majority.cancel(id);
-            m_confirmations.observe(now - run->ranAt);
+            m_confirmations.observe(now - run->ranAt, now);
             leaveUnknown(*run, UnknownReason::MajorityNotConfirmed);
         } else if (run->attemptsRunning > 0) {
             leaveUnknown(*run, UnknownReason::DeadlinePassedRunning);
--- a/programs/proxy/owned_group_outcome.cpp
+++ b/programs/proxy/owned_group_outcome.cpp
@@ -187,7 +187,7 @@
         if (run == nullptr || run->phase != StatementRun::Phase::Acknowledging) {
             continue;
         }
-        m_confirmations.observe(now - run->ranAt);
+        m_confirmations.observe(now - run->ranAt, now);
         // The lease may have ended while the write waited.
         if (m_context.lease.acknowledgement(m_name, run->answer.term, now) == Acknowledgement::Allowed) {
             finish(*run, run->answer, run->servedBy);
