Read the command lines of both tools with one option table

Cause: load tool and stand-in held the same option readers and the same getopt_long loop (three runs of equal lines). Change: OptionTable in support, a template on the options aggregate, with its test; both tools use it. Conclusion: a new tool states only its options.

--- a/tools/load/load_options.h
+++ b/tools/load/load_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/support/option_table.h>
 #include <waxwing/support/time.h>
 
 #include <cstdint>
@@ -47,13 +48,7 @@
     std::string csv; ///< results per 100 ms
 };
 
-/// @brief Result of reading the command line.
-struct ParsedLoadOptions
-{
-    LoadOptions options;
-    std::vector<std::string> errors; ///< one sentence each
-    bool isHelp = false;
-};
+using ParsedLoadOptions = OptionTable<LoadOptions>::Parsed;
 
 /// @brief Reads and checks the command line of `waxwing-load run`.
 ParsedLoadOptions parseLoadOptions(int argc, char **argv);
--- a/tools/standin/standin_options.h
+++ b/tools/standin/standin_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/support/option_table.h>
 #include <waxwing/support/time.h>
 
 #include <cstdint>
@@ -33,13 +34,7 @@
     std::uint64_t seed = 1;
 };
 
-/// @brief Result of reading the command line.
-struct ParsedOptions
-{
-    StandinOptions options;
-    std::vector<std::string> errors; ///< one sentence each
-    bool isHelp = false;
-};
+using ParsedOptions = OptionTable<StandinOptions>::Parsed;
 
 /// @brief Reads and checks the command line.
 ParsedOptions parseOptions(int argc, char **argv);
