Let the control load tool use link keys

Cause: against an installation with CURVE keys the tool received no grants, so that scripts/capacity failed; the figures so far were taken without encryption. Conclusion: the slopes of the control leader are taken with encryption.

--- a/measurements/switchover.gnuplot
+++ b/measurements/switchover.gnuplot
@@ -7,10 +7,10 @@
 set yrange [0:*]
 set grid
 $data0 << END
-1 273.341247
-2 223.958434
-3 198.860887
-4 164.220327
-5 145.849759
+1 277.481802
+2 235.074744
+3 197.34119
+4 162.520274
+5 146.82375
 END
 plot $data0 using 1:2 with linespoints title 'gap'
--- a/tools/control-load/fake_proxy.cpp
+++ b/tools/control-load/fake_proxy.cpp
@@ -14,14 +14,15 @@
 
 } // namespace
 
-FakeProxy::FakeProxy(boost::asio::io_context &context, const std::string &name, std::string address, Duration offset, LoadTotals &totals, VersionSeen onVersion)
+FakeProxy::FakeProxy(boost::asio::io_context &context, const std::string &name, std::string address, const LinkKey &key, Duration offset, LoadTotals &totals,
+                     VersionSeen onVersion)
     : m_name(name)
     , m_address(std::move(address))
     , m_totals(totals)
     , m_onVersion(std::move(onVersion))
     , m_timer(context)
 {
-    auto link = MessageLink::start(context, {.name = name}, [this](const LinkPeer &, wire::Envelope &&message) { receive(message); });
+    auto link = MessageLink::start(context, {.name = name, .key = key}, [this](const LinkPeer &, wire::Envelope &&message) { receive(message); });
     if (!link) {
         throw std::runtime_error("can't start the link of " + name);
     }
--- a/tools/control-load/fake_proxy.h
+++ b/tools/control-load/fake_proxy.h
@@ -37,9 +37,11 @@
     /// @param context runs all callbacks
     /// @param name name of the proxy
     /// @param address link address of the control leader
+    /// @param key link key, may be empty
     /// @param offset time to the first renewal, so that the renewals of all proxies are spread
     /// @param onVersion called when a new configuration version arrives
-    FakeProxy(boost::asio::io_context &context, const std::string &name, std::string address, Duration offset, LoadTotals &totals, VersionSeen onVersion);
+    FakeProxy(boost::asio::io_context &context, const std::string &name, std::string address, const LinkKey &key, Duration offset, LoadTotals &totals,
+              VersionSeen onVersion);
 
     std::uint64_t configVersion() const
     {
--- a/tools/control-load/main.cpp
+++ b/tools/control-load/main.cpp
@@ -1,14 +1,15 @@
 #include "fake_proxy.h"
 
 #include <waxwing/support/identifier.h>
+#include <waxwing/support/option_table.h>
 #include <waxwing/transport/http_connection.h>
 #include <waxwing/transport/http_exchange.h>
 #include <waxwing/transport/http_request.h>
+#include <waxwing/transport/link_key.h>
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <getopt.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -28,11 +29,6 @@
 namespace
 {
 
-constexpr std::string_view usage = R"(Usage: waxwing-control-load --link IP:PORT --http IP:PORT --token TOKEN --pid PID [--proxies N] [--seconds S]
-Keeps the leases of N fake proxies at the control leader, changes a resource five times a second in the second half, and
-prints the figures as one JSON object. PID is the process of the leader, whose CPU time is read.
-)";
-
 constexpr Duration changeInterval = 200ms;
 constexpr Duration renewalInterval = 400ms;
 
@@ -42,10 +38,29 @@
     std::string http;
     std::string token;
     std::string pid;
+    std::string keyFile;
     int proxies = 10;
     int seconds = 20;
 };
 
+using Table = OptionTable<LoadOptions>;
+
+const Table &optionTable()
+{
+    constexpr int maxProxies = 400; // each has a link thread
+    constexpr int maxSeconds = 600;
+    static const Table table {
+        {"link", Table::text("IP:PORT of the link of the control leader", &LoadOptions::link)},
+        {"http", Table::text("IP:PORT of its operator API", &LoadOptions::http)},
+        {"token", Table::text("bearer token of operators", &LoadOptions::token)},
+        {"pid", Table::text("process of the leader, whose processor time is read", &LoadOptions::pid)},
+        {"key-file", Table::text("link key; without it the links are not encrypted", &LoadOptions::keyFile)},
+        {"proxies", Table::number("fake proxies (default 10)", &LoadOptions::proxies, 1, maxProxies)},
+        {"seconds", Table::number("duration (default 20); a resource changes five times a second in the second half", &LoadOptions::seconds, 2, maxSeconds)},
+    };
+    return table;
+}
+
 /// CPU time used by a process so far, in seconds.
 double cpuSeconds(const std::string &pid)
 {
@@ -72,14 +87,15 @@
 class Load
 {
 public:
-    explicit Load(LoadOptions options)
+    Load(LoadOptions options, const LinkKey &key)
         : m_options(std::move(options))
         , m_connection(m_context)
         , m_timer(m_context)
     {
         for (int i = 0; i < m_options.proxies; ++i) {
-            m_proxies.push_back(std::make_unique<FakeProxy>(m_context, "fake-" + std::to_string(i), m_options.link, renewalInterval * i / m_options.proxies,
-                                                            m_totals, [this](std::uint64_t version) { seen(version); }));
+            m_proxies.push_back(std::make_unique<FakeProxy>(m_context, "fake-" + std::to_string(i), m_options.link, key,
+                                                            renewalInterval * i / m_options.proxies, m_totals,
+                                                            [this](std::uint64_t version) { seen(version); }));
         }
     }
 
@@ -181,47 +197,25 @@
 
 int main(int argc, char **argv)
 {
-    const std::array<option, 8> longOptions {{{"link", required_argument, nullptr, 'l'},
-                                              {"http", required_argument, nullptr, 'h'},
-                                              {"token", required_argument, nullptr, 't'},
-                                              {"pid", required_argument, nullptr, 'p'},
-                                              {"proxies", required_argument, nullptr, 'n'},
-                                              {"seconds", required_argument, nullptr, 's'},
-                                              {"help", no_argument, nullptr, '?'},
-                                              {nullptr, 0, nullptr, 0}}};
-    LoadOptions options;
-    int selected = 0;
-    while ((selected = getopt_long(argc, argv, "", longOptions.data(), nullptr)) != -1) {
-        switch (selected) {
-        case 'l':
-            options.link = optarg;
-            break;
-        case 'h':
-            options.http = optarg;
-            break;
-        case 't':
-            options.token = optarg;
-            break;
-        case 'p':
-            options.pid = optarg;
-            break;
-        case 'n':
-            options.proxies = std::atoi(optarg);
-            break;
-        case 's':
-            options.seconds = std::atoi(optarg);
-            break;
-        default:
-            std::cerr << usage;
-            return 2;
+    auto parsed = optionTable().parse(argc, argv);
+    const auto &options = parsed.options;
+    if (!parsed.isHelp && (options.link.empty() || options.http.empty() || options.pid.empty())) {
+        parsed.errors.emplace_back("--link, --http and --pid are required.");
+    }
+    LinkKey key;
+    if (!options.keyFile.empty()) {
+        if (const auto loaded = loadLinkKey(options.keyFile)) {
+            key = loaded.value();
+        } else {
+            parsed.errors.push_back(options.keyFile + ": " + loaded.error().message());
         }
     }
-    constexpr int maxProxies = 400; // each has a link thread
-    constexpr int maxSeconds = 600;
-    if (options.link.empty() || options.http.empty() || options.pid.empty() || options.proxies < 1 || options.proxies > maxProxies || options.seconds < 2
-        || options.seconds > maxSeconds) {
-        std::cerr << usage;
-        return 2;
+    if (parsed.isHelp || !parsed.errors.empty()) {
+        for (const auto &error : parsed.errors) {
+            std::cerr << error << '\n';
+        }
+        std::cerr << "Usage: waxwing-control-load --link IP:PORT --http IP:PORT --pid PID [options]\n" << optionTable().help();
+        return parsed.isHelp ? 0 : 2;
     }
-    return Load(std::move(options)).run();
+    return Load(options, key).run();
 }
