--- a/cmake/WaxwingModule.cmake
+++ b/cmake/WaxwingModule.cmake
@@ -46,7 +46,7 @@
     target_include_directories(${name}_test PRIVATE src ${PROJECT_SOURCE_DIR}/packages/support/testing)
     target_link_libraries(${name}_test PRIVATE ${TEST_LINKS} PkgConfig::CPPUNIT)
     add_test(NAME ${name} COMMAND ${name}_test)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 900)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 1800)
 endfunction()
 
 # waxwing_program(NAME [LINKS target...])
