--- a/packages/state/include/waxwing/state/memory_file_system.h
+++ b/packages/state/include/waxwing/state/memory_file_system.h
@@ -25,7 +25,6 @@
     };
 
     // Shared: open files keep the content while the name table changes, as with an inode.
-    // Shared: a name before and after a crash may stand for the same content, as with hard links.
     std::map<std::string, std::shared_ptr<Content>> names; ///< names as processes see them
     std::map<std::string, std::shared_ptr<Content>> durableNames; ///< names as they are after a crash
     std::optional<std::uint64_t> bytesLeft; ///< free space; nothing for no limit
