--- a/cmake/WaxwingModule.cmake
+++ b/cmake/WaxwingModule.cmake
@@ -2,6 +2,8 @@
 add_library(waxwing_options INTERFACE)
 # Options are aggregates with defaults, so that a call names only the fields that it changes.
 target_compile_options(waxwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+# GCC 12 takes the allocation of Boost.Asio's coroutine frames for one of another kind when it instruments code.
+target_compile_options(waxwing_options INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 if(WAXWING_WERROR)
     target_compile_options(waxwing_options INTERFACE -Werror)
 endif()
@@ -10,7 +12,7 @@
     target_link_options(waxwing_options INTERFACE -fsanitize=address,undefined)
 endif()
 # Boost.Asio without io_uring; the handler type checks are slow to compile.
-target_compile_definitions(waxwing_options INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_BEAST_USE_STD_STRING_VIEW)
+target_compile_definitions(waxwing_options INTERFACE BOOST_ASIO_NO_DEPRECATED)
 
 # waxwing_module(NAME [LINKS target...])
 #
@@ -41,6 +43,9 @@
 #
 # Defines the CppUnit test program NAME_test, run by CTest under NAME.
 function(waxwing_test name)
+    if(WAXWING_SHIPPED_ONLY)
+        return()
+    endif()
     cmake_parse_arguments(TEST "" "" "SOURCES;LINKS" ${ARGN})
     add_executable(${name}_test ${TEST_SOURCES} ${PROJECT_SOURCE_DIR}/packages/support/testing/test_main.cpp)
     target_include_directories(${name}_test PRIVATE src ${PROJECT_SOURCE_DIR}/packages/support/testing)
--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -51,7 +51,7 @@
         , m_files(std::move(files))
         , m_timer(context)
         , m_upkeepTimer(context)
-        , m_members(m_options.address, m_options.initialMembers)
+        , m_members(m_options.address, m_options.initialMembers, m_options.membership)
     {
     }
 
@@ -254,7 +254,7 @@
             m_node->receive(Clock::now(), packet.message());
             scheduleProcess();
         } else {
-            sendPackets(m_members.receive(packet, m_node->log().membership(), m_node->term() == 0 && m_node->log().lastIndex() == 0));
+            sendPackets(m_members.receive(packet, m_node->log().membership(), m_node->term() == 0 && m_node->log().lastIndex() == 0, Clock::now()));
         }
     }
 
@@ -432,7 +432,7 @@
             return;
         }
         m_armed = deadline;
-        m_timer.expires_at(deadline);
+        m_timer.expires_after(deadline - Clock::now());
         m_timer.async_wait([this, alive = std::weak_ptr<int>(m_alive)](const boost::system::error_code &error) {
             if (!error && !alive.expired()) {
                 m_armed.reset();
@@ -454,7 +454,7 @@
             const auto now = Clock::now();
             if (auto change = m_members.nextChange(
                     m_node->log().membership(), [&](MemberId id) { return m_node->isCaughtUp(now, id); },
-                    [&](MemberId id) { return m_node->isActive(now, id); })) {
+                    [&](MemberId id) { return m_node->isActive(now, id); }, now)) {
                 LogIndex index = 0;
                 const auto error = m_node->changeMembership(now, *change, index);
                 if (error == RaftChangeError::None) {
--- a/packages/coordination/include/waxwing/coordination/log_types.h
+++ b/packages/coordination/include/waxwing/coordination/log_types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/log_membership.h>
 #include <waxwing/coordination/raft_node.h>
 
 #include <concepts>
@@ -74,6 +75,7 @@
     /// Addresses of the first members, the same set on each of them, including this one. They form the log together once
     /// all of them are up with empty disks. A member with an empty disk joins an existing log instead, as a learner.
     std::vector<std::string> initialMembers;
+    LogMembership::Options membership; ///< who may become a member
     RaftOptions raft;
     std::size_t proposalLimit = 4096; ///< proposals and reads that wait
     LogIndex snapshotEvery = 10'000; ///< entries between snapshots
--- /dev/null
+++ b/packages/coordination/src/waxwing/coordination/epoch_lease.cpp
@@ -0,0 +1,33 @@
+#include <waxwing/coordination/epoch_lease.h>
+
+#include <algorithm>
+
+namespace waxwing
+{
+
+void EpochLease::renew(TimePoint sentAt, Duration duration)
+{
+    m_expiresAt = std::max(m_expiresAt, sentAt + duration - duration * driftPercent / 100);
+}
+
+void EpochLease::grantEpoch(std::string_view service, std::uint64_t epoch)
+{
+    auto &known = m_epochs[std::string(service)];
+    if (epoch > known.withdrawn) {
+        known.granted = std::max(known.granted, epoch);
+    }
+}
+
+void EpochLease::withdraw(std::string_view service, std::uint64_t epoch)
+{
+    auto &known = m_epochs[std::string(service)];
+    known.withdrawn = std::max(known.withdrawn, epoch);
+}
+
+bool EpochLease::covers(std::string_view service, std::uint64_t epoch, TimePoint now) const
+{
+    const auto known = m_epochs.find(service);
+    return isValid(now) && known != m_epochs.end() && known->second.granted == epoch && epoch > known->second.withdrawn;
+}
+
+} // namespace waxwing
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -16,7 +16,13 @@
 } // namespace
 
 LogMembership::LogMembership(std::string address, std::vector<std::string> initialMembers)
+    : LogMembership(std::move(address), std::move(initialMembers), Options())
+{
+}
+
+LogMembership::LogMembership(std::string address, std::vector<std::string> initialMembers, const Options &options)
     : m_address(std::move(address))
+    , m_options(options)
     , m_initialMembers(std::move(initialMembers))
     , m_nonce(randomIdentifier())
 {
@@ -30,48 +36,88 @@
     m_addresses[id] = m_address;
 }
 
-std::vector<LogMembership::Addressed> LogMembership::receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty)
+bool LogMembership::isInitial(const std::string &address) const
+{
+    return std::binary_search(m_initialMembers.begin(), m_initialMembers.end(), address);
+}
+
+std::vector<LogMembership::Addressed> LogMembership::receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty,
+                                                             TimePoint now)
 {
-    if (packet.has_join()) {
-        const auto &join = packet.join();
-        if (!std::binary_search(m_initialMembers.begin(), m_initialMembers.end(), join.address()) || join.id() == 0 || join.address() == m_address) {
-            return {};
+    if (!packet.has_join()) {
+        if (packet.has_join_reply()) {
+            takeJoinReply(packet.join_reply());
         }
-        learnAddress(join.id(), join.address());
-        if (!membership.members().empty()) {
-            m_joining[join.address()] = join.id();
+        return {};
+    }
+    const auto &join = packet.join();
+    if (join.id() == 0 || join.address().empty() || join.address() == m_address || (!m_options.open && !isInitial(join.address()))) {
+        return {};
+    }
+    takeJoin(join, membership, now);
+    Addressed reply {join.address(), {}};
+    reply.packet.set_from_address(m_address);
+    auto &body = *reply.packet.mutable_join_reply();
+    body.set_id(m_id);
+    body.set_address(m_address);
+    body.set_nonce(join.nonce());
+    body.set_empty(empty);
+    if (m_options.open) {
+        for (const auto &member : membership.members()) {
+            body.add_contacts(member.address());
         }
-        Addressed reply {join.address(), {}};
-        reply.packet.set_from_address(m_address);
-        auto &body = *reply.packet.mutable_join_reply();
-        body.set_id(m_id);
-        body.set_address(m_address);
-        body.set_nonce(join.nonce());
-        body.set_empty(empty);
-        return {std::move(reply)};
-    }
-    const auto &reply = packet.join_reply();
-    if (packet.has_join_reply() && reply.nonce() == m_nonce && reply.address() != m_address
-        && std::binary_search(m_initialMembers.begin(), m_initialMembers.end(), reply.address())) {
+    }
+    return {std::move(reply)};
+}
+
+void LogMembership::takeJoin(const wire::RaftJoin &join, const wire::RaftMembership &membership, TimePoint now)
+{
+    learnAddress(join.id(), join.address());
+    if (!membership.members().empty() && (m_joining.size() < addressLimit || m_joining.contains(join.address()))) {
+        m_joining[join.address()] = {join.id(), now};
+    }
+}
+
+void LogMembership::takeJoinReply(const wire::RaftJoinReply &reply)
+{
+    if (reply.nonce() != m_nonce || reply.address() == m_address) {
+        return;
+    }
+    if (isInitial(reply.address())) {
         if (reply.empty()) {
             m_emptyMembers[reply.address()] = reply.id();
         } else {
             m_emptyMembers.erase(reply.address());
         }
     }
-    return {};
+    for (const auto &contact : reply.contacts()) {
+        if (m_contacts.size() < addressLimit) {
+            m_contacts.insert(contact);
+        }
+    }
 }
 
 bool LogMembership::shouldJoin(const wire::RaftMembership &membership, bool hasLeader) const
 {
     const auto *self = findMember(membership, m_id);
-    return membership.members().empty() || (!hasLeader && self != nullptr && !self->voter());
+    if (membership.members().empty()) {
+        return true;
+    }
+    // In an open log a voter may have been replaced while it was away, which only the others know.
+    return !hasLeader && self != nullptr && (m_options.open || !self->voter());
 }
 
 std::vector<LogMembership::Addressed> LogMembership::joinRequests() const
 {
+    std::set<std::string> addresses(m_initialMembers.begin(), m_initialMembers.end());
+    if (m_options.open) {
+        addresses.insert(m_contacts.begin(), m_contacts.end());
+        for (const auto &[id, address] : m_addresses) {
+            addresses.insert(address);
+        }
+    }
     std::vector<Addressed> requests;
-    for (const auto &address : m_initialMembers) {
+    for (const auto &address : addresses) {
         if (address == m_address) {
             continue;
         }
@@ -89,7 +135,7 @@
 {
     // One member forms the log; the others receive it. Two that did so with different identities of a third one would
     // form two logs.
-    return !m_initialMembers.empty() && m_initialMembers.front() == m_address
+    return m_options.mayForm && !m_initialMembers.empty() && m_initialMembers.front() == m_address
         && std::all_of(m_initialMembers.begin(), m_initialMembers.end(), [this](const auto &address) { return m_emptyMembers.contains(address); });
 }
 
@@ -106,14 +152,23 @@
 }
 
 std::optional<RaftMembershipChange> LogMembership::nextChange(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
-                                                              const std::function<bool(MemberId)> &isActive)
+                                                              const std::function<bool(MemberId)> &isActive, TimePoint now)
 {
+    for (const auto &member : membership.members()) {
+        if (member.id() == m_id || isActive(member.id())) {
+            m_silentSince.erase(member.id());
+        } else {
+            m_silentSince.emplace(member.id(), now);
+        }
+    }
     // A late request of an earlier process must not remove the member that now runs at its address.
     std::erase_if(m_joining, [&](const auto &item) {
-        return std::any_of(membership.members().begin(), membership.members().end(),
-                           [&](const auto &member) { return member.address() == item.first && (member.id() == item.second || isActive(member.id())); });
+        return (m_options.open && now - item.second.at > m_options.joinAge)
+            || std::any_of(membership.members().begin(), membership.members().end(), [&](const auto &member) {
+                   return member.address() == item.first && (member.id() == item.second.id || isActive(member.id()));
+               });
     });
-    for (const auto &[address, id] : m_joining) {
+    for (const auto &[address, joining] : m_joining) {
         for (const auto &member : membership.members()) {
             // The process at this address has a new disk, so the old identity can't come back. Removing it first leaves
             // the same number of members that must answer.
@@ -121,7 +176,10 @@
                 return RaftMembershipChange {RaftMembershipChange::Kind::Remove, member.id(), {}};
             }
         }
-        return RaftMembershipChange {RaftMembershipChange::Kind::AddLearner, id, address};
+        return RaftMembershipChange {RaftMembershipChange::Kind::AddLearner, joining.id, address};
+    }
+    if (m_options.open) {
+        return nextReplacement(membership, isCaughtUp, now);
     }
     for (const auto &member : membership.members()) {
         if (!member.voter() && isCaughtUp(member.id())) {
@@ -131,6 +189,38 @@
     return std::nullopt;
 }
 
+std::optional<RaftMembershipChange> LogMembership::nextReplacement(const wire::RaftMembership &membership,
+                                                                   const std::function<bool(MemberId)> &isCaughtUp, TimePoint now) const
+{
+    const auto isSilent = [&](MemberId id) {
+        const auto since = m_silentSince.find(id);
+        return since != m_silentSince.end() && now - since->second >= m_options.replaceAfter;
+    };
+    std::size_t voters = 0;
+    MemberId silentVoter = 0;
+    MemberId candidate = 0;
+    for (const auto &member : membership.members()) {
+        if (member.voter()) {
+            ++voters;
+            silentVoter = isSilent(member.id()) ? member.id() : silentVoter;
+        } else if (isCaughtUp(member.id())) {
+            candidate = member.id();
+        } else if (isSilent(member.id())) {
+            return RaftMembershipChange {RaftMembershipChange::Kind::Remove, member.id(), {}};
+        }
+    }
+    if (candidate == 0) {
+        return std::nullopt;
+    }
+    if (voters < m_options.voters) {
+        return RaftMembershipChange {RaftMembershipChange::Kind::Promote, candidate, {}};
+    }
+    if (silentVoter != 0) {
+        return RaftMembershipChange {RaftMembershipChange::Kind::Remove, silentVoter, {}};
+    }
+    return std::nullopt;
+}
+
 void LogMembership::learnAddress(MemberId id, const std::string &address)
 {
     if (!address.empty() && (m_addresses.size() < addressLimit || m_addresses.contains(id))) {
--- /dev/null
+++ b/packages/protocol/include/waxwing/protocol/session_request.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <waxwing/protocol/session_statement.h>
+
+#include <string>
+
+namespace waxwing
+{
+
+/// @brief One message of a caller.
+struct SessionRequest
+{
+    enum class Kind {
+        Start,
+        Statement,
+        Terminate,
+        Malformed,
+    };
+
+    Kind kind = Kind::Malformed;
+    std::string database; ///< Start
+    SessionStatement statement; ///< Statement
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <waxwing/coordination/connection_state.h>
+#include <waxwing/platform/line_reader.h>
+#include <waxwing/platform/reply_reader.h>
+#include <waxwing/protocol/pool_reply.h>
+#include <waxwing/support/time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief One connection to a database.
+class DatabaseConnection
+{
+public:
+    /// Who is on the other side.
+    struct Target
+    {
+        std::string address; ///< IP:port
+        std::string service;
+        std::string database; ///< identity that the other side must confirm
+        std::string caller; ///< name of this process
+    };
+
+    enum class OpenResult {
+        Open,
+        Refused, ///< nothing listens there
+        Silent, ///< no answer in time, or the connection was lost
+        WrongInstance, ///< another database answers there
+        Full, ///< the database takes no more connections
+    };
+
+    enum class RunStatus {
+        Complete,
+        NotSent, ///< the connection had ended before; nothing was sent
+        Lost, ///< the connection ended; what was sent may have run
+        TimedOut, ///< no answer in time; what was sent may have run
+    };
+
+    /// Answers of one call of run().
+    struct RunResult
+    {
+        RunStatus status = RunStatus::Complete;
+        std::vector<PoolReply> replies; ///< in the order of the commands; all of them if the status is Complete
+    };
+
+    explicit DatabaseConnection(const boost::asio::any_io_executor &executor);
+    ~DatabaseConnection();
+    DatabaseConnection(const DatabaseConnection &) = delete;
+    DatabaseConnection &operator=(const DatabaseConnection &) = delete;
+
+    /// @brief Connects and starts a session.
+    boost::asio::awaitable<OpenResult> open(Target target, TimePoint deadline);
+
+    /// @brief Sends commands in one write and reads their answers. The connection is closed unless all answers came.
+    /// @param bytes encoded commands
+    /// @param commands number of commands
+    boost::asio::awaitable<RunResult> run(std::string bytes, std::size_t commands, TimePoint deadline);
+
+    /// @brief Closes the connection; a pending run() ends with Lost.
+    void close();
+
+    bool isOpen() const
+    {
+        return m_open;
+    }
+
+    /// @brief Values and prepared statements of the connection.
+    ConnectionState &state()
+    {
+        return m_state;
+    }
+
+    /// @brief End of the database's log as the last answer told it.
+    const std::optional<TermPosition> &position() const
+    {
+        return m_position;
+    }
+
+private:
+    bool hasEnded();
+    void startTimer(TimePoint deadline);
+    boost::asio::awaitable<bool> readReply(PoolReply &reply);
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    platform::LineReader m_lines;
+    platform::ReplyReader m_replies;
+    ConnectionState m_state;
+    std::optional<TermPosition> m_position;
+    bool m_open = false;
+    bool m_timedOut = false;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <waxwing/coordination/session_state.h>
+#include <waxwing/sessions/database_connection.h>
+#include <waxwing/support/time.h>
+#include <waxwing/wire/sessions.pb.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief Connections of this proxy to one database, and the statements that wait for one. One thread.
+class DatabasePool : public std::enable_shared_from_this<DatabasePool> // sessions may hold a connection when the directory drops the pool
+{
+public:
+    struct Options
+    {
+        std::string caller; ///< name of this process
+        std::size_t limit = 2; ///< largest number of connections
+        Duration connectTimeout = 1s; ///< a connection takes 12 to 27 ms of a slot and up to two round trips of 40 ms
+        Duration fullPause = 500ms; ///< after the database refused a connection for their number
+        Duration failurePause = 150ms; ///< after a failed attempt to connect; doubled up to the next
+        Duration failurePauseHigh = 1s;
+    };
+
+    /// Returned connection.
+    using ConnectionPointer = std::unique_ptr<DatabaseConnection>;
+
+    DatabasePool(const boost::asio::any_io_executor &executor, const wire::PoolMember &member, Options options);
+    ~DatabasePool();
+
+    /// @brief Takes a connection; waits in the order of priority and arrival.
+    /// @param session chooses an idle connection that fits
+    /// @param priority 0 is the highest
+    /// @return null if none was free in time, or the database can't be reached
+    boost::asio::awaitable<ConnectionPointer> acquire(const SessionState &session, int priority, TimePoint deadline);
+
+    /// @brief Returns a connection that acquire() gave; one that is closed is dropped.
+    void release(ConnectionPointer connection);
+
+    /// @brief Takes over what the directory says.
+    void update(const wire::PoolMember &member);
+
+    /// @brief Changes the largest number of connections.
+    void setLimit(std::size_t limit);
+
+    /// @brief Opens connections ahead of their use.
+    /// @param count number that should be open
+    void warm(std::size_t count);
+
+    /// @brief Closes all idle connections and refuses everything from now on.
+    void shut();
+
+    /// @brief Takes note that statements were sent.
+    void noteSent(TimePoint now);
+
+    /// @brief Takes note of the answer to statements that were sent.
+    void noteReply(TimePoint now);
+
+    /// @brief Takes note that statements that were sent got no answer.
+    void noteSilence(TimePoint now);
+
+    /// @brief Tells whether the database did not answer lately and should be avoided.
+    bool isSuspect(TimePoint now) const
+    {
+        return now < m_avoidUntil;
+    }
+
+    /// @brief Tells whether statements wait for an answer for longer than a time, without any answer meanwhile.
+    bool isSilent(TimePoint now, Duration limit) const;
+
+    /// @brief Statements that run or wait.
+    std::size_t load() const
+    {
+        return m_busy + m_waiting.size();
+    }
+
+    const wire::PoolMember &member() const
+    {
+        return m_member;
+    }
+
+    bool isShut() const
+    {
+        return m_shut;
+    }
+
+    /// @brief Consecutive failed attempts to reach the database.
+    unsigned failures() const
+    {
+        return m_failures;
+    }
+
+private:
+    struct Waiter
+    {
+        int priority = 0;
+        const SessionState *session = nullptr;
+        boost::asio::steady_timer signal;
+        ConnectionPointer connection;
+        bool failed = false;
+    };
+
+    ConnectionPointer takeIdle(const SessionState &session);
+    ConnectionPointer hand(ConnectionPointer connection);
+    void openMore();
+    boost::asio::awaitable<void> openOne();
+    void failWaiters();
+    void noteOpenFailure(DatabaseConnection::OpenResult result, TimePoint now);
+
+    boost::asio::any_io_executor m_executor;
+    wire::PoolMember m_member;
+    Options m_options;
+    std::vector<ConnectionPointer> m_idle;
+    std::list<Waiter *> m_waiting; ///< by priority, then arrival
+    std::size_t m_count = 0; ///< open or opening
+    std::size_t m_opening = 0;
+    std::size_t m_busy = 0;
+    std::size_t m_warm = 0;
+    std::size_t m_running = 0; ///< exchanges that wait for an answer
+    TimePoint m_runningSince; ///< since then at least one exchange has been waiting
+    TimePoint m_lastReply;
+    TimePoint m_avoidUntil;
+    TimePoint m_openAfter; ///< no new connection before
+    unsigned m_failures = 0;
+    bool m_shut = false;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <waxwing/sessions/client_session.h>
+#include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/statement_path.h>
+#include <waxwing/transport/transport_error.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace waxwing
+{
+
+/// @brief Accepts callers and keeps their sessions. One thread.
+class SessionServer
+{
+public:
+    /// @param maxSessions further callers wait in the queue of the listening socket
+    SessionServer(boost::asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions);
+
+    /// @brief Opens the listening socket.
+    /// @param address IP:port
+    /// @return success, or TransportError::BadAddress or ListenFailed
+    TransportResult<void> listen(std::string_view address);
+
+    /// @brief Port that the server listens on.
+    unsigned short port() const;
+
+    /// @brief Stops accepting callers.
+    void stopAccepting();
+
+    /// @brief Closes the sessions that have nothing open or outstanding.
+    /// @return number of sessions that are left
+    std::size_t closeIdle();
+
+    /// @brief Rolls open transactions back that wait for their caller.
+    void abortTransactions(std::string_view reason);
+
+    /// @brief Number of sessions.
+    std::size_t sessions() const
+    {
+        return m_sessions.size();
+    }
+
+private:
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context &m_context;
+    SessionDirectory &m_directory;
+    StatementPath m_path;
+    std::size_t m_maxSessions;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<ClientSession *> m_sessions; ///< each lives in its coroutine
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -0,0 +1,507 @@
+#include <waxwing/sessions/client_session.h>
+
+#include "socket_options.h"
+
+#include <waxwing/platform/caller_wire.h>
+#include <waxwing/platform/database_wire.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readBytes = 4096; // more than the usual request of 200 bytes
+
+// Callers that vanish are noticed within half a minute, at one probe each 20 s.
+constexpr Duration callerUnacknowledged = 10s;
+constexpr Duration callerKeepAliveIdle = 20s;
+// Answers are complete this long before the statement's time is over, for their way back.
+constexpr Duration answerMargin = 30ms;
+// Pause before a commit is offered again to a database without a free slot; about one statement.
+constexpr Duration busyPause = 10ms;
+
+Counter &outcomeCounter(SessionError error)
+{
+    static auto &done = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "done");
+    static auto &refused = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "not-run");
+    static auto &failed = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "failed");
+    static auto &unknown = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "unknown");
+    switch (error) {
+    case SessionError::None:
+        return done;
+    case SessionError::Failed:
+        return failed;
+    case SessionError::Unknown:
+    case SessionError::TimedOut:
+        return unknown;
+    default:
+        return refused;
+    }
+}
+
+} // namespace
+
+ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementPath &path)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_directory(directory)
+    , m_path(path)
+{
+    tuneSocket(m_socket, callerUnacknowledged, callerKeepAliveIdle);
+}
+
+asio::awaitable<void> ClientSession::serve()
+{
+    std::string line;
+    while (!m_ended) {
+        const bool received = co_await readLine(line);
+        if (!received) {
+            break;
+        }
+        m_handling = true;
+        auto request = platform::decodeRequest(line);
+        if (request.kind == SessionRequest::Kind::Terminate) {
+            break;
+        }
+        std::string answer = co_await handle(std::move(request));
+        const bool sent = co_await send(std::move(answer));
+        m_handling = false;
+        if (!sent) {
+            break;
+        }
+    }
+    m_ended = true;
+    if (m_transactionState == TransactionState::Open) {
+        dropTransaction(TransactionState::Open);
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+asio::awaitable<bool> ClientSession::readLine(std::string &line)
+{
+    while (true) {
+        if (const auto next = m_lines.next()) {
+            line.assign(*next);
+            co_return true;
+        }
+        if (m_lines.isOverflowing()) {
+            std::string refusal = platform::encodeStartRefusal(SessionError::TooLarge, "a message has at most 1 MiB");
+            co_await send(std::move(refusal));
+            co_return false;
+        }
+        const auto config = m_directory.config();
+        if (m_transactionState == TransactionState::Open && config && config->transactionIdle != Duration::zero()) {
+            m_timer.expires_after(config->transactionIdle);
+            m_timer.async_wait([this](const boost::system::error_code &error) {
+                if (!error) {
+                    abortTransaction("idle for too long");
+                }
+            });
+        }
+        std::array<char, readBytes> chunk {};
+        auto [error, size] = co_await m_socket.async_read_some(asio::buffer(chunk), useTuple);
+        m_timer.cancel();
+        if (error) {
+            co_return false;
+        }
+        m_receivedAt = Clock::now();
+        m_lines.add(std::string_view(chunk.data(), size));
+    }
+}
+
+asio::awaitable<bool> ClientSession::send(std::string bytes)
+{
+    auto [error, size] = co_await asio::async_write(m_socket, asio::buffer(bytes), useTuple);
+    co_return !error;
+}
+
+asio::awaitable<std::string> ClientSession::handle(SessionRequest request)
+{
+    if (request.kind == SessionRequest::Kind::Statement && !m_database.empty()) {
+        std::string answer = co_await handleStatement(std::move(request.statement));
+        co_return answer;
+    }
+    if (request.kind == SessionRequest::Kind::Start && m_database.empty()) {
+        co_return start(request.database);
+    }
+    m_ended = true;
+    co_return platform::encodeStartRefusal(SessionError::Malformed, "not a valid message");
+}
+
+std::string ClientSession::start(const std::string &database)
+{
+    m_database = database;
+    if (!m_directory.config()) {
+        m_ended = true;
+        outcomeCounter(SessionError::Busy).add();
+        return platform::encodeStartRefusal(SessionError::Busy, "no configuration yet");
+    }
+    if (route() == nullptr) {
+        m_ended = true;
+        outcomeCounter(SessionError::UnknownDatabase).add();
+        return platform::encodeStartRefusal(SessionError::UnknownDatabase, "no such database");
+    }
+    return platform::encodeReady(m_transactionState);
+}
+
+const PoolRoute *ClientSession::route() const
+{
+    const auto &config = m_directory.config();
+    if (!config) {
+        return nullptr;
+    }
+    const auto found = config->routes.find(m_database);
+    return found == config->routes.end() ? nullptr : &found->second;
+}
+
+asio::awaitable<std::string> ClientSession::handleStatement(SessionStatement statement)
+{
+    using Kind = SessionStatement::Kind;
+    if (m_transactionState == TransactionState::Failed) {
+        co_return co_await handleFailed(statement);
+    }
+    const bool open = m_transactionState == TransactionState::Open;
+    switch (statement.kind) {
+    case Kind::SetValue:
+    case Kind::Prepare:
+    case Kind::Deallocate:
+        co_return keep(statement);
+    case Kind::Begin:
+    case Kind::BeginReadOnly:
+        if (!open) {
+            co_return begin(statement.kind == Kind::BeginReadOnly);
+        }
+        break;
+    case Kind::Rollback:
+        if (open) {
+            co_return rollback();
+        }
+        break;
+    case Kind::Commit:
+        if (open) {
+            co_return co_await commit(std::move(statement));
+        }
+        break;
+    case Kind::Read:
+    case Kind::Write:
+    case Kind::Execute:
+        if (open) {
+            co_return co_await runInTransaction(std::move(statement));
+        }
+        co_return co_await runSingle(std::move(statement));
+    case Kind::Unreadable:
+        break;
+    }
+    outcomeCounter(SessionError::Malformed).add();
+    co_return platform::encodeError(SessionError::Malformed, "not valid here", m_transactionState);
+}
+
+asio::awaitable<std::string> ClientSession::handleFailed(const SessionStatement &statement)
+{
+    using Kind = SessionStatement::Kind;
+    if (statement.kind == Kind::Rollback) {
+        m_transactionState = TransactionState::Idle;
+        co_return platform::encodeAccepted(m_transactionState);
+    }
+    if (statement.kind == Kind::Commit) {
+        m_transactionState = TransactionState::Idle;
+        co_return platform::encodeError(SessionError::Aborted, "the transaction was rolled back", m_transactionState);
+    }
+    // A transaction that was ended between two statements is told with the next one.
+    auto failure = std::exchange(m_transaction.failure, {});
+    const auto error = failure.empty() ? SessionError::Malformed : SessionError::Aborted;
+    outcomeCounter(error).add();
+    co_return platform::encodeError(error, failure.empty() ? "the transaction has failed" : failure, m_transactionState);
+}
+
+std::string ClientSession::keep(const SessionStatement &statement)
+{
+    using Kind = SessionStatement::Kind;
+    if (statement.kind == Kind::SetValue) {
+        m_state.values[statement.name] = statement.value;
+    } else if (statement.kind == Kind::Prepare) {
+        m_state.prepared[statement.name] = {statement.writes, statement.shape};
+    } else if (m_state.prepared.erase(statement.name) == 0) {
+        return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
+    }
+    return platform::encodeAccepted(m_transactionState);
+}
+
+std::string ClientSession::begin(bool readOnly)
+{
+    const auto *known = route();
+    if (known == nullptr) {
+        return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
+    }
+    m_transaction = {};
+    m_transaction.route = *known;
+    m_transaction.readOnly = readOnly;
+    m_transactionState = TransactionState::Open;
+    return platform::encodeAccepted(m_transactionState);
+}
+
+std::string ClientSession::rollback()
+{
+    dropTransaction(TransactionState::Open);
+    m_transactionState = TransactionState::Idle;
+    return platform::encodeAccepted(m_transactionState);
+}
+
+void ClientSession::dropTransaction(TransactionState connectionState)
+{
+    if (m_transaction.connection) {
+        asio::co_spawn(m_socket.get_executor(),
+                       StatementPath::returnClean(std::move(m_transaction.pool), std::move(m_transaction.connection), connectionState), asio::detached);
+    }
+    m_transaction.connection = nullptr;
+    m_transaction.pool = nullptr;
+}
+
+std::string ClientSession::failTransaction(SessionError error, std::string_view text, TransactionState connectionState)
+{
+    outcomeCounter(error).add();
+    dropTransaction(connectionState);
+    m_transactionState = TransactionState::Failed;
+    return platform::encodeError(error, text, m_transactionState);
+}
+
+void ClientSession::abortTransaction(std::string_view reason)
+{
+    if (m_handling || m_transactionState != TransactionState::Open) {
+        return;
+    }
+    dropTransaction(TransactionState::Open);
+    m_transactionState = TransactionState::Failed;
+    m_transaction.failure = "rolled back: " + std::string(reason);
+}
+
+bool ClientSession::closeIfIdle()
+{
+    boost::system::error_code ignored;
+    if (m_handling || m_transactionState != TransactionState::Idle || !m_lines.isEmpty() || m_socket.available(ignored) != 0) {
+        return false;
+    }
+    m_ended = true;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    return true;
+}
+
+std::optional<SessionJob> ClientSession::makeJob(const SessionStatement &statement, const PoolRoute &route) const
+{
+    SessionJob job;
+    job.route = route;
+    job.session = &m_state;
+    job.id = statement.id;
+    job.text = statement.text;
+    job.writes = statement.kind == SessionStatement::Kind::Write;
+    job.receivedAt = m_receivedAt;
+    job.deadline = m_receivedAt + route.statementTimeout - std::min(answerMargin, route.statementTimeout / 4);
+    if (statement.kind == SessionStatement::Kind::Execute) {
+        const auto known = m_state.prepared.find(statement.name);
+        if (known == m_state.prepared.end()) {
+            return std::nullopt;
+        }
+        job.prepared = known->second;
+        job.writes = known->second.writes;
+        job.text = platform::executeText(ConnectionState::sharedName(known->second), statement.arguments);
+    }
+    return job;
+}
+
+void ClientSession::noteCommit(const std::string &service, const PoolReply &reply)
+{
+    if (reply.position) {
+        auto &position = m_state.positions[service];
+        position = std::max(position, *reply.position);
+    }
+}
+
+std::string ClientSession::logUnknown(const SessionStatement &statement, const PoolRoute &route, const std::string &text, std::string answer) const
+{
+    const auto now = Clock::now();
+    log::write(log::Level::Info, "outcome unknown",
+               {{"request", statement.id},
+                {"service", route.service},
+                {"reason", text},
+                {"held_ms", toMilliseconds(now - m_receivedAt).count()},
+                {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
+                {"directory_version", m_directory.directoryVersion()}});
+    return answer;
+}
+
+asio::awaitable<std::string> ClientSession::runSingle(SessionStatement statement)
+{
+    const auto *known = route();
+    if (known == nullptr) {
+        outcomeCounter(SessionError::UnknownDatabase).add();
+        co_return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
+    }
+    const auto job = makeJob(statement, *known);
+    if (!job) {
+        co_return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
+    }
+    const auto result = co_await m_path.run(*job);
+    outcomeCounter(result.error).add();
+    if (result.error == SessionError::None) {
+        if (job->writes) {
+            noteCommit(job->route.service, result.reply);
+        }
+        co_return platform::encodeResult(result.reply, m_transactionState);
+    }
+    auto answer = platform::encodeError(result.error, result.text, m_transactionState);
+    co_return result.error == SessionError::Unknown ? logUnknown(statement, job->route, result.text, std::move(answer)) : std::move(answer);
+}
+
+asio::awaitable<std::string> ClientSession::beginWith(SessionStatement statement, bool commits)
+{
+    auto job = makeJob(statement, m_transaction.route);
+    if (!job) {
+        co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement", TransactionState::Open);
+    }
+    job->begins = true;
+    job->readOnly = m_transaction.readOnly;
+    job->commits = commits;
+    auto result = co_await m_path.run(*job);
+    if (commits) {
+        m_transactionState = TransactionState::Idle;
+        outcomeCounter(result.error).add();
+        co_return result.error == SessionError::None ? platform::encodeResult(result.reply, m_transactionState)
+                                                     : platform::encodeError(result.error, result.text, m_transactionState);
+    }
+    if (result.error != SessionError::None) {
+        co_return failTransaction(result.error, result.text, TransactionState::Open);
+    }
+    outcomeCounter(result.error).add();
+    m_transaction.connection = std::move(result.connection);
+    m_transaction.pool = std::move(result.pool);
+    m_transaction.writes = job->writes;
+    if (!m_transaction.connection) {
+        co_return failTransaction(SessionError::Aborted, "the database ended the transaction", TransactionState::Idle);
+    }
+    co_return platform::encodeResult(result.reply, m_transactionState);
+}
+
+asio::awaitable<std::string> ClientSession::runInTransaction(SessionStatement statement)
+{
+    if (!m_transaction.connection) {
+        std::string answer = co_await beginWith(std::move(statement), false);
+        co_return answer;
+    }
+    const auto job = makeJob(statement, m_transaction.route);
+    if (!job) {
+        co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement", TransactionState::Open);
+    }
+    auto &connection = *m_transaction.connection;
+    m_transaction.writes = m_transaction.writes || job->writes;
+    while (true) {
+        std::string bytes;
+        std::size_t commands = 1;
+        const auto *prepared = job->prepared ? &*job->prepared : nullptr;
+        const auto preparation = connection.state().compare(m_state, prepared);
+        // Values only grow or change within a session, so that nothing has to be discarded on its own connection.
+        for (const auto &[name, value] : preparation.values) {
+            bytes += platform::encodeOwnStatement(platform::setText(name, value));
+            ++commands;
+        }
+        if (preparation.prepare) {
+            bytes += platform::encodeOwnStatement(platform::prepareText(ConnectionState::sharedName(*prepared), prepared->writes, prepared->shape));
+            ++commands;
+        }
+        connection.state().apply(preparation, prepared);
+        bytes += platform::encodeStatement(statement.id, job->text);
+        m_transaction.pool->noteSent(Clock::now());
+        auto answer = co_await connection.run(std::move(bytes), commands, job->deadline);
+        if (answer.status != DatabaseConnection::RunStatus::Complete) {
+            m_transaction.pool->noteSilence(Clock::now());
+            co_return failTransaction(SessionError::Aborted, "the connection to the database was lost; nothing is kept", TransactionState::Idle);
+        }
+        m_transaction.pool->noteReply(Clock::now());
+        auto &reply = answer.replies.back();
+        if (reply.error == SessionError::None) {
+            outcomeCounter(reply.error).add();
+            co_return platform::encodeResult(reply, m_transactionState);
+        }
+        if (reply.error == SessionError::Busy && reply.state == TransactionState::Open && Clock::now() + busyPause < job->deadline) {
+            asio::steady_timer pause(co_await asio::this_coro::executor, busyPause);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
+        co_return failTransaction(reply.error, reply.errorText, reply.state);
+    }
+}
+
+asio::awaitable<std::string> ClientSession::commit(SessionStatement statement)
+{
+    if (!m_transaction.connection) {
+        std::string answer = co_await beginWith(std::move(statement), true);
+        co_return answer;
+    }
+    const auto route = m_transaction.route;
+    const auto deadline = m_receivedAt + route.statementTimeout - std::min(answerMargin, route.statementTimeout / 4);
+    auto *service = m_directory.service(route.service);
+    while (true) {
+        const bool counted = service != nullptr && m_transaction.writes;
+        m_transaction.pool->noteSent(Clock::now());
+        if (counted) {
+            service->noteWriteSent(Clock::now());
+        }
+        std::string bytes = platform::encodeStatement(statement.id, statement.text);
+        auto answer = co_await m_transaction.connection->run(std::move(bytes), 1, deadline);
+        const auto now = Clock::now();
+        const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
+        if (counted) {
+            service->noteWriteEnded(complete, now);
+        }
+        if (!complete) {
+            m_transaction.pool->noteSilence(now);
+            dropTransaction(TransactionState::Idle);
+            m_transactionState = TransactionState::Idle;
+            // Without a write nothing can be kept, whatever became of the commit.
+            const bool certain = !m_transaction.writes || answer.status == DatabaseConnection::RunStatus::NotSent;
+            const auto error = certain ? SessionError::Aborted : SessionError::Unknown;
+            outcomeCounter(error).add();
+            auto text = platform::encodeError(error, "the connection to the database was lost", m_transactionState);
+            co_return certain ? std::move(text) : logUnknown(statement, route, "commit without an answer", std::move(text));
+        }
+        m_transaction.pool->noteReply(now);
+        auto &reply = answer.replies.back();
+        if (reply.error == SessionError::Busy && reply.state == TransactionState::Open && now + busyPause < deadline) {
+            asio::steady_timer pause(co_await asio::this_coro::executor, busyPause);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
+        if (reply.error == SessionError::None && m_transaction.writes) {
+            noteCommit(route.service, reply);
+            if (service != nullptr && reply.position) {
+                service->noteAcknowledged(*reply.position, now);
+            }
+        }
+        dropTransaction(reply.state);
+        m_transactionState = TransactionState::Idle;
+        outcomeCounter(reply.error).add();
+        co_return reply.error == SessionError::None ? platform::encodeResult(reply, m_transactionState)
+                                                    : platform::encodeError(reply.error, reply.errorText, m_transactionState);
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -0,0 +1,159 @@
+#include <waxwing/sessions/database_connection.h>
+
+#include "socket_options.h"
+
+#include <waxwing/platform/database_wire.h>
+#include <waxwing/transport/socket_address.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readBytes = 4096; // more than the usual answer of 500 bytes
+
+// A database that does not acknowledge bytes for this long is unreachable; statements have at most 1 to 2 s.
+constexpr Duration unacknowledgedLimit = 2s;
+// Idle connections are probed rarely, since each probe is paid for; statements notice a silent one themselves.
+constexpr Duration keepAliveIdle = 10s;
+
+} // namespace
+
+DatabaseConnection::DatabaseConnection(const asio::any_io_executor &executor)
+    : m_socket(executor)
+    , m_timer(executor)
+{
+}
+
+DatabaseConnection::~DatabaseConnection()
+{
+    close();
+}
+
+void DatabaseConnection::close()
+{
+    m_open = false;
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void DatabaseConnection::startTimer(TimePoint deadline)
+{
+    m_timedOut = false;
+    m_timer.expires_after(deadline - Clock::now());
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            m_timedOut = true;
+            boost::system::error_code ignored;
+            m_socket.close(ignored);
+        }
+    });
+}
+
+asio::awaitable<DatabaseConnection::OpenResult> DatabaseConnection::open(Target target, TimePoint deadline)
+{
+    const auto address = parseSocketAddress(target.address);
+    if (!address) {
+        co_return OpenResult::Refused;
+    }
+    startTimer(deadline);
+    auto [connectError] = co_await m_socket.async_connect(address.value(), useTuple);
+    if (connectError) {
+        const bool refused = connectError == asio::error::connection_refused || connectError == asio::error::connection_reset;
+        close();
+        co_return refused ? OpenResult::Refused : OpenResult::Silent;
+    }
+    tuneSocket(m_socket, unacknowledgedLimit, keepAliveIdle);
+    m_open = true;
+    m_timer.cancel();
+    std::string start = platform::encodeDatabaseStart(target.service, target.caller, target.database);
+    auto result = co_await run(std::move(start), 1, deadline);
+    if (result.status != RunStatus::Complete) {
+        co_return OpenResult::Silent;
+    }
+    const auto error = result.replies.front().error;
+    if (error != SessionError::None) {
+        close();
+        co_return error == SessionError::TooManyConnections ? OpenResult::Full : OpenResult::WrongInstance;
+    }
+    co_return OpenResult::Open;
+}
+
+bool DatabaseConnection::hasEnded()
+{
+    // A database may have closed the connection, or sent something unasked, while it was idle.
+    char byte = 0;
+    const auto size = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK) || !m_lines.isEmpty();
+}
+
+asio::awaitable<DatabaseConnection::RunResult> DatabaseConnection::run(std::string bytes, std::size_t commands, TimePoint deadline)
+{
+    RunResult result;
+    if (!m_open || hasEnded()) {
+        close();
+        result.status = RunStatus::NotSent;
+        co_return result;
+    }
+    startTimer(deadline);
+    auto [writeError, written] = co_await asio::async_write(m_socket, asio::buffer(bytes), useTuple);
+    bool complete = !writeError;
+    while (complete && result.replies.size() < commands) {
+        PoolReply reply;
+        complete = co_await readReply(reply);
+        if (complete) {
+            result.replies.push_back(std::move(reply));
+        }
+    }
+    m_timer.cancel();
+    if (!complete) {
+        result.status = m_timedOut ? RunStatus::TimedOut : RunStatus::Lost;
+        close();
+    }
+    co_return result;
+}
+
+asio::awaitable<bool> DatabaseConnection::readReply(PoolReply &reply)
+{
+    while (true) {
+        while (const auto line = m_lines.next()) {
+            const auto progress = m_replies.add(*line);
+            if (progress == platform::ReplyReader::Progress::Malformed) {
+                co_return false;
+            }
+            if (progress == platform::ReplyReader::Progress::Complete) {
+                reply = m_replies.take();
+                if (reply.position) {
+                    m_position = reply.position;
+                }
+                co_return true;
+            }
+        }
+        // An error that ends the connection comes without a closing line.
+        std::array<char, readBytes> chunk {};
+        auto [error, size] = co_await m_socket.async_read_some(asio::buffer(chunk), useTuple);
+        if (error || m_lines.isOverflowing()) {
+            reply = m_replies.take();
+            co_return reply.error == SessionError::TooManyConnections || reply.error == SessionError::WrongInstance;
+        }
+        m_lines.add(std::string_view(chunk.data(), size));
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -0,0 +1,247 @@
+#include <waxwing/sessions/database_pool.h>
+
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+// Connections that are opened at the same time; each takes a slot of the database.
+constexpr std::size_t openingLimit = 2;
+// A database that did not answer a statement is avoided for this long, if there is another one.
+constexpr Duration avoidance = 500ms;
+
+std::string_view openResultName(DatabaseConnection::OpenResult result)
+{
+    switch (result) {
+    case DatabaseConnection::OpenResult::Open:
+        return "open";
+    case DatabaseConnection::OpenResult::Refused:
+        return "refused";
+    case DatabaseConnection::OpenResult::Silent:
+        return "silent";
+    case DatabaseConnection::OpenResult::WrongInstance:
+        return "wrong-instance";
+    case DatabaseConnection::OpenResult::Full:
+        break;
+    }
+    return "full";
+}
+
+} // namespace
+
+DatabasePool::DatabasePool(const asio::any_io_executor &executor, const wire::PoolMember &member, Options options)
+    : m_executor(executor)
+    , m_member(member)
+    , m_options(std::move(options))
+{
+}
+
+DatabasePool::~DatabasePool() = default;
+
+asio::awaitable<DatabasePool::ConnectionPointer> DatabasePool::acquire(const SessionState &session, int priority, TimePoint deadline)
+{
+    if (m_shut) {
+        co_return nullptr;
+    }
+    if (m_waiting.empty()) {
+        if (auto idle = takeIdle(session)) {
+            co_return hand(std::move(idle));
+        }
+    }
+    const auto self = shared_from_this();
+    Waiter waiter {priority, &session, asio::steady_timer(m_executor), nullptr, false};
+    const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [priority](const Waiter *other) { return other->priority > priority; });
+    const auto position = m_waiting.insert(place, &waiter);
+    openMore();
+    if (m_count == 0) {
+        m_waiting.erase(position);
+        co_return nullptr; // it can't be reached at present
+    }
+    waiter.signal.expires_after(deadline - Clock::now());
+    co_await waiter.signal.async_wait(useTuple);
+    if (waiter.connection == nullptr && !waiter.failed) {
+        m_waiting.erase(position);
+    }
+    co_return std::move(waiter.connection);
+}
+
+DatabasePool::ConnectionPointer DatabasePool::takeIdle(const SessionState &session)
+{
+    std::erase_if(m_idle, [this](const ConnectionPointer &connection) {
+        if (!connection->isOpen()) {
+            --m_count;
+            return true;
+        }
+        return false;
+    });
+    if (m_idle.empty()) {
+        return nullptr;
+    }
+    // From the back, so that the connection that was used last is preferred among equals.
+    const auto best = std::min_element(m_idle.rbegin(), m_idle.rend(), [&](const ConnectionPointer &one, const ConnectionPointer &other) {
+        return one->state().distance(session) < other->state().distance(session);
+    });
+    auto connection = std::move(*best);
+    m_idle.erase(std::next(best).base());
+    return connection;
+}
+
+DatabasePool::ConnectionPointer DatabasePool::hand(ConnectionPointer connection)
+{
+    ++m_busy;
+    return connection;
+}
+
+void DatabasePool::release(ConnectionPointer connection)
+{
+    --m_busy;
+    if (!connection->isOpen() || m_shut || m_count > m_options.limit) {
+        connection.reset();
+        --m_count;
+        openMore();
+        return;
+    }
+    if (m_waiting.empty()) {
+        m_idle.push_back(std::move(connection));
+        return;
+    }
+    auto *waiter = m_waiting.front();
+    m_waiting.pop_front();
+    waiter->connection = hand(std::move(connection));
+    waiter->signal.cancel();
+}
+
+void DatabasePool::openMore()
+{
+    const auto wanted = std::min(m_options.limit, std::max(m_warm, m_count - m_opening + m_waiting.size()));
+    while (!m_shut && m_opening < openingLimit && m_count < wanted && Clock::now() >= m_openAfter) {
+        ++m_count;
+        ++m_opening;
+        asio::co_spawn(m_executor, openOne(), asio::detached);
+    }
+}
+
+asio::awaitable<void> DatabasePool::openOne()
+{
+    const auto self = shared_from_this();
+    static auto &opened = Metrics::instance().counter("waxwing_pool_connections_total");
+    auto connection = std::make_unique<DatabaseConnection>(m_executor);
+    DatabaseConnection::Target target {m_member.address(), m_member.service(), m_member.id(), m_options.caller};
+    const auto result = co_await connection->open(std::move(target), Clock::now() + m_options.connectTimeout);
+    --m_opening;
+    const auto now = Clock::now();
+    if (result != DatabaseConnection::OpenResult::Open) {
+        --m_count;
+        noteOpenFailure(result, now);
+        co_return;
+    }
+    opened.add();
+    m_lastReply = now;
+    m_failures = 0;
+    ++m_busy;
+    release(std::move(connection));
+    openMore();
+}
+
+void DatabasePool::noteOpenFailure(DatabaseConnection::OpenResult result, TimePoint now)
+{
+    Metrics::instance().counter("waxwing_pool_connect_failures_total", "reason", openResultName(result)).add();
+    if (result == DatabaseConnection::OpenResult::Full) {
+        m_openAfter = now + m_options.fullPause;
+    } else {
+        ++m_failures;
+        const auto pause = std::min(m_options.failurePauseHigh, m_options.failurePause * (1U << std::min(m_failures - 1, 3U)));
+        m_openAfter = now + pause;
+        m_avoidUntil = m_openAfter;
+        if (m_failures == 1) {
+            log::write(log::Level::Warning, "database lost", {{"database", m_member.id()}, {"service", m_member.service()}, {"cause", openResultName(result)}});
+        }
+    }
+    if (m_count == 0) {
+        failWaiters();
+    }
+}
+
+void DatabasePool::failWaiters()
+{
+    for (auto *waiter : std::exchange(m_waiting, {})) {
+        waiter->failed = true;
+        waiter->signal.cancel();
+    }
+}
+
+void DatabasePool::update(const wire::PoolMember &member)
+{
+    m_member = member;
+}
+
+void DatabasePool::setLimit(std::size_t limit)
+{
+    m_options.limit = limit;
+    while (m_count > m_options.limit && !m_idle.empty()) {
+        m_idle.erase(m_idle.begin());
+        --m_count;
+    }
+    openMore();
+}
+
+void DatabasePool::warm(std::size_t count)
+{
+    m_warm = count;
+    openMore();
+}
+
+void DatabasePool::shut()
+{
+    m_shut = true;
+    m_count -= m_idle.size();
+    m_idle.clear();
+    failWaiters();
+}
+
+void DatabasePool::noteSent(TimePoint now)
+{
+    if (m_running++ == 0) {
+        m_runningSince = now;
+    }
+}
+
+void DatabasePool::noteReply(TimePoint now)
+{
+    --m_running;
+    m_lastReply = now;
+    m_failures = 0;
+}
+
+void DatabasePool::noteSilence(TimePoint now)
+{
+    --m_running;
+    m_avoidUntil = std::max(m_avoidUntil, now + avoidance);
+    ++m_failures;
+}
+
+bool DatabasePool::isSilent(TimePoint now, Duration limit) const
+{
+    if (m_failures > 1 && m_lastReply + limit < now) {
+        return true;
+    }
+    return m_running > 0 && std::max(m_runningSince, m_lastReply) + limit < now;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -0,0 +1,160 @@
+#include <waxwing/sessions/session_directory.h>
+
+#include <waxwing/platform/control_calls.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/support/counter.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace waxwing
+{
+
+SessionDirectory::SessionDirectory(const boost::asio::any_io_executor &executor, Options options)
+    : m_executor(executor)
+    , m_options(std::move(options))
+{
+}
+
+void SessionDirectory::apply(const wire::PoolGrant &grant, TimePoint sentAt)
+{
+    const auto now = Clock::now();
+    // A push of a leader that was replaced may arrive late.
+    if (grant.control_term() < m_controlTerm) {
+        Metrics::instance().counter("waxwing_session_grants_ignored_total", "reason", "older-leader").add();
+        return;
+    }
+    m_controlTerm = grant.control_term();
+    applyDocument(grant);
+    if (grant.has_directory() && grant.directory_version() > m_directoryVersion) {
+        applyServices(grant);
+    }
+    if (grant.sequence() != 0) {
+        const bool wasValid = m_lease.isValid(now);
+        m_lease.renew(sentAt, std::chrono::milliseconds(grant.lease_ms()));
+        if (!wasValid && m_lease.isValid(now)) {
+            log::write(log::Level::Info, "lease gained", {{"control_term", m_controlTerm}, {"config_version", configVersion()}});
+            for (const auto &[name, service] : m_services) {
+                service->notify();
+            }
+        }
+    }
+    if (grant.proxies() != 0 && grant.proxies() != m_proxies) {
+        m_proxies = grant.proxies();
+        updateLimits();
+    }
+}
+
+void SessionDirectory::applyDocument(const wire::PoolGrant &grant)
+{
+    if (grant.document().empty() || grant.config_version() <= configVersion()) {
+        return;
+    }
+    auto decoded = platform::decodeConfig(grant.document());
+    if (!decoded.errors.empty()) {
+        // Control validates with the same code, so that this shows a difference between versions of the program.
+        log::write(log::Level::Error, "configuration refused", {{"version", grant.config_version()}, {"problem", decoded.errors.front()}});
+        return;
+    }
+    log::write(log::Level::Info, "configuration in force",
+               {{"version", grant.config_version()}, {"before", configVersion()}, {"routes", decoded.config.routes.size()}});
+    m_config = std::make_shared<const PoolConfig>(std::move(decoded.config)); // shared: see config()
+    updateLimits();
+    for (const auto &[name, service] : m_services) {
+        service->notify();
+    }
+}
+
+void SessionDirectory::applyServices(const wire::PoolGrant &grant)
+{
+    m_directoryVersion = grant.directory_version();
+    for (const auto &view : grant.services()) {
+        auto &service = m_services[view.service()];
+        if (!service) {
+            service = std::make_unique<ServiceState>(m_executor, view.service());
+        }
+        if (!view.primary().empty()) {
+            m_lease.grantEpoch(view.service(), view.epoch());
+        }
+        applyMembers(*service, view);
+        if (service->epoch() != view.epoch()) {
+            log::write(log::Level::Info, "primary changed",
+                       {{"service", view.service()}, {"epoch", view.epoch()}, {"primary", view.primary()}, {"directory_version", m_directoryVersion}});
+        }
+        service->setPrimary(view.epoch(), view.primary());
+        service->notify();
+    }
+    updateLimits();
+}
+
+void SessionDirectory::applyMembers(ServiceState &service, const wire::PoolServiceView &view)
+{
+    std::set<std::string_view> present;
+    for (const auto &member : view.members()) {
+        present.insert(member.id());
+        auto &pool = service.pools()[member.id()];
+        // Another incarnation, or another address, has none of the connections of before.
+        if (pool && (pool->member().address() != member.address() || pool->member().born_ms() != member.born_ms())) {
+            pool->shut();
+            pool.reset();
+        }
+        if (pool) {
+            pool->update(member);
+        } else {
+            DatabasePool::Options options;
+            options.caller = m_options.proxy;
+            pool = std::make_shared<DatabasePool>(m_executor, member, std::move(options)); // shared: see ServiceState
+        }
+    }
+    std::erase_if(service.pools(), [&](const auto &item) {
+        if (present.contains(item.first)) {
+            return false;
+        }
+        item.second->shut();
+        return true;
+    });
+}
+
+void SessionDirectory::updateLimits()
+{
+    for (const auto &[name, service] : m_services) {
+        std::size_t limit = m_options.connectionLimit;
+        if (m_config) {
+            if (const auto known = m_config->services.find(name); known != m_config->services.end() && known->second.maxConnections != 0) {
+                const auto usable = known->second.maxConnections - std::min<std::size_t>(m_options.reservedConnections, known->second.maxConnections);
+                limit = std::clamp<std::size_t>(usable / std::max(m_proxies, 1U), 1, m_options.connectionLimit);
+            }
+        }
+        for (const auto &[id, pool] : service->pools()) {
+            pool->setLimit(limit);
+            pool->warm(pool->member().draining() ? 0 : std::min(limit, m_options.warmConnections));
+        }
+    }
+}
+
+TermPosition SessionDirectory::withdraw(std::string_view service, std::uint64_t epoch)
+{
+    m_lease.withdraw(service, epoch);
+    const auto *state = this->service(service);
+    return state == nullptr ? TermPosition() : state->acknowledged();
+}
+
+ServiceState *SessionDirectory::service(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second.get();
+}
+
+unsigned SessionDirectory::distance(std::string_view failureDomain) const
+{
+    if (failureDomain == m_options.failureDomain) {
+        return 0;
+    }
+    const auto here = m_options.regions.find(m_options.failureDomain);
+    const auto there = m_options.regions.find(std::string(failureDomain));
+    return here != m_options.regions.end() && there != m_options.regions.end() && here->second == there->second ? 1 : 2;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -0,0 +1,120 @@
+#include <waxwing/sessions/session_server.h>
+
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/transport/socket_address.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+// Pause after a failed accept, which is usually a lack of descriptors.
+constexpr Duration acceptPause = 50ms;
+
+} // namespace
+
+SessionServer::SessionServer(asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions)
+    : m_context(context)
+    , m_directory(directory)
+    , m_path(directory)
+    , m_maxSessions(maxSessions)
+    , m_acceptor(context)
+{
+}
+
+TransportResult<void> SessionServer::listen(std::string_view address)
+{
+    const auto parsed = parseSocketAddress(address);
+    if (!parsed) {
+        return parsed.error();
+    }
+    boost::system::error_code error;
+    m_acceptor.open(parsed.value().protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        m_acceptor.bind(parsed.value(), error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return make_error_code(TransportError::ListenFailed);
+    }
+    asio::co_spawn(m_context, accept(), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+unsigned short SessionServer::port() const
+{
+    boost::system::error_code ignored;
+    return m_acceptor.local_endpoint(ignored).port();
+}
+
+asio::awaitable<void> SessionServer::accept()
+{
+    asio::steady_timer pause(m_context);
+    while (m_acceptor.is_open()) {
+        if (m_sessions.size() >= m_maxSessions) {
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
+        auto [error, socket] = co_await m_acceptor.async_accept(useTuple);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            Metrics::instance().counter("waxwing_session_accept_failures_total").add();
+            log::write(log::Level::Warning, "accept failed", {{"error", error.message()}, {"sessions", m_sessions.size()}});
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> SessionServer::serve(asio::ip::tcp::socket socket)
+{
+    ClientSession session(std::move(socket), m_directory, m_path);
+    m_sessions.insert(&session);
+    co_await session.serve();
+    m_sessions.erase(&session);
+}
+
+void SessionServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+std::size_t SessionServer::closeIdle()
+{
+    for (auto *session : m_sessions) {
+        session->closeIfIdle();
+    }
+    return m_sessions.size();
+}
+
+void SessionServer::abortTransactions(std::string_view reason)
+{
+    for (auto *session : m_sessions) {
+        session->abortTransaction(reason);
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -0,0 +1,394 @@
+#include <waxwing/sessions/statement_path.h>
+
+#include <waxwing/platform/database_wire.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/support/quantiles.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// A read that got no answer for this part of its time is tried elsewhere; silence is rare and long statements are not.
+constexpr double readAttemptPart = 0.6;
+// Pause after a database refused for lack of slots; about one statement.
+constexpr Duration busyPause = 15ms;
+// Another region costs a round trip of 24 or 40 ms and the dearest bytes, another domain of the region little. In the
+// unit of one running statement at the nearest database, which is 15 to 30 ms of work over three slots.
+constexpr double regionCost = 8.0;
+constexpr double domainCost = 1.0;
+// A database that did not answer lately is the last choice.
+constexpr double suspectCost = 1'000.0;
+// An age is proven with this much to spare, for the time between the caller's bytes and their reading here.
+constexpr Duration ageMargin = 100ms;
+// A rollback needs no slot, so that its answer takes a round trip.
+constexpr Duration rollbackLimit = 500ms;
+// Largest advice when to come back; a change of primary takes about this long.
+constexpr Duration retryAfter = 300ms;
+
+/// Commands of one exchange and the place of the statement among their answers.
+struct Exchange
+{
+    std::string bytes;
+    std::size_t commands = 0;
+
+    void add(const std::string &command)
+    {
+        bytes += command;
+        ++commands;
+    }
+};
+
+/// Commands that bring the connection to the state of the session.
+void addPreparation(Exchange &exchange, const SessionJob &job, ConnectionState &state)
+{
+    const auto *prepared = job.prepared ? &*job.prepared : nullptr;
+    const auto preparation = state.compare(*job.session, prepared);
+    if (preparation.discard) {
+        exchange.add(platform::encodeOwnStatement(platform::discardText()));
+    }
+    for (const auto &[name, value] : preparation.values) {
+        exchange.add(platform::encodeOwnStatement(platform::setText(name, value)));
+    }
+    if (preparation.prepare) {
+        exchange.add(platform::encodeOwnStatement(platform::prepareText(ConnectionState::sharedName(*prepared), prepared->writes, prepared->shape)));
+    }
+    state.apply(preparation, prepared);
+}
+
+/// First exchange of an attempt: the statement, or the begin of its transaction. The statement does not follow the begin
+/// before that was answered, since it would run outside of a transaction if the begin is refused.
+Exchange composeFirst(const SessionJob &job, ConnectionState &state, const std::optional<TermPosition> &after)
+{
+    Exchange exchange;
+    addPreparation(exchange, job, state);
+    if (job.begins) {
+        const auto begin = platform::beginText(job.readOnly);
+        exchange.add(platform::encodeOwnStatement(after ? platform::afterText(*after, begin) : begin));
+    } else if (after) {
+        exchange.add(platform::encodeStatementAfter(job.id, *after, job.text));
+    } else {
+        exchange.add(platform::encodeStatement(job.id, job.text));
+    }
+    return exchange;
+}
+
+/// An earlier command that failed decides, since the statement then ran without it or not at all.
+PoolReply &decisiveReply(std::vector<PoolReply> &replies)
+{
+    const auto failed = std::find_if(replies.begin(), replies.end(), [](const PoolReply &one) { return one.error != SessionError::None; });
+    return failed == replies.end() ? replies.back() : *failed;
+}
+
+void countRetry(std::string_view reason)
+{
+    Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
+}
+
+} // namespace
+
+StatementPath::StatementPath(SessionDirectory &directory)
+    : m_directory(directory)
+{
+}
+
+asio::awaitable<StatementResult> StatementPath::run(const SessionJob &job)
+{
+    Attempts attempts;
+    StatementResult result;
+    auto *service = m_directory.service(job.route.service);
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    while (service != nullptr && Clock::now() < job.deadline) {
+        const auto choice = choose(job, *service, attempts);
+        if (!choice.pool) {
+            if (!attempts.avoided.empty()) {
+                attempts.avoided.clear();
+                pause.expires_after(busyPause);
+                co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            } else {
+                attempts.lastReason = "no-primary";
+                co_await service->changed(job.deadline);
+            }
+            continue;
+        }
+        const auto verdict = co_await attempt(job, *service, choice, attempts, result);
+        if (verdict == Verdict::Finished) {
+            co_return result;
+        }
+        ++attempts.count;
+        if (verdict == Verdict::RetryLater) {
+            pause.expires_after(busyPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        } else if (verdict == Verdict::AwaitPrimary) {
+            co_await service->changed(job.deadline);
+        }
+    }
+    co_return giveUp(job, service, attempts);
+}
+
+std::optional<TermPosition> StatementPath::requiredPosition(const SessionJob &job, ServiceState &service) const
+{
+    auto required = service.history().proof(job.receivedAt - job.route.maxAge + ageMargin);
+    if (!required || job.route.freshness != Freshness::OwnWrites) {
+        return required;
+    }
+    if (const auto own = job.session->positions.find(service.name()); own != job.session->positions.end()) {
+        required = std::max(*required, own->second);
+    }
+    return required;
+}
+
+StatementPath::Choice StatementPath::choosePrimary(const ServiceState &service) const
+{
+    Choice choice;
+    choice.pool = service.primary();
+    choice.primary = true;
+    choice.epoch = service.epoch();
+    return choice;
+}
+
+StatementPath::Choice StatementPath::choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts) const
+{
+    const auto now = Clock::now();
+    auto primary = choosePrimary(service);
+    const bool leased = m_directory.lease().covers(service.name(), service.epoch(), now);
+    if (job.needsPrimary()) {
+        const bool needsLease = !job.writes && !(job.begins && !job.readOnly);
+        if (primary.pool && ((needsLease && !leased) || attempts.avoided.contains(primary.pool->member().id()))) {
+            primary.pool = nullptr;
+        }
+        return primary;
+    }
+    const auto required = requiredPosition(job, const_cast<ServiceState &>(service));
+    Choice best;
+    double bestCost = 0;
+    for (const auto &[id, pool] : service.pools()) {
+        const bool isPrimary = pool == primary.pool;
+        if (pool->member().draining() || attempts.avoided.contains(id) || (isPrimary && !leased) || (!isPrimary && !required)) {
+            continue;
+        }
+        const auto distance = m_directory.distance(pool->member().failure_domain());
+        double cost = static_cast<double>(pool->load()) + (distance == 0 ? 0.0 : distance == 1 ? domainCost : regionCost);
+        cost += pool->isSuspect(now) ? suspectCost : 0.0;
+        if (!best.pool || cost < bestCost) {
+            bestCost = cost;
+            best = isPrimary ? primary : Choice {pool, required, false, service.epoch()};
+        }
+    }
+    if (!best.pool && leased && primary.pool && !attempts.avoided.contains(primary.pool->member().id())) {
+        return primary; // it drains, but no other database can run the statement
+    }
+    return best;
+}
+
+asio::awaitable<StatementPath::Verdict> StatementPath::attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts,
+                                                               StatementResult &result)
+{
+    const auto pool = choice.pool;
+    auto limit = job.deadline;
+    if (!job.mayPersist()) {
+        const auto part = std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptPart);
+        limit = std::min(job.deadline, Clock::now() + part);
+    }
+    auto connection = co_await pool->acquire(*job.session, job.route.priority, limit);
+    if (!connection) {
+        attempts.avoided.insert(pool->member().id());
+        attempts.lastReason = "no-connection";
+        countRetry("no-connection");
+        co_return Verdict::Retry;
+    }
+    // The directory may have changed while the statement waited.
+    if (pool->isShut() || (choice.primary && (service.epoch() != choice.epoch || service.primary() != pool)) || (!choice.primary && pool->member().draining())) {
+        pool->release(std::move(connection));
+        countRetry("directory-changed");
+        co_return Verdict::Retry;
+    }
+    const auto exchange = composeFirst(job, connection->state(), choice.after);
+    const auto sentAt = Clock::now();
+    attempts.offered = true;
+    auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes, exchange.commands, limit);
+    const bool begun = job.begins && answer.status == DatabaseConnection::RunStatus::Complete && decisiveReply(answer.replies).error == SessionError::None;
+    if (begun) {
+        const auto statement = platform::encodeStatement(job.id, job.text);
+        answer = co_await exchangeOnce(job, service, *pool, *connection, statement, 1, limit);
+    }
+    if (answer.status != DatabaseConnection::RunStatus::Complete) {
+        pool->release(std::move(connection));
+        if (begun) {
+            co_return abortBegun(result, "the connection to the database was lost; nothing is kept");
+        }
+        co_return judgeSilence(job, choice, attempts, answer.status, result);
+    }
+    const auto answeredAt = Clock::now();
+    auto &reply = decisiveReply(answer.replies);
+    const bool succeeded = reply.error == SessionError::None;
+    const bool leased = m_directory.lease().covers(service.name(), choice.epoch, answeredAt) && service.epoch() == choice.epoch;
+    if (choice.primary && leased && answer.replies.back().position) {
+        service.history().add(*answer.replies.back().position, sentAt);
+    }
+    if (reply.error == SessionError::UnknownStatement) {
+        connection->state().forgetPrepared();
+    }
+    const bool readsPrimary = choice.primary && !job.writes && !(job.begins && !job.readOnly);
+    const bool staysOpen = job.begins && !job.commits && succeeded;
+    const bool unleased = succeeded && readsPrimary && !leased;
+    if (staysOpen && !unleased && answer.replies.back().state == TransactionState::Open) {
+        result.connection = std::move(connection);
+        result.pool = pool;
+    } else {
+        const auto state = answer.replies.back().state;
+        asio::co_spawn(co_await asio::this_coro::executor, returnClean(pool, std::move(connection), state), asio::detached);
+    }
+    if (unleased) {
+        if (begun) {
+            co_return abortBegun(result, "the primary may have been replaced; nothing is kept");
+        }
+        attempts.lastReason = "lease-lost";
+        countRetry("lease-lost");
+        co_return Verdict::AwaitPrimary;
+    }
+    co_return judge(job, service, choice, attempts, reply, result);
+}
+
+asio::awaitable<DatabaseConnection::RunResult> StatementPath::exchangeOnce(const SessionJob &job, ServiceState &service, DatabasePool &pool,
+                                                                           DatabaseConnection &connection, const std::string &bytes, std::size_t commands,
+                                                                           TimePoint limit)
+{
+    pool.noteSent(Clock::now());
+    if (job.writes) {
+        service.noteWriteSent(Clock::now());
+    }
+    auto answer = co_await connection.run(bytes, commands, limit);
+    const auto now = Clock::now();
+    const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
+    if (job.writes) {
+        service.noteWriteEnded(complete, now);
+    }
+    if (complete) {
+        pool.noteReply(now);
+    } else {
+        pool.noteSilence(now);
+    }
+    co_return answer;
+}
+
+StatementPath::Verdict StatementPath::abortBegun(StatementResult &result, std::string_view text)
+{
+    // The first statement may have run in this transaction and must not run in a second one of the same operation.
+    result.error = SessionError::Aborted;
+    result.text = text;
+    return Verdict::Finished;
+}
+
+StatementPath::Verdict StatementPath::judgeSilence(const SessionJob &job, const Choice &choice, Attempts &attempts, DatabaseConnection::RunStatus status,
+                                                   StatementResult &result) const
+{
+    const bool wasSent = status != DatabaseConnection::RunStatus::NotSent;
+    if (wasSent && job.mayPersist()) {
+        result.error = SessionError::Unknown;
+        result.text = status == DatabaseConnection::RunStatus::TimedOut ? "no answer in time" : "connection lost";
+        return Verdict::Finished;
+    }
+    if (wasSent && !choice.primary) {
+        attempts.avoided.insert(choice.pool->member().id());
+    }
+    attempts.lastReason = "no-answer";
+    countRetry("no-answer");
+    return Verdict::Retry;
+}
+
+asio::awaitable<void> StatementPath::returnClean(std::shared_ptr<DatabasePool> pool, DatabasePool::ConnectionPointer connection, TransactionState state)
+{
+    if (connection->isOpen() && state != TransactionState::Idle) {
+        std::string rollback = platform::encodeOwnStatement(platform::rollbackText());
+        pool->noteSent(Clock::now());
+        const auto answer = co_await connection->run(std::move(rollback), 1, Clock::now() + rollbackLimit);
+        const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
+        if (complete) {
+            pool->noteReply(Clock::now());
+        } else {
+            pool->noteSilence(Clock::now());
+        }
+        if (complete && answer.replies.front().state != TransactionState::Idle) {
+            connection->close();
+        }
+    }
+    pool->release(std::move(connection));
+}
+
+StatementPath::Verdict StatementPath::judge(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts, PoolReply &reply,
+                                            StatementResult &result) const
+{
+    const auto &database = choice.pool->member().id();
+    switch (reply.error) {
+    case SessionError::None:
+        if (job.mayPersist() && reply.position) {
+            service.noteAcknowledged(*reply.position, Clock::now());
+        }
+        result.reply = std::move(reply);
+        return Verdict::Finished;
+    case SessionError::Busy:
+        attempts.lastReason = "database-busy";
+        countRetry("database-busy");
+        if (!job.needsPrimary()) {
+            attempts.avoided.insert(database);
+            return Verdict::Retry;
+        }
+        return Verdict::RetryLater;
+    case SessionError::UnknownStatement:
+        countRetry("unknown-statement");
+        attempts.lastReason = "unknown-statement";
+        return Verdict::Retry;
+    case SessionError::Lagging:
+        attempts.avoided.insert(database);
+        attempts.lastReason = "replica-lagging";
+        countRetry("replica-lagging");
+        return Verdict::Retry;
+    case SessionError::ReadOnly:
+        attempts.lastReason = "not-primary";
+        countRetry("not-primary");
+        return Verdict::AwaitPrimary;
+    default:
+        result.error = reply.error;
+        result.text = std::move(reply.errorText);
+        return Verdict::Finished;
+    }
+}
+
+StatementResult StatementPath::giveUp(const SessionJob &job, const ServiceState *service, const Attempts &attempts) const
+{
+    const auto now = Clock::now();
+    StatementResult result;
+    result.error = SessionError::Busy;
+    result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
+    Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
+    log::write(log::Level::Info, "statement refused",
+               {{"request", job.id},
+                {"service", job.route.service},
+                {"reason", attempts.lastReason},
+                {"attempts", attempts.count},
+                {"offered", attempts.offered},
+                {"held_ms", toMilliseconds(now - job.receivedAt).count()},
+                {"epoch", service == nullptr ? 0 : service->epoch()},
+                {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
+                {"config_version", m_directory.configVersion()},
+                {"directory_version", m_directory.directoryVersion()}});
+    return result;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/testing/fake_database.h
@@ -0,0 +1,288 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <istream>
+#include <list>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace waxwing::testing
+{
+
+/// @brief Database that speaks the wire protocol on loopback, with a thread for each connection. It checks what a real one
+/// checks and records what it ran.
+class FakeDatabase
+{
+public:
+    explicit FakeDatabase(std::string id, bool primary)
+        : m_id(std::move(id))
+        , m_primary(primary)
+        , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_thread([this] { accept(); })
+    {
+    }
+
+    ~FakeDatabase()
+    {
+        m_stopping = true;
+        boost::system::error_code ignored;
+        // Wakes the blocking accept.
+        boost::asio::ip::tcp::socket wake(m_context);
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+        closeConnections();
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    const std::string &id() const
+    {
+        return m_id;
+    }
+
+    /// Statements with a caller's id, in the order in which they ran, each as "CONNECTION TEXT [VALUES]".
+    std::vector<std::string> ran() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ran;
+    }
+
+    void setPosition(std::uint64_t term, std::uint64_t number)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_term = term;
+        m_number = number;
+    }
+
+    void setPrimary(bool primary)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_primary = primary;
+    }
+
+    /// The next write or commit runs, but its connection ends without an answer.
+    void loseNextAnswer()
+    {
+        m_loseAnswer = true;
+    }
+
+    /// Refuses this many reads, writes and commits for lack of a slot.
+    void refuseNext(int count)
+    {
+        m_busy = count;
+    }
+
+    void closeConnections()
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto *socket : m_sockets) {
+            boost::system::error_code ignored;
+            socket->shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+        }
+    }
+
+private:
+    struct Connection
+    {
+        int number = 0;
+        char state = 'I';
+        bool plain = false; ///< the open transaction may write
+        std::map<std::string, std::string> values;
+        std::map<std::string, std::string> prepared; ///< READ or WRITE by name
+    };
+
+    void accept()
+    {
+        for (int number = 1; !m_stopping; ++number) {
+            boost::asio::ip::tcp::socket socket(m_context);
+            boost::system::error_code error;
+            m_acceptor.accept(socket, error);
+            if (error || m_stopping) {
+                return;
+            }
+            m_threads.emplace_back([this, number, socket = std::move(socket)]() mutable { serve(number, socket); });
+        }
+    }
+
+    void serve(int number, boost::asio::ip::tcp::socket &socket)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_sockets.insert(&socket);
+        }
+        Connection connection;
+        connection.number = number;
+        boost::asio::streambuf buffer;
+        boost::system::error_code error;
+        while (true) {
+            boost::asio::read_until(socket, buffer, "\r\n", error);
+            if (error) {
+                break;
+            }
+            std::istream stream(&buffer);
+            std::string line;
+            std::getline(stream, line);
+            line.pop_back();
+            const auto answer = handle(connection, line);
+            if (answer.empty()) {
+                break;
+            }
+            boost::asio::write(socket, boost::asio::buffer(answer), error);
+            if (error) {
+                break;
+            }
+        }
+        const std::lock_guard lock(m_mutex);
+        m_sockets.erase(&socket);
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, error);
+        socket.close(error);
+    }
+
+    static std::string word(std::string &rest)
+    {
+        const auto blank = rest.find(' ');
+        const auto first = rest.substr(0, blank);
+        rest = blank == std::string::npos ? std::string() : rest.substr(blank + 1);
+        return first;
+    }
+
+    std::string ready(const Connection &connection) const
+    {
+        return std::string("READY ") + connection.state + ' ' + std::to_string(m_term) + '.' + std::to_string(m_number) + "\r\n";
+    }
+
+    std::string error(Connection &connection, const std::string &code) const
+    {
+        if (connection.state == 'T') {
+            connection.state = 'E';
+        }
+        return "ERROR " + code + " -\r\n" + ready(connection);
+    }
+
+    std::string handle(Connection &connection, std::string line)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto kind = word(line);
+        if (kind == "STARTUP") {
+            return ready(connection);
+        }
+        const auto id = word(line);
+        auto text = line;
+        if (text.rfind("AFTERLSN ", 0) == 0) {
+            word(line);
+            const auto position = word(line);
+            text = line;
+            const auto dot = position.find('.');
+            const std::pair<std::uint64_t, std::uint64_t> required(std::stoull(position.substr(0, dot)), std::stoull(position.substr(dot + 1)));
+            if (required > std::make_pair(m_term, m_number)) {
+                return error(connection, "LAGGING");
+            }
+        }
+        return run(connection, id, text);
+    }
+
+    std::string run(Connection &connection, const std::string &id, const std::string &text)
+    {
+        auto rest = text;
+        const auto verb = word(rest);
+        if (text == "BEGIN" || text == "BEGIN READ") {
+            if (text == "BEGIN" && !m_primary) {
+                return error(connection, "READONLY");
+            }
+            connection.state = 'T';
+            connection.plain = text == "BEGIN";
+            return "COMPLETE -\r\n" + ready(connection);
+        }
+        if (verb == "ROLLBACK") {
+            connection.state = 'I';
+            return "COMPLETE -\r\n" + ready(connection);
+        }
+        if (verb == "SET") {
+            const auto name = word(rest);
+            connection.values[name] = rest;
+            return "COMPLETE -\r\n" + ready(connection);
+        }
+        if (verb == "DISCARD") {
+            connection.values.clear();
+            connection.prepared.clear();
+            return "COMPLETE -\r\n" + ready(connection);
+        }
+        if (verb == "PREPARE") {
+            const auto name = word(rest);
+            connection.prepared[name] = word(rest);
+            return "COMPLETE -\r\n" + ready(connection);
+        }
+        return runStatement(connection, id, text, verb, rest);
+    }
+
+    std::string runStatement(Connection &connection, const std::string &id, const std::string &text, const std::string &verb, std::string rest)
+    {
+        bool writes = verb == "WRITE";
+        if (verb == "EXECUTE") {
+            const auto known = connection.prepared.find(word(rest));
+            if (known == connection.prepared.end()) {
+                return error(connection, "NOSTMT");
+            }
+            writes = known->second == "WRITE";
+        }
+        if (m_busy > 0) {
+            --m_busy;
+            return "ERROR BUSY -\r\n" + ready(connection);
+        }
+        if (!m_primary && (writes || (connection.state == 'T' && connection.plain))) {
+            return error(connection, "READONLY");
+        }
+        std::string record = std::to_string(connection.number) + ' ' + text;
+        for (const auto &[name, value] : connection.values) {
+            record += ' ' + name + '=' + value;
+        }
+        if (id != "-") {
+            m_ran.push_back(record);
+        }
+        const bool commits = verb == "COMMIT" || (writes && connection.state == 'I');
+        if (commits) {
+            ++m_number;
+            connection.state = 'I';
+            if (m_loseAnswer.exchange(false)) {
+                return {};
+            }
+        }
+        const std::string row = verb == "READ" ? "DATAROW " + m_id + "\r\n" : std::string();
+        return row + "COMPLETE sig-" + m_id + "\r\n" + ready(connection);
+    }
+
+    std::string m_id;
+    bool m_primary;
+    std::uint64_t m_term = 3;
+    std::uint64_t m_number = 100;
+    std::vector<std::string> m_ran;
+    std::atomic<bool> m_loseAnswer {false};
+    std::atomic<int> m_busy {0};
+    std::atomic<bool> m_stopping {false};
+    mutable std::mutex m_mutex;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<boost::asio::ip::tcp::socket *> m_sockets;
+    std::list<std::thread> m_threads;
+    std::thread m_thread; ///< last, since it uses everything above
+};
+
+} // namespace waxwing::testing
--- /dev/null
+++ b/packages/sessions/testing/session_bed.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "fake_database.h"
+
+#include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/session_server.h>
+#include <waxwing/support/time.h>
+#include <waxwing/wire/sessions.pb.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace waxwing::testing
+{
+
+/// @brief A proxy's session server on loopback before one service of two databases, told by the test what control would.
+class SessionBed
+{
+public:
+    static constexpr const char *document
+        = R"({"version":7,"routes":[)"
+          R"({"name":"r1","host":"orders","path_prefix":"/","kind":"primary","timeout_ms":2000,"priority":1,"service":"s"},)"
+          R"({"name":"r2","host":"status","path_prefix":"/","kind":"bounded_staleness","max_staleness_ms":60000,"timeout_ms":2000,"priority":2,"service":"s"},)"
+          R"({"name":"r3","host":"own","path_prefix":"/","kind":"read_your_writes","max_staleness_ms":60000,"timeout_ms":2000,"priority":2,"service":"s"}],)"
+          R"("services":[{"name":"s","max_conns":12,"sync_replicas":1}],"limits":{"tx_idle_ms":60000}})";
+
+    SessionBed()
+        : primary("i-1", true)
+        , replica("i-2", false)
+        , m_guard(boost::asio::make_work_guard(m_context))
+        , m_directory(std::make_unique<SessionDirectory>(m_context.get_executor(), options()))
+        , m_server(std::make_unique<SessionServer>(m_context, *m_directory, 100))
+    {
+        if (!m_server->listen("127.0.0.1:0")) {
+            throw std::runtime_error("no listening socket");
+        }
+        m_thread = std::thread([this] { m_context.run(); });
+        grant(1, "i-1");
+    }
+
+    ~SessionBed()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    /// Tells the proxy an epoch and its primary, under a lease of a minute.
+    void grant(std::uint64_t epoch, const std::string &primaryId)
+    {
+        wire::PoolGrant message;
+        message.set_sequence(epoch);
+        message.set_lease_ms(60'000);
+        message.set_control_term(1);
+        message.set_config_version(7);
+        message.set_document(document);
+        message.set_directory_version(epoch);
+        message.set_has_directory(true);
+        message.set_proxies(1);
+        auto &view = *message.add_services();
+        view.set_service("s");
+        view.set_epoch(epoch);
+        view.set_primary(primaryId);
+        for (const auto *database : {&primary, &replica}) {
+            auto &member = *view.add_members();
+            member.set_id(database->id());
+            member.set_service("s");
+            member.set_address(database->address());
+            member.set_failure_domain(database == &replica ? "here" : "there");
+            member.set_slots(3);
+        }
+        onServer([&] { m_directory->apply(message, Clock::now()); });
+    }
+
+    void withdraw(std::uint64_t epoch)
+    {
+        onServer([&] { m_directory->withdraw("s", epoch); });
+    }
+
+    /// Proves that the primary was at a position just now, as a poll would.
+    void provePosition(std::uint64_t term, std::uint64_t number)
+    {
+        onServer([&] { m_directory->service("s")->history().add({term, number}, Clock::now()); });
+    }
+
+    std::size_t closeIdle()
+    {
+        std::size_t left = 0;
+        onServer([&] { left = m_server->closeIdle(); });
+        return left;
+    }
+
+    unsigned short port() const
+    {
+        return m_server->port();
+    }
+
+    FakeDatabase primary;
+    FakeDatabase replica;
+
+private:
+    static SessionDirectory::Options options()
+    {
+        SessionDirectory::Options options;
+        options.proxy = "proxy-1";
+        options.failureDomain = "here";
+        options.regions = {{"here", "a"}, {"there", "b"}};
+        return options;
+    }
+
+    template<class Function>
+    void onServer(Function function)
+    {
+        std::promise<void> done;
+        boost::asio::post(m_context, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    boost::asio::io_context m_context {1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::unique_ptr<SessionDirectory> m_directory;
+    std::unique_ptr<SessionServer> m_server;
+    std::thread m_thread;
+};
+
+/// @brief Blocking caller of a SessionBed.
+class SessionCaller
+{
+public:
+    SessionCaller(unsigned short port, const std::string &database)
+        : m_socket(m_context)
+    {
+        m_socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        started = call("STARTUP " + database + " u1");
+    }
+
+    /// Sends a line and reads the answer up to its closing line, or to the end of the connection.
+    std::string call(const std::string &line)
+    {
+        boost::system::error_code error;
+        boost::asio::write(m_socket, boost::asio::buffer(line + "\r\n"), error);
+        std::string answer;
+        while (true) {
+            boost::asio::read_until(m_socket, m_buffer, "\r\n", error);
+            if (error) {
+                return answer + "(closed)";
+            }
+            std::istream stream(&m_buffer);
+            std::string part;
+            std::getline(stream, part);
+            part.pop_back();
+            if (part.rfind("READY ", 0) == 0) {
+                return answer + part.substr(6, 1);
+            }
+            answer += part + '|';
+        }
+    }
+
+    std::string query(const std::string &text)
+    {
+        return call("QUERY " + std::to_string(++m_id) + "q " + text);
+    }
+
+    /// Waits until the proxy closes the connection.
+    bool isClosedByProxy()
+    {
+        boost::system::error_code error;
+        boost::asio::read_until(m_socket, m_buffer, "\r\n", error);
+        return error == boost::asio::error::eof;
+    }
+
+    std::string started;
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::streambuf m_buffer;
+    int m_id = 0;
+};
+
+} // namespace waxwing::testing
--- /dev/null
+++ b/packages/state/include/waxwing/state/pool_route.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <waxwing/state/freshness.h>
+#include <waxwing/support/time.h>
+
+#include <string>
+
+namespace waxwing
+{
+
+/// @brief Way from a database name that callers use to a service.
+struct PoolRoute
+{
+    std::string name;
+    std::string database; ///< name under which sessions start
+    std::string service;
+    Freshness freshness = Freshness::Primary;
+    Duration statementTimeout {}; ///< for one statement
+    Duration latencyTarget {}; ///< for a whole operation
+    Duration maxAge {}; ///< for BoundedAge and OwnWrites
+    int priority = 0; ///< 0 is the highest
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/state/include/waxwing/state/sessions_machine.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <waxwing/wire/sessions.pb.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief Replicated state of a deployment that serves sessions: the operator's configuration document under the
+/// operator's own version, and the epoch and primary of each service.
+///
+/// Deterministic: its content depends only on the commands applied. Epochs are log indexes, so that one is never used
+/// twice, and they serve as fencing tokens.
+class SessionsMachine
+{
+public:
+    /// @brief Applies one encoded SessionsCommand.
+    /// @param index log index of the command
+    /// @param command encoded SessionsCommand
+    /// @return an encoded SessionsResult
+    std::vector<std::byte> apply(std::uint64_t index, std::span<const std::byte> command);
+
+    /// @brief Applies one command.
+    wire::SessionsResult applyCommand(std::uint64_t index, const wire::SessionsCommand &command);
+
+    /// @brief Encodes the whole state as a SessionsSnapshot.
+    std::vector<std::byte> snapshot() const;
+
+    /// @brief Replaces the state with a snapshot.
+    /// @return false if the snapshot is not readable; the state is then unchanged
+    bool restore(std::span<const std::byte> bytes);
+
+    /// @brief Version of the document; 0 before the first.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+    /// @brief The operator's document as it was sent.
+    const std::string &document() const
+    {
+        return m_document;
+    }
+
+    /// @brief Record of a service.
+    /// @return the record, or null if the service has had no primary yet
+    const wire::EpochRecord *service(std::string_view name) const;
+
+    /// @brief Records of all services by name.
+    const std::map<std::string, wire::EpochRecord, std::less<>> &services() const
+    {
+        return m_services;
+    }
+
+private:
+    bool startEpoch(std::uint64_t index, const wire::StartEpoch &command);
+    bool setPrimary(std::uint64_t index, const wire::SetPrimary &command);
+
+    std::uint64_t m_version = 0;
+    std::string m_document;
+    std::map<std::string, wire::EpochRecord, std::less<>> m_services;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/state/src/waxwing/state/sessions_machine.cpp
@@ -0,0 +1,109 @@
+#include <waxwing/state/message_bytes.h>
+#include <waxwing/state/sessions_machine.h>
+
+namespace waxwing
+{
+
+std::vector<std::byte> SessionsMachine::apply(std::uint64_t index, std::span<const std::byte> command)
+{
+    wire::SessionsCommand message;
+    if (!decodeMessage(command, message)) {
+        return encodeMessage(wire::SessionsResult());
+    }
+    return encodeMessage(applyCommand(index, message));
+}
+
+wire::SessionsResult SessionsMachine::applyCommand(std::uint64_t index, const wire::SessionsCommand &command)
+{
+    wire::SessionsResult result;
+    std::string_view service;
+    if (command.has_set_document()) {
+        const auto &change = command.set_document();
+        if (change.version() > m_version) {
+            m_version = change.version();
+            m_document = change.document();
+            result.set_accepted(true);
+        }
+    } else if (command.has_start_epoch()) {
+        service = command.start_epoch().service();
+        result.set_accepted(startEpoch(index, command.start_epoch()));
+    } else if (command.has_set_primary()) {
+        service = command.set_primary().service();
+        result.set_accepted(setPrimary(index, command.set_primary()));
+    }
+    result.set_version(m_version);
+    if (const auto *record = this->service(service)) {
+        result.set_epoch(record->epoch());
+    }
+    return result;
+}
+
+bool SessionsMachine::startEpoch(std::uint64_t index, const wire::StartEpoch &command)
+{
+    const auto found = m_services.find(command.service());
+    if (found == m_services.end() || found->second.epoch() != command.expected_epoch()) {
+        return false;
+    }
+    auto &record = found->second;
+    record.set_epoch(index);
+    if (!record.primary().empty()) {
+        record.set_previous(record.primary());
+        record.clear_primary();
+    }
+    return true;
+}
+
+bool SessionsMachine::setPrimary(std::uint64_t index, const wire::SetPrimary &command)
+{
+    const auto found = m_services.find(command.service());
+    if (found == m_services.end()) {
+        if (command.epoch() != 0) {
+            return false;
+        }
+        auto &record = m_services[command.service()];
+        record.set_service(command.service());
+        record.set_epoch(index);
+        record.set_primary(command.primary());
+        return true;
+    }
+    if (found->second.epoch() != command.epoch() || !found->second.primary().empty()) {
+        return false;
+    }
+    found->second.set_primary(command.primary());
+    return true;
+}
+
+std::vector<std::byte> SessionsMachine::snapshot() const
+{
+    wire::SessionsSnapshot message;
+    message.set_version(m_version);
+    message.set_document(m_document);
+    for (const auto &[name, record] : m_services) {
+        *message.add_services() = record;
+    }
+    return encodeMessage(message);
+}
+
+bool SessionsMachine::restore(std::span<const std::byte> bytes)
+{
+    wire::SessionsSnapshot message;
+    if (!decodeMessage(bytes, message)) {
+        return false;
+    }
+    m_version = message.version();
+    m_document = message.document();
+    m_services.clear();
+    for (auto &record : *message.mutable_services()) {
+        auto name = record.service();
+        m_services.emplace(std::move(name), std::move(record));
+    }
+    return true;
+}
+
+const wire::EpochRecord *SessionsMachine::service(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/state/src/waxwing/state/sessions_machine_test.cpp
@@ -0,0 +1,99 @@
+#include <waxwing/state/sessions_machine.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace waxwing;
+
+namespace
+{
+
+wire::SessionsCommand setDocument(std::uint64_t version, const std::string &document)
+{
+    wire::SessionsCommand command;
+    command.mutable_set_document()->set_version(version);
+    command.mutable_set_document()->set_document(document);
+    return command;
+}
+
+wire::SessionsCommand setPrimary(std::uint64_t epoch, const std::string &primary)
+{
+    wire::SessionsCommand command;
+    command.mutable_set_primary()->set_service("s");
+    command.mutable_set_primary()->set_epoch(epoch);
+    command.mutable_set_primary()->set_primary(primary);
+    return command;
+}
+
+wire::SessionsCommand startEpoch(std::uint64_t expected)
+{
+    wire::SessionsCommand command;
+    command.mutable_start_epoch()->set_service("s");
+    command.mutable_start_epoch()->set_expected_epoch(expected);
+    return command;
+}
+
+} // namespace
+
+class SessionsMachineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SessionsMachineTest);
+    CPPUNIT_TEST(versionHeldKeepsItsContent);
+    CPPUNIT_TEST(epochIsNeverReused);
+    CPPUNIT_TEST(primaryOfAnEarlierEpochIsRefused);
+    CPPUNIT_TEST(snapshotHoldsEverything);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against other content in force under a version that is held, and against an older version that returns.
+    void versionHeldKeepsItsContent()
+    {
+        SessionsMachine machine;
+        CPPUNIT_ASSERT(machine.applyCommand(1, setDocument(7, "a")).accepted());
+        CPPUNIT_ASSERT(!machine.applyCommand(2, setDocument(7, "b")).accepted());
+        CPPUNIT_ASSERT(!machine.applyCommand(3, setDocument(6, "c")).accepted());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), machine.document());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), machine.version());
+    }
+
+    // Guards against two orders with the same fencing token.
+    void epochIsNeverReused()
+    {
+        SessionsMachine machine;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), machine.applyCommand(4, setPrimary(0, "a")).epoch());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), machine.applyCommand(5, startEpoch(4)).epoch());
+        CPPUNIT_ASSERT(!machine.applyCommand(6, startEpoch(4)).accepted());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), machine.applyCommand(7, startEpoch(5)).epoch());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), machine.service("s")->previous());
+    }
+
+    // Guards against a deposed leader of control that publishes the primary of a change which another leader restarted.
+    void primaryOfAnEarlierEpochIsRefused()
+    {
+        SessionsMachine machine;
+        machine.applyCommand(1, setPrimary(0, "a"));
+        machine.applyCommand(2, startEpoch(1));
+        machine.applyCommand(3, startEpoch(2));
+        CPPUNIT_ASSERT(!machine.applyCommand(4, setPrimary(2, "b")).accepted());
+        CPPUNIT_ASSERT(machine.service("s")->primary().empty());
+        CPPUNIT_ASSERT(machine.applyCommand(5, setPrimary(3, "c")).accepted());
+        CPPUNIT_ASSERT(!machine.applyCommand(6, setPrimary(3, "b")).accepted());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), machine.service("s")->primary());
+    }
+
+    // Guards against state that is lost when the log is compacted.
+    void snapshotHoldsEverything()
+    {
+        SessionsMachine machine;
+        machine.applyCommand(1, setDocument(7, "a"));
+        machine.applyCommand(2, setPrimary(0, "p"));
+        machine.applyCommand(3, startEpoch(2));
+        SessionsMachine copy;
+        CPPUNIT_ASSERT(copy.restore(machine.snapshot()));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), copy.document());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), copy.version());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), copy.service("s")->epoch());
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), copy.service("s")->previous());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionsMachineTest);
--- a/packages/support/include/waxwing/support/log.h
+++ b/packages/support/include/waxwing/support/log.h
@@ -21,6 +21,7 @@
 {
     std::string process; ///< name of the process, a field of every line
     std::string file; ///< path of the log file; standard error when empty
+    bool standardOutput = false; ///< without a file, write to standard output
     Level level = Level::Info;
     unsigned queueLength = 10'000; ///< lines that wait for the log thread
 };
--- a/packages/support/src/waxwing/support/log.cpp
+++ b/packages/support/src/waxwing/support/log.cpp
@@ -68,7 +68,7 @@
 {
     log4cplus::SharedAppenderPtr target;
     if (options.file.empty()) {
-        target = new log4cplus::ConsoleAppender(true, true);
+        target = new log4cplus::ConsoleAppender(!options.standardOutput, true);
     } else {
         target = new log4cplus::FileAppender(options.file, std::ios_base::app, true);
     }
--- a/packages/transport/include/waxwing/transport/http_request.h
+++ b/packages/transport/include/waxwing/transport/http_request.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace waxwing
 {
@@ -14,6 +16,7 @@
     std::string body;
     std::string requestId; ///< header X-Request-Id
     std::string authorization; ///< header Authorization
+    std::vector<std::pair<std::string, std::string>> headers; ///< client side: further headers
     std::uint64_t connection = 0; ///< server side: identifies the connection
 };
 
--- a/packages/transport/src/waxwing/transport/http_connection.cpp
+++ b/packages/transport/src/waxwing/transport/http_connection.cpp
@@ -92,6 +92,9 @@
         if (!request.authorization.empty()) {
             m_request.set(http::field::authorization, request.authorization);
         }
+        for (const auto &[name, value] : request.headers) {
+            m_request.set(name, value);
+        }
         if (!request.body.empty()) {
             m_request.set(http::field::content_type, "application/json");
         }
--- a/programs/control/log_peers.h
+++ b/programs/control/log_peers.h
@@ -17,6 +17,7 @@
     Config = 1,
     Intents = 2,
     ForwardedIntents = 3, ///< holds a wire::ControlPacket
+    Sessions = 4,
 };
 
 /// @brief Sends the packets of one log to the other control processes over the link.
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -1,6 +1,8 @@
 #include "control_settings.h"
 #include "operator_command.h"
 #include "serve.h"
+#include "serve_sessions.h"
+#include "session_control_settings.h"
 
 #include <getopt.h>
 
@@ -13,6 +15,7 @@
 {
 
 constexpr std::string_view usage = R"(Usage: waxwing-control serve --settings FILE [--check-settings]
+       waxwing-control serve-sessions --settings FILE [--check-settings]
        waxwing-control apply [OPTION]... FILE    create or change the resources of a JSON file ("-": standard input)
        waxwing-control get [OPTION]... [KIND [NAME]]
        waxwing-control watch [OPTION]... [--from VERSION] [--count N]
@@ -37,6 +40,21 @@
     return 2;
 }
 
+int serveSessionsCommand(const std::string &file, bool checkSettings)
+{
+    if (file.empty()) {
+        return usageError("serve-sessions needs --settings FILE");
+    }
+    const auto settings = waxwing::control::SessionControlSettings::load(file);
+    for (const auto &error : settings.errors) {
+        std::cerr << error << '\n';
+    }
+    if (!settings.errors.empty()) {
+        return 2;
+    }
+    return checkSettings ? 0 : waxwing::control::serveSessions(settings);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -97,6 +115,9 @@
     }
     command.name = argv[optind++];
     command.arguments.assign(argv + optind, argv + argc);
+    if (command.name == "serve-sessions") {
+        return serveSessionsCommand(settingsFile, checkSettings);
+    }
     if (command.name != "serve") {
         return waxwing::control::runOperatorCommand(command);
     }
--- /dev/null
+++ b/programs/control/primary_keeper.cpp
@@ -0,0 +1,558 @@
+#include "primary_keeper.h"
+
+#include <waxwing/state/message_bytes.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace waxwing::control
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using Command = DatabaseCalls::Command;
+using Reach = DatabaseCalls::Reach;
+
+// Proxies repeat their evidence every 150 ms; older evidence does not count.
+constexpr Duration reportAge = 600ms;
+// Between two checks of a primary; a refused one is checked twice, so that a lost packet replaces nothing.
+constexpr Duration checkSpacing = 100ms;
+constexpr Duration checkLimit = 350ms; // connect, start and status: three round trips of 40 ms, and a slot of up to 200 ms
+// Checks in a row that find a primary reachable but useless before it is replaced.
+constexpr unsigned patience = 3;
+constexpr Duration withdrawSpacing = 100ms; // the request is repeated until it is confirmed
+constexpr Duration stepPause = 20ms; // between two looks at a condition
+constexpr Duration callLimit = 400ms; // for a command to a database
+constexpr Duration catchUpLimit = 600ms; // for a replica to receive what a primary had when it stepped down
+constexpr Duration roleLimit = 4s; // a promotion takes 300 to 1,000 ms after the order
+constexpr Duration retryPause = 150ms;
+constexpr double half = 0.5;
+
+std::string reachName(const DatabaseCalls::Answer &answer)
+{
+    switch (answer.reach) {
+    case Reach::Answered:
+        return answer.status->primary ? "primary" : "replica";
+    case Reach::Refused:
+        return "refused";
+    case Reach::Silent:
+        return "silent";
+    case Reach::Busy:
+        break;
+    }
+    return "busy";
+}
+
+} // namespace
+
+PrimaryKeeper::PrimaryKeeper(asio::io_context &context, State state, const SessionControlPorts &ports, std::string name, std::function<void()> publish)
+    : m_context(context)
+    , m_state(state)
+    , m_ports(ports)
+    , m_publish(std::move(publish))
+    , m_calls(context, std::move(name))
+{
+}
+
+void PrimaryKeeper::reset(bool leads)
+{
+    ++m_generation;
+    m_leads = leads;
+    m_services.clear();
+    m_calls.closeAll();
+}
+
+void PrimaryKeeper::report(const std::string &proxy, const wire::PoolRenewal &renewal, TimePoint now)
+{
+    for (const auto &report : renewal.reports()) {
+        const auto *record = m_state.machine.service(report.service());
+        if (record != nullptr && record->epoch() == report.epoch()) {
+            m_services[report.service()].reports[proxy] = {now, report.unreachable(), report.stalled()};
+        }
+    }
+}
+
+void PrimaryKeeper::withdrawn(const wire::PoolWithdrawn &message)
+{
+    const auto found = m_services.find(message.service());
+    if (found != m_services.end() && message.epoch() + 1 >= found->second.withdrawEpoch) {
+        found->second.withdrawals[message.proxy()] = {message.incarnation(), {message.acknowledged().term(), message.acknowledged().number()}};
+    }
+}
+
+std::vector<wire::PoolMember> PrimaryKeeper::members(const std::string &name) const
+{
+    std::vector<wire::PoolMember> members;
+    for (const auto *entry : m_state.directory.members(name)) {
+        members.push_back(entry->member);
+    }
+    return members;
+}
+
+void PrimaryKeeper::tick(TimePoint now, bool collected)
+{
+    std::set<std::string> names;
+    for (const auto &[id, entry] : m_state.directory.entries()) {
+        names.insert(entry.member.service());
+    }
+    for (const auto &[name, record] : m_state.machine.services()) {
+        names.insert(name);
+    }
+    for (const auto &name : names) {
+        auto &service = m_services[name];
+        const auto *record = m_state.machine.service(name);
+        if (service.busy || now < service.nextCheck) {
+            continue;
+        }
+        if (record == nullptr) {
+            if (collected) {
+                considerFirst(name, service);
+            }
+        } else {
+            considerPresent(name, service, *record, now, collected);
+        }
+    }
+}
+
+void PrimaryKeeper::considerFirst(const std::string &name, Service &service)
+{
+    const wire::PoolMember *primary = nullptr;
+    for (const auto *entry : m_state.directory.members(name)) {
+        if (entry->member.primary()) {
+            if (primary != nullptr) {
+                return; // one of the two is about to report that it no longer is
+            }
+            primary = &entry->member;
+        }
+    }
+    if (primary != nullptr) {
+        service.busy = true;
+        asio::co_spawn(m_context, adopt(name, *primary), asio::detached);
+    }
+}
+
+void PrimaryKeeper::considerPresent(const std::string &name, Service &service, const wire::EpochRecord &record, TimePoint now, bool collected)
+{
+    if (record.primary().empty()) {
+        if (collected) {
+            service.busy = true;
+            asio::co_spawn(m_context, change(name, "unfinished"), asio::detached);
+        }
+        return;
+    }
+    const auto *entry = m_state.directory.find(record.primary());
+    if (entry == nullptr) {
+        if (collected) {
+            service.busy = true;
+            asio::co_spawn(m_context, change(name, "gone"), asio::detached);
+        }
+        return;
+    }
+    const auto all = m_state.directory.members(name);
+    const bool replaceable = std::any_of(all.begin(), all.end(), [](const auto *other) { return !other->member.draining(); });
+    if (entry->member.draining() && replaceable && collected) {
+        service.busy = true;
+        asio::co_spawn(m_context, change(name, "draining"), asio::detached);
+        return;
+    }
+    const bool reported = std::any_of(service.reports.begin(), service.reports.end(), [&](const auto &item) { return now - item.second.at < reportAge; });
+    if (reported || !entry->member.primary()) {
+        service.busy = true;
+        asio::co_spawn(m_context, check(name, entry->member), asio::detached);
+    } else {
+        service.suspicions = 0;
+    }
+}
+
+asio::awaitable<void> PrimaryKeeper::pause(Duration duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<LogReply> PrimaryKeeper::propose(wire::SessionsCommand command)
+{
+    auto initiate = [this](auto handler, std::vector<std::byte> bytes) {
+        // Shared: the port takes copyable handlers only.
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        m_ports.log.propose(std::move(bytes), [this, shared](LogReply &&reply) {
+            asio::post(m_context, [shared, reply = std::move(reply)]() mutable { (*shared)(std::move(reply)); });
+        });
+    };
+    auto bytes = encodeMessage(command);
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(LogReply)>(std::move(initiate), asio::use_awaitable, std::move(bytes));
+}
+
+asio::awaitable<std::optional<std::uint64_t>> PrimaryKeeper::startEpoch(std::string name, std::uint64_t expected)
+{
+    wire::SessionsCommand command;
+    command.mutable_start_epoch()->set_service(name);
+    command.mutable_start_epoch()->set_expected_epoch(expected);
+    const auto reply = co_await propose(std::move(command));
+    wire::SessionsResult result;
+    if (reply.failure != LogFailure::None || !decodeMessage(reply.result, result) || !result.accepted()) {
+        co_return std::nullopt;
+    }
+    co_return result.epoch();
+}
+
+asio::awaitable<bool> PrimaryKeeper::setPrimary(std::string name, std::uint64_t epoch, std::string primary)
+{
+    wire::SessionsCommand command;
+    command.mutable_set_primary()->set_service(name);
+    command.mutable_set_primary()->set_epoch(epoch);
+    command.mutable_set_primary()->set_primary(primary);
+    const auto reply = co_await propose(std::move(command));
+    wire::SessionsResult result;
+    co_return reply.failure == LogFailure::None && decodeMessage(reply.result, result) && result.accepted();
+}
+
+asio::awaitable<void> PrimaryKeeper::adopt(std::string name, wire::PoolMember member)
+{
+    const auto generation = m_generation;
+    const auto answer = co_await m_calls.call(member, Command::Status, 0, callLimit);
+    const bool confirmed = answer.status && answer.status->primary;
+    if (isCurrent(generation) && confirmed) {
+        const bool accepted = co_await setPrimary(name, 0, member.id());
+        log::write(log::Level::Info, "first primary", {{"service", name}, {"primary", member.id()}, {"accepted", accepted}});
+        m_publish();
+    }
+    if (generation == m_generation) {
+        m_services[name].busy = false;
+        m_services[name].nextCheck = Clock::now() + (confirmed ? Duration::zero() : retryPause);
+    }
+}
+
+std::size_t PrimaryKeeper::countReports(const Service &service, bool Report::*kind, TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(service.reports.begin(), service.reports.end(), [&](const auto &item) {
+        return now - item.second.at < reportAge && item.second.*kind && m_state.leases.proxies().contains(item.first);
+    }));
+}
+
+std::string PrimaryKeeper::judge(Service &service, const DatabaseCalls::Answer &answer) const
+{
+    const auto now = Clock::now();
+    const auto live = static_cast<double>(m_state.leases.proxies().size());
+    const auto unreachable = countReports(service, &Report::unreachable, now);
+    const auto stalled = countReports(service, &Report::stalled, now);
+    if (answer.reach == Reach::Answered && !answer.status->primary) {
+        return "not-primary";
+    }
+    ++service.suspicions;
+    if (answer.reach == Reach::Refused && service.suspicions >= 2) {
+        return "refused";
+    }
+    // Silence that two proxies confirm; one observer may itself be cut off.
+    if (answer.reach == Reach::Silent && (unreachable >= 2 || (unreachable >= 1 && static_cast<double>(unreachable) >= live * half))) {
+        return "silent";
+    }
+    if (answer.reach == Reach::Answered && service.suspicions >= patience) {
+        if (static_cast<double>(unreachable) > live * half) {
+            return "cut-off";
+        }
+        if (stalled >= 2 || (stalled >= 1 && static_cast<double>(stalled) >= live * half)) {
+            return "stalled";
+        }
+    }
+    return {};
+}
+
+asio::awaitable<void> PrimaryKeeper::check(std::string name, wire::PoolMember primary)
+{
+    const auto generation = m_generation;
+    const auto answer = co_await m_calls.call(primary, Command::Status, 0, checkLimit);
+    if (!isCurrent(generation)) {
+        co_return;
+    }
+    auto &service = m_services[name];
+    const auto verdict = judge(service, answer);
+    log::write(log::Level::Info, "primary checked",
+               {{"service", name},
+                {"primary", primary.id()},
+                {"answer", reachName(answer)},
+                {"reports", service.reports.size()},
+                {"suspicions", service.suspicions},
+                {"verdict", verdict.empty() ? "kept" : verdict}});
+    if (!verdict.empty()) {
+        co_await change(name, verdict);
+        co_return;
+    }
+    service.busy = false;
+    service.nextCheck = Clock::now() + checkSpacing;
+}
+
+asio::awaitable<void> PrimaryKeeper::change(std::string name, std::string cause)
+{
+    static auto &changes = Metrics::instance().counter("waxwing_control_primary_changes_total");
+    const auto generation = m_generation;
+    const auto startedAt = Clock::now();
+    changes.add();
+    log::write(log::Level::Warning, "primary change started", {{"service", name}, {"cause", cause}});
+    bool done = false;
+    while (isCurrent(generation) && !done) {
+        done = co_await changeOnce(name, generation);
+        if (!done && isCurrent(generation)) {
+            co_await pause(retryPause);
+        }
+    }
+    if (!isCurrent(generation)) {
+        co_return;
+    }
+    const auto *record = m_state.machine.service(name);
+    log::write(log::Level::Warning, "primary change finished",
+               {{"service", name},
+                {"cause", cause},
+                {"primary", record == nullptr ? std::string() : record->primary()},
+                {"epoch", record == nullptr ? 0 : record->epoch()},
+                {"took_ms", toMilliseconds(Clock::now() - startedAt).count()}});
+    auto &service = m_services[name];
+    service.busy = false;
+    service.suspicions = 0;
+    service.reports.clear();
+    service.nextCheck = Clock::now() + checkSpacing;
+}
+
+bool PrimaryKeeper::advanceWithdrawal(Service &service, const std::string &name, std::uint64_t epoch, TimePoint now)
+{
+    if (service.withdrawEpoch != epoch) {
+        service.withdrawEpoch = epoch;
+        service.withdrawals.clear();
+        service.withdrawSent = {};
+    }
+    const bool send = now - service.withdrawSent >= withdrawSpacing;
+    bool complete = m_state.leases.isComplete(now);
+    for (const auto &[proxy, lease] : m_state.leases.proxies()) {
+        const auto confirmed = service.withdrawals.find(proxy);
+        if (lease.end <= now || (confirmed != service.withdrawals.end() && confirmed->second.incarnation == lease.incarnation)) {
+            continue;
+        }
+        complete = false;
+        if (send) {
+            wire::PoolEnvelope message;
+            message.mutable_withdraw()->set_service(name);
+            message.mutable_withdraw()->set_epoch(epoch - 1);
+            m_ports.sendToProxy(proxy, message);
+        }
+    }
+    if (send) {
+        service.withdrawSent = now;
+    }
+    return complete;
+}
+
+std::optional<TermPosition> PrimaryKeeper::acknowledgedByAll(const Service &service, TimePoint now) const
+{
+    if (!m_state.leases.isComplete(now)) {
+        return std::nullopt;
+    }
+    TermPosition highest;
+    for (const auto &[proxy, lease] : m_state.leases.proxies()) {
+        const auto confirmed = service.withdrawals.find(proxy);
+        if (confirmed == service.withdrawals.end() || confirmed->second.incarnation != lease.incarnation) {
+            return std::nullopt;
+        }
+        highest = std::max(highest, confirmed->second.acknowledged);
+    }
+    return highest;
+}
+
+asio::awaitable<bool> PrimaryKeeper::changeOnce(const std::string &name, std::uint64_t generation)
+{
+    const auto *record = m_state.machine.service(name);
+    if (record == nullptr) {
+        co_return true;
+    }
+    const auto previous = record->primary().empty() ? record->previous() : record->primary();
+    const auto epoch = co_await startEpoch(name, record->epoch());
+    if (!epoch || !isCurrent(generation)) {
+        co_return false;
+    }
+    m_publish();
+    advanceWithdrawal(m_services[name], name, *epoch, Clock::now());
+    std::string candidate;
+    while (isCurrent(generation)) {
+        candidate = co_await choose(name, previous, generation);
+        if (!isCurrent(generation)) {
+            co_return false;
+        }
+        if (!candidate.empty()) {
+            break;
+        }
+        advanceWithdrawal(m_services[name], name, *epoch, Clock::now());
+        co_await pause(retryPause);
+    }
+    while (isCurrent(generation) && !advanceWithdrawal(m_services[name], name, *epoch, Clock::now())) {
+        co_await pause(stepPause);
+    }
+    const auto *entry = m_state.directory.find(candidate);
+    if (!isCurrent(generation) || entry == nullptr) {
+        co_return false;
+    }
+    const wire::PoolMember target = entry->member;
+    const auto orderedAt = Clock::now();
+    const auto ordered = co_await m_ports.orderPromotion(name, candidate, *epoch);
+    log::write(log::Level::Info, "promotion ordered",
+               {{"service", name},
+                {"candidate", candidate},
+                {"epoch", *epoch},
+                {"answer", ordered == OrderAnswer::Accepted ? "accepted" : ordered == OrderAnswer::Conflict ? "conflict" : "none"},
+                {"took_ms", toMilliseconds(Clock::now() - orderedAt).count()}});
+    if (ordered != OrderAnswer::Accepted || !isCurrent(generation)) {
+        co_return false;
+    }
+    const bool leads = co_await awaitRole(target, generation);
+    if (!leads || !isCurrent(generation)) {
+        co_return false;
+    }
+    const bool accepted = co_await setPrimary(name, *epoch, candidate);
+    m_publish();
+    co_return accepted;
+}
+
+asio::awaitable<std::string> PrimaryKeeper::choose(const std::string &name, std::string previous, std::uint64_t generation)
+{
+    auto all = members(name);
+    auto answers = co_await m_calls.callAll(all, Command::Status, 0, callLimit);
+    if (!isCurrent(generation)) {
+        co_return std::string();
+    }
+    std::uint64_t term = 0;
+    bool primaryAnswers = false;
+    for (const auto &[id, answer] : answers) {
+        if (answer.status) {
+            term = std::max({term, answer.status->term, answer.status->pausedTerm});
+            primaryAnswers = primaryAnswers || answer.status->primary;
+        }
+    }
+    ++term;
+    std::vector<wire::PoolMember> primaries;
+    std::vector<wire::PoolMember> others;
+    for (const auto &member : all) {
+        const auto &answer = answers[member.id()];
+        (answer.status && answer.status->primary ? primaries : others).push_back(member);
+    }
+    if (primaryAnswers) {
+        const auto stepped = co_await m_calls.callAll(primaries, Command::StepDown, term, callLimit);
+        for (const auto &[id, answer] : stepped) {
+            answers[id] = answer;
+        }
+        const auto deadline = Clock::now() + catchUpLimit;
+        while (isCurrent(generation)) {
+            const auto choice = pick(name, previous, answers, true);
+            if (!choice.empty() || Clock::now() >= deadline) {
+                break;
+            }
+            co_await pause(stepPause);
+            const auto again = co_await m_calls.callAll(others, Command::Status, 0, callLimit);
+            for (const auto &[id, answer] : again) {
+                answers[id] = answer;
+            }
+        }
+        const auto choice = pick(name, previous, answers, true);
+        if (!choice.empty()) {
+            co_return choice;
+        }
+    }
+    // The primary may still have its log confirmed by a replica, unless none receives any more.
+    const auto paused = co_await m_calls.callAll(others, Command::Pause, term, callLimit);
+    for (const auto &[id, answer] : paused) {
+        answers[id] = answer;
+    }
+    co_return pick(name, previous, answers, false);
+}
+
+std::string PrimaryKeeper::pick(const std::string &name, const std::string &previous, const Answers &answers, bool steppedDown) const
+{
+    struct Candidate
+    {
+        std::string id;
+        TermPosition position;
+        bool draining = false;
+    };
+    std::vector<Candidate> candidates;
+    std::size_t missing = 0;
+    std::optional<TermPosition> former; ///< end of the log of the primary before, which has stepped down
+    for (const auto &member : members(name)) {
+        const auto found = answers.find(member.id());
+        const bool answered = found != answers.end() && found->second.status;
+        if (member.id() == previous) {
+            if (answered && !found->second.status->primary) {
+                former = found->second.status->received;
+                candidates.push_back({member.id(), *former, member.draining()});
+            }
+        } else if (answered && !found->second.status->primary) {
+            candidates.push_back({member.id(), found->second.status->received, member.draining()});
+        } else {
+            ++missing;
+        }
+    }
+    std::optional<TermPosition> required;
+    if (former) {
+        required = former;
+    } else if (const auto service = m_services.find(name); missing != 0 && service != m_services.end()) {
+        required = acknowledgedByAll(service->second, Clock::now());
+    }
+    if (steppedDown && !former) {
+        return {};
+    }
+    if (missing != 0 && !required) {
+        return {}; // a database that does not answer may hold commits that the others lack
+    }
+    const Candidate *best = nullptr;
+    for (const auto &candidate : candidates) {
+        if (required && candidate.position < *required) {
+            continue;
+        }
+        // The former primary has everything, but is the one to be replaced.
+        const auto rank = [&](const Candidate &one) { return std::make_tuple(!one.draining, one.id != previous, one.position); };
+        if (steppedDown && candidate.id == previous) {
+            continue;
+        }
+        if (best == nullptr || rank(candidate) > rank(*best)) {
+            best = &candidate;
+        }
+    }
+    if (best == nullptr || steppedDown) {
+        return best == nullptr ? std::string() : best->id;
+    }
+    // Without the former primary the longest log decides alone.
+    if (!required) {
+        for (const auto &candidate : candidates) {
+            best = candidate.position > best->position ? &candidate : best;
+        }
+    }
+    return best->id;
+}
+
+asio::awaitable<bool> PrimaryKeeper::awaitRole(wire::PoolMember member, std::uint64_t generation)
+{
+    const auto deadline = Clock::now() + roleLimit;
+    while (isCurrent(generation) && Clock::now() < deadline) {
+        const auto answer = co_await m_calls.call(member, Command::Status, 0, callLimit);
+        if (answer.status && answer.status->primary) {
+            co_return true;
+        }
+        if (answer.reach == Reach::Refused) {
+            co_return false;
+        }
+        co_await pause(stepPause);
+    }
+    co_return false;
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/primary_keeper.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "database_calls.h"
+#include "session_control_ports.h"
+#include "session_leases.h"
+
+#include <waxwing/coordination/pool_directory.h>
+#include <waxwing/coordination/term_position.h>
+#include <waxwing/state/sessions_machine.h>
+#include <waxwing/support/time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing::control
+{
+
+/// @brief Keeps a primary in each service: notices that one has failed or leaves, and replaces it. Acts on the leader only.
+///
+/// The order of the steps carries the guarantees: a new epoch is committed before the old one is withdrawn, every proxy
+/// has given up its lease on the old epoch, or lost it, before a promotion is ordered, no replica receives while positions
+/// are compared, and a primary is published only after an order with the epoch's own fencing token was confirmed.
+class PrimaryKeeper
+{
+public:
+    struct State
+    {
+        const SessionsMachine &machine;
+        const PoolDirectory &directory;
+        const SessionLeases &leases;
+    };
+
+    /// @param publish called when the directory must be sent to the proxies
+    PrimaryKeeper(boost::asio::io_context &context, State state, const SessionControlPorts &ports, std::string name, std::function<void()> publish);
+
+    /// @brief Starts a leadership, or ends it; work of an earlier one stops at its next step.
+    void reset(bool leads);
+
+    /// @brief Takes the evidence of a proxy.
+    void report(const std::string &proxy, const wire::PoolRenewal &renewal, TimePoint now);
+
+    /// @brief Takes a proxy's word that it has given up an epoch.
+    void withdrawn(const wire::PoolWithdrawn &message);
+
+    /// @brief Starts what is due.
+    /// @param collected every database has had the time to send a heartbeat
+    void tick(TimePoint now, bool collected);
+
+private:
+    using Answers = std::map<std::string, DatabaseCalls::Answer>;
+
+    struct Report
+    {
+        TimePoint at;
+        bool unreachable = false;
+        bool stalled = false;
+    };
+
+    struct Withdrawal
+    {
+        std::uint64_t incarnation = 0;
+        TermPosition acknowledged;
+    };
+
+    struct Service
+    {
+        bool busy = false; ///< a check or a change runs
+        unsigned suspicions = 0; ///< checks in a row that found something wrong without certainty
+        TimePoint nextCheck;
+        std::map<std::string, Report> reports; ///< by proxy, for the present epoch
+        std::uint64_t withdrawEpoch = 0; ///< epochs before this one are withdrawn
+        std::map<std::string, Withdrawal> withdrawals; ///< by proxy
+        TimePoint withdrawSent;
+    };
+
+    bool isCurrent(std::uint64_t generation) const
+    {
+        return m_leads && generation == m_generation;
+    }
+
+    void considerFirst(const std::string &name, Service &service);
+    void considerPresent(const std::string &name, Service &service, const wire::EpochRecord &record, TimePoint now, bool collected);
+    boost::asio::awaitable<void> adopt(std::string name, wire::PoolMember member);
+    boost::asio::awaitable<void> check(std::string name, wire::PoolMember primary);
+    std::string judge(Service &service, const DatabaseCalls::Answer &answer) const;
+    std::size_t countReports(const Service &service, bool Report::*kind, TimePoint now) const;
+    boost::asio::awaitable<void> change(std::string name, std::string cause);
+    boost::asio::awaitable<bool> changeOnce(const std::string &name, std::uint64_t generation);
+    boost::asio::awaitable<std::optional<std::uint64_t>> startEpoch(std::string name, std::uint64_t expected);
+    boost::asio::awaitable<bool> setPrimary(std::string name, std::uint64_t epoch, std::string primary);
+    bool advanceWithdrawal(Service &service, const std::string &name, std::uint64_t epoch, TimePoint now);
+    std::optional<TermPosition> acknowledgedByAll(const Service &service, TimePoint now) const;
+    boost::asio::awaitable<std::string> choose(const std::string &name, std::string previous, std::uint64_t generation);
+    std::string pick(const std::string &name, const std::string &previous, const Answers &answers, bool steppedDown) const;
+    boost::asio::awaitable<bool> awaitRole(wire::PoolMember member, std::uint64_t generation);
+    boost::asio::awaitable<void> pause(Duration duration);
+    boost::asio::awaitable<LogReply> propose(wire::SessionsCommand command);
+    std::vector<wire::PoolMember> members(const std::string &name) const;
+
+    boost::asio::io_context &m_context;
+    State m_state;
+    const SessionControlPorts &m_ports;
+    std::function<void()> m_publish;
+    DatabaseCalls m_calls;
+    std::map<std::string, Service> m_services;
+    std::uint64_t m_generation = 0;
+    bool m_leads = false;
+};
+
+} // namespace waxwing::control
--- a/programs/control/serve.cpp
+++ b/programs/control/serve.cpp
@@ -201,6 +201,8 @@
         case LogId::Intents:
             m_intentLog.host().receive(std::move(*message.mutable_message()));
             break;
+        case LogId::Sessions:
+            break; // a member of another kind of deployment
         case LogId::ForwardedIntents: {
             wire::ControlPacket packet;
             if (packet.ParseFromString(message.message())) {
--- /dev/null
+++ b/programs/control/serve_sessions.cpp
@@ -0,0 +1,372 @@
+#include "serve_sessions.h"
+
+#include "control_log.h"
+#include "log_peers.h"
+#include "session_control.h"
+#include "session_control_settings.h"
+
+#include <waxwing/platform/control_calls.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/transport/http_connection.h>
+#include <waxwing/transport/http_exchange.h>
+#include <waxwing/transport/http_reply.h>
+#include <waxwing/transport/http_request.h>
+#include <waxwing/transport/http_response.h>
+#include <waxwing/transport/http_server.h>
+#include <waxwing/transport/link_key.h>
+#include <waxwing/transport/message_link.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
+#include <utility>
+
+namespace waxwing::control
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Duration tickInterval = 20ms; // bounds the delay of a push; each wake-up is paid for
+constexpr Duration orderLimit = 2s; // the platform carries a promotion out in 300 to 1,000 ms
+constexpr Duration connectLimit = 500ms;
+constexpr Duration drainLimit = 1s; // for responses in flight at the end
+constexpr std::size_t maxDocumentBytes = 4U << 20; // a configuration of 10,000 routes
+constexpr LogIndex snapshotEvery = 100; // a document of 350 routes takes 80 KB, so that the log stays below 10 MB
+constexpr unsigned okStatus = 200;
+constexpr unsigned conflictStatus = 409;
+
+/// The parts of one member, on one thread beside those of the link, the disk and the log.
+class SessionControlProcess
+{
+public:
+    explicit SessionControlProcess(const SessionControlSettings &settings)
+        : m_settings(settings)
+        , m_peers(LogId::Sessions, m_link)
+        , m_log(m_context, m_peers, logOptions(settings))
+        , m_control(m_context, {settings.name, settings.heartbeat}, m_log.machine(), ports())
+        , m_timer(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    {
+        m_log.host().observe([this](LogIndex) { m_control.handleApplied(); });
+        m_log.host().observeFailure([this](const StateError &error) {
+            log::write(log::Level::Error, "stopping after a disk error", {{"error", error.message}});
+            m_exitCode = 1;
+            m_context.stop();
+        });
+    }
+
+    std::string start(LinkKey key)
+    {
+        MessageLinkOptions options;
+        options.name = m_settings.linkListen;
+        options.listen = m_settings.linkListen;
+        options.key = std::move(key);
+        auto link = MessageLink::start(m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); });
+        if (!link) {
+            return "can't listen on the link address " + m_settings.linkListen + ": " + link.error().message();
+        }
+        m_link.emplace(std::move(link.value()));
+        if (const auto started = m_log.host().start(); !started) {
+            return started.error().message;
+        }
+        for (const auto &address : {m_settings.httpListen, m_settings.metricsListen}) {
+            if (address.empty()) {
+                continue;
+            }
+            HttpServerOptions http;
+            http.listen = address;
+            http.maxBodyBytes = maxDocumentBytes;
+            auto server = HttpServer::start(m_context, std::move(http), [this](HttpRequest &&request, HttpReply reply) { handle(request, reply); });
+            if (!server) {
+                return "can't listen on the HTTP address " + address + ": " + server.error().message();
+            }
+            m_servers.push_back(std::move(server.value()));
+        }
+        awaitSignal();
+        tick();
+        return {};
+    }
+
+    int run()
+    {
+        m_context.run();
+        return m_exitCode;
+    }
+
+private:
+    static LogHostOptions logOptions(const SessionControlSettings &settings)
+    {
+        LogHostOptions options;
+        options.folder = settings.dataFolder + "/sessions";
+        options.address = settings.linkListen;
+        for (const auto &seed : settings.seeds) {
+            options.initialMembers.push_back(settings.linkOf(seed));
+        }
+        options.membership.open = true;
+        options.membership.mayForm = settings.mayForm;
+        options.snapshotEvery = snapshotEvery;
+        return options;
+    }
+
+    SessionControlPorts ports()
+    {
+        SessionControlPorts ports;
+        ports.log = m_log.port();
+        ports.sendToProxy = [this](const std::string &proxy, const wire::PoolEnvelope &message) { send({LinkPeer::Kind::Accepted, proxy}, message); };
+        ports.sendToMember = [this](const std::string &member, const wire::PoolEnvelope &message) { send({LinkPeer::Kind::Dialed, member}, message); };
+        ports.members = [this] {
+            std::vector<std::string> addresses;
+            const auto status = m_log.host().status();
+            for (const auto &member : status.membership.members()) {
+                addresses.push_back(member.address());
+            }
+            return addresses;
+        };
+        ports.orderPromotion = [this](std::string service, std::string database, std::uint64_t token) {
+            return order(std::move(service), std::move(database), token);
+        };
+        return ports;
+    }
+
+    void send(const LinkPeer &to, const wire::PoolEnvelope &content)
+    {
+        if (m_link) {
+            wire::Envelope message;
+            *message.mutable_pool() = content;
+            m_link->send(to, message);
+        }
+    }
+
+    asio::awaitable<OrderAnswer> order(std::string service, std::string database, std::uint64_t token)
+    {
+        static auto &orders = Metrics::instance().counter("waxwing_control_orders_total");
+        orders.add();
+        HttpConnection connection(m_context);
+        auto connect = [&connection](auto handler, std::string address) {
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler)); // shared: the callback must be copyable
+            connection.connect(address, connectLimit, [shared](std::error_code error) { (*shared)(error); });
+        };
+        std::string address = m_settings.platformAddress;
+        const auto connectError = co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(std::error_code)>(std::move(connect),
+                                                                                                                      asio::use_awaitable, std::move(address));
+        if (connectError) {
+            log::write(log::Level::Warning, "platform not reached", {{"error", connectError.message()}});
+            co_return OrderAnswer::None;
+        }
+        auto exchange = [&connection](auto handler, HttpRequest request) {
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler)); // shared: the callback must be copyable
+            connection.exchange(request, orderLimit, [shared](HttpExchange &&result) { (*shared)(std::move(result)); });
+        };
+        auto request = platform::promotionOrder(service, database, m_settings.name, token);
+        const auto result = co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(HttpExchange)>(std::move(exchange), asio::use_awaitable,
+                                                                                                             std::move(request));
+        if (result.error) {
+            log::write(log::Level::Warning, "order without an answer", {{"service", service}, {"token", token}, {"error", result.error.message()}});
+            co_return OrderAnswer::None;
+        }
+        if (result.response.status == okStatus) {
+            co_return OrderAnswer::Accepted;
+        }
+        log::write(log::Level::Warning, "order not accepted",
+                   {{"service", service}, {"database", database}, {"token", token}, {"status", result.response.status}, {"body", result.response.body}});
+        co_return result.response.status == conflictStatus ? OrderAnswer::Conflict : OrderAnswer::None;
+    }
+
+    void receive(const LinkPeer &from, const wire::Envelope &message)
+    {
+        if (message.has_raft()) {
+            m_log.host().receive(message.raft().message());
+        } else if (message.has_pool()) {
+            m_control.handleMessage(from.id, message.pool());
+        }
+    }
+
+    void handle(const HttpRequest &request, const HttpReply &reply)
+    {
+        std::string database;
+        switch (platform::classify(request, database)) {
+        case platform::Call::Beat:
+            handleBeat(platform::decodeBeat(database, request.body), reply);
+            break;
+        case platform::Call::Leave: {
+            wire::PoolMember member;
+            member.set_id(database);
+            member.set_leaving(true);
+            handleBeat(member, reply);
+            break;
+        }
+        case platform::Call::PutConfig:
+            handlePut(request, reply);
+            break;
+        case platform::Call::ReadConfig:
+            handleRead(request, reply);
+            break;
+        case platform::Call::Ready:
+            reply.send({.status = 200, .body = R"({"ready":true})"});
+            break;
+        case platform::Call::Unknown:
+            if (request.target == "/metrics") {
+                reply.send({.status = 200, .body = Metrics::instance().exposition(), .contentType = "text/plain; version=0.0.4"});
+            } else {
+                reply.send({.status = 404, .body = R"({"error":"not known"})"});
+            }
+            break;
+        }
+    }
+
+    void handleBeat(const std::optional<wire::PoolMember> &member, const HttpReply &reply)
+    {
+        if (!member) {
+            Metrics::instance().counter("waxwing_control_heartbeats_ignored_total", "reason", "not-readable").add();
+            reply.send({.status = 400, .body = R"({"error":"the heartbeat is not readable"})"});
+        } else if (m_control.beat(*member)) {
+            reply.send({.status = 200, .body = "{}"});
+        } else {
+            reply.send({.status = 503, .body = R"({"error":"no leader is known"})"});
+        }
+    }
+
+    /// Refers a caller to the leader, or asks it to come back.
+    void refer(const HttpRequest &request, const HttpReply &reply) const
+    {
+        const auto leader = m_log.host().status().leaderAddress;
+        if (leader.empty() || leader == m_settings.linkListen) {
+            reply.send({.status = 503, .body = R"({"error":"no leader is known"})"});
+            return;
+        }
+        HttpResponse response;
+        response.status = 307;
+        response.body = R"({"error":"not the leader"})";
+        response.headers.emplace_back("Location", "http://" + m_settings.httpOf(leader) + request.target);
+        reply.send(std::move(response));
+    }
+
+    void handlePut(const HttpRequest &request, const HttpReply &reply)
+    {
+        m_control.put(request.body, [this, request, reply](SessionControl::PutOutcome outcome, const std::vector<std::string> &errors) {
+            switch (outcome) {
+            case SessionControl::PutOutcome::Accepted:
+                reply.send({.status = 200, .body = R"({"accepted":true})"});
+                break;
+            case SessionControl::PutOutcome::Invalid: {
+                boost::json::array list(errors.begin(), errors.end());
+                log::write(log::Level::Info, "configuration refused", {{"problems", list.size()}, {"first", errors.front()}});
+                reply.send({.status = 400, .body = boost::json::serialize(boost::json::object {{"errors", std::move(list)}})});
+                break;
+            }
+            case SessionControl::PutOutcome::NotLeader:
+                refer(request, reply);
+                break;
+            case SessionControl::PutOutcome::Unknown:
+                reply.send({.status = 503, .body = R"({"error":"the outcome is not known"})"});
+                break;
+            }
+        });
+    }
+
+    void handleRead(const HttpRequest &request, const HttpReply &reply)
+    {
+        m_control.read([this, request, reply](const std::string *document) {
+            if (document == nullptr) {
+                refer(request, reply);
+            } else {
+                reply.send({.status = 200, .body = *document});
+            }
+        });
+    }
+
+    void tick()
+    {
+        m_control.tick();
+        if (m_stopping && Clock::now() >= m_stopBy) {
+            m_context.stop();
+            return;
+        }
+        m_timer.expires_after(tickInterval);
+        m_timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                log::write(log::Level::Info, "reload requested", {{"effect", "none"}});
+            } else if (!m_stopping) {
+                log::write(log::Level::Info, "stopping");
+                m_stopping = true;
+                m_stopBy = Clock::now() + drainLimit;
+                for (auto &server : m_servers) {
+                    server.drain();
+                }
+            }
+            awaitSignal();
+        });
+    }
+
+    const SessionControlSettings &m_settings;
+    asio::io_context m_context {1};
+    std::optional<MessageLink> m_link;
+    LogPeers m_peers;
+    ControlLog<SessionsMachine> m_log;
+    SessionControl m_control;
+    std::vector<HttpServer> m_servers;
+    asio::steady_timer m_timer;
+    asio::signal_set m_signals;
+    bool m_stopping = false;
+    TimePoint m_stopBy;
+    int m_exitCode = 0;
+};
+
+} // namespace
+
+int serveSessions(const SessionControlSettings &settings)
+{
+    LinkKey key;
+    if (!settings.keyFile.empty()) {
+        auto loaded = loadLinkKey(settings.keyFile);
+        if (!loaded) {
+            std::fprintf(stderr, "%s: %s\n", settings.keyFile.c_str(), loaded.error().message().c_str());
+            return 1;
+        }
+        key = std::move(loaded.value());
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    log::start({.process = settings.name, .standardOutput = true, .level = settings.logLevel});
+    int code = 1;
+    SessionControlProcess process(settings);
+    if (const auto problem = process.start(std::move(key)); !problem.empty()) {
+        log::write(log::Level::Error, "can't start", {{"problem", problem}});
+    } else {
+        log::write(log::Level::Info, "started", {{"link", settings.linkListen}, {"http", settings.httpListen}, {"may_form", settings.mayForm}});
+        code = process.run();
+        log::write(log::Level::Info, "stopped", {{"code", code}});
+    }
+    log::stop();
+    // Work in progress ends with the process; its coroutines must not outlive the parts that they use.
+    std::fflush(stdout);
+    std::_Exit(code);
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/session_control.cpp
@@ -0,0 +1,323 @@
+#include "session_control.h"
+
+#include <waxwing/platform/control_calls.h>
+#include <waxwing/state/message_bytes.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <utility>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+constexpr unsigned termShift = 32; // a directory version is the term of the leader and a number within the term
+// A new leader knows every database after one interval of heartbeats and a quarter for their way.
+constexpr double collectionIntervals = 1.25;
+
+void countIgnored(std::string_view reason)
+{
+    Metrics::instance().counter("waxwing_control_heartbeats_ignored_total", "reason", reason).add();
+}
+
+} // namespace
+
+SessionControl::SessionControl(boost::asio::io_context &context, Options options, const SessionsMachine &machine, SessionControlPorts ports)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_machine(machine)
+    , m_ports(std::move(ports))
+    , m_keeper(context, PrimaryKeeper::State {m_machine, m_directory, m_leases}, m_ports, m_options.name, [this] { m_directoryChanged = true; })
+{
+}
+
+void SessionControl::handleMessage(const std::string &from, const wire::PoolEnvelope &message)
+{
+    updateLeadership();
+    if (message.has_beat()) {
+        if (m_active) {
+            takeBeat(message.beat().member());
+        }
+        return;
+    }
+    if (!m_active) {
+        if (message.has_renewal()) {
+            wire::PoolEnvelope reply;
+            reply.mutable_not_leader()->set_leader(m_ports.log.leaderHint());
+            m_ports.sendToProxy(from, reply);
+        }
+        return;
+    }
+    if (message.has_renewal()) {
+        handleRenewal(from, message.renewal());
+    } else if (message.has_withdrawn()) {
+        m_keeper.withdrawn(message.withdrawn());
+    }
+}
+
+void SessionControl::updateLeadership()
+{
+    const bool leads = m_ports.log.isLeader();
+    if (m_active || m_activating) {
+        if (!leads || (m_active && m_ports.log.term() != m_term)) {
+            deactivate();
+        }
+    }
+    if (!leads || m_active || m_activating) {
+        return;
+    }
+    m_activating = true;
+    // The machine may lack committed entries of earlier leaders until a read is proven.
+    m_ports.log.read([this, epoch = m_epoch](LogReply &&reply) {
+        if (epoch != m_epoch) {
+            return;
+        }
+        m_activating = false;
+        if (reply.failure == LogFailure::None) {
+            activate();
+        }
+    });
+}
+
+void SessionControl::activate()
+{
+    ++m_epoch;
+    m_active = true;
+    m_term = m_ports.log.term();
+    m_activeSince = Clock::now();
+    m_directoryNumber = 0;
+    m_directory.clear();
+    m_leases.reset(m_activeSince);
+    m_keeper.reset(true);
+    applyDocument();
+    m_applied = true;
+    Metrics::instance().gauge("waxwing_control_leader").set(1);
+    log::write(log::Level::Info, "leading", {{"term", m_term}, {"version", m_machine.version()}, {"services", m_machine.services().size()}});
+}
+
+void SessionControl::deactivate()
+{
+    ++m_epoch;
+    if (m_active) {
+        log::write(log::Level::Warning, "no longer leading", {{"term", m_term}, {"version", m_machine.version()}});
+    }
+    m_active = false;
+    m_activating = false;
+    m_keeper.reset(false);
+    Metrics::instance().gauge("waxwing_control_leader").set(0);
+}
+
+bool SessionControl::isCollected(TimePoint now) const
+{
+    return now - m_activeSince >= std::chrono::duration_cast<Duration>(m_options.heartbeat * collectionIntervals);
+}
+
+void SessionControl::tick()
+{
+    updateLeadership();
+    if (!m_active) {
+        return;
+    }
+    const auto now = Clock::now();
+    m_leases.expire(now);
+    for (const auto &id : m_directory.expire(now)) {
+        log::write(log::Level::Warning, "database silent, removed", {{"database", id}});
+        m_directoryChanged = true;
+    }
+    if (std::exchange(m_applied, false)) {
+        applyDocument();
+        m_directoryChanged = true;
+    }
+    m_keeper.tick(now, isCollected(now));
+    if (m_directoryNumber == 0 && isCollected(now)) {
+        m_directoryChanged = true;
+    }
+    if (isCollected(now) && std::exchange(m_directoryChanged, false)) {
+        ++m_directoryNumber;
+    }
+    push();
+}
+
+void SessionControl::applyDocument()
+{
+    if (m_machine.version() == m_config.version) {
+        return;
+    }
+    auto decoded = platform::decodeConfig(m_machine.document());
+    if (!decoded.errors.empty()) {
+        log::write(log::Level::Error, "stored configuration not readable", {{"version", m_machine.version()}, {"problem", decoded.errors.front()}});
+        return;
+    }
+    m_config = std::move(decoded.config);
+}
+
+void SessionControl::handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal)
+{
+    const auto now = Clock::now();
+    m_leases.renew(renewal);
+    m_keeper.report(proxy, renewal, now);
+    m_ports.log.read([this, epoch = m_epoch, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
+        if (epoch == m_epoch && reply.failure == LogFailure::None) {
+            grant(proxy, incarnation, sequence);
+        }
+    });
+}
+
+void SessionControl::grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence)
+{
+    const auto found = m_leases.proxies().find(proxy);
+    if (found == m_leases.proxies().end() || found->second.incarnation != incarnation) {
+        return;
+    }
+    // An applied change of a primary that the directory does not show yet must not be followed by a lease without it.
+    if (isCollected(Clock::now()) && std::exchange(m_applied, false)) {
+        applyDocument();
+        ++m_directoryNumber;
+    }
+    m_leases.grant(proxy, Clock::now());
+    wire::PoolEnvelope message;
+    auto &content = *message.mutable_grant();
+    content.set_sequence(sequence);
+    content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_leases.options().lease).count()));
+    fill(found->second, content);
+    m_ports.sendToProxy(proxy, message);
+}
+
+void SessionControl::fill(SessionLeases::Proxy &proxy, wire::PoolGrant &grant)
+{
+    grant.set_control_term(m_term);
+    grant.set_config_version(m_machine.version());
+    grant.set_proxies(static_cast<std::uint32_t>(m_leases.proxies().size()));
+    if (proxy.configVersion < m_machine.version()) {
+        grant.set_document(m_machine.document());
+        proxy.configVersion = m_machine.version();
+    }
+    if (m_directoryNumber != 0) {
+        const auto version = (m_term << termShift) | m_directoryNumber;
+        grant.set_directory_version(version);
+        if (proxy.directoryVersion != version) {
+            fillDirectory(grant);
+            proxy.directoryVersion = version;
+        }
+    }
+}
+
+void SessionControl::fillDirectory(wire::PoolGrant &grant) const
+{
+    grant.set_has_directory(true);
+    for (const auto &address : m_ports.members()) {
+        grant.add_control(address);
+    }
+    std::map<std::string, wire::PoolServiceView *, std::less<>> views;
+    for (const auto &[name, record] : m_machine.services()) {
+        auto *view = grant.add_services();
+        view->set_service(name);
+        view->set_epoch(record.epoch());
+        view->set_primary(record.primary());
+        views[name] = view;
+    }
+    for (const auto &[id, entry] : m_directory.entries()) {
+        auto &view = views[entry.member.service()];
+        if (view == nullptr) {
+            view = grant.add_services();
+            view->set_service(entry.member.service());
+        }
+        *view->add_members() = entry.member;
+    }
+}
+
+void SessionControl::push()
+{
+    if (m_directoryNumber == 0) {
+        return;
+    }
+    const auto version = (m_term << termShift) | m_directoryNumber;
+    for (auto &[name, proxy] : m_leases.proxies()) {
+        if (proxy.directoryVersion == version && proxy.configVersion >= m_machine.version()) {
+            continue;
+        }
+        wire::PoolEnvelope message;
+        fill(proxy, *message.mutable_grant());
+        m_ports.sendToProxy(name, message);
+    }
+}
+
+bool SessionControl::beat(const wire::PoolMember &member)
+{
+    updateLeadership();
+    if (m_active) {
+        takeBeat(member);
+        return true;
+    }
+    const auto leader = m_ports.log.leaderHint();
+    if (leader.empty()) {
+        return false;
+    }
+    wire::PoolEnvelope message;
+    *message.mutable_beat()->mutable_member() = member;
+    m_ports.sendToMember(leader, message);
+    return true;
+}
+
+void SessionControl::takeBeat(const wire::PoolMember &member)
+{
+    if (member.leaving()) {
+        if (m_directory.leave(member.id())) {
+            log::write(log::Level::Info, "database left", {{"database", member.id()}});
+            m_directoryChanged = true;
+        }
+        return;
+    }
+    if (m_config.version != 0 && !m_config.services.contains(member.service())) {
+        countIgnored("unknown-service");
+        return;
+    }
+    if (m_directory.beat(member, Clock::now())) {
+        log::write(log::Level::Info, "database changed",
+                   {{"database", member.id()},
+                    {"service", member.service()},
+                    {"address", member.address()},
+                    {"born_ms", member.born_ms()},
+                    {"sequence", member.sequence()},
+                    {"primary", member.primary()},
+                    {"draining", member.draining()}});
+        m_directoryChanged = true;
+    }
+}
+
+void SessionControl::put(std::string document, std::function<void(PutOutcome outcome, const std::vector<std::string> &errors)> handler)
+{
+    auto decoded = platform::decodeConfig(document);
+    if (!decoded.errors.empty()) {
+        handler(PutOutcome::Invalid, decoded.errors);
+        return;
+    }
+    wire::SessionsCommand command;
+    command.mutable_set_document()->set_version(decoded.config.version);
+    command.mutable_set_document()->set_document(std::move(document));
+    if (decoded.config.version <= m_machine.version()) {
+        // Nothing changes; a committed entry is not needed, but proof that this member's state counts.
+        m_ports.log.read([handler](LogReply &&reply) { handler(reply.failure == LogFailure::None ? PutOutcome::Accepted : PutOutcome::NotLeader, {}); });
+        return;
+    }
+    m_ports.log.propose(encodeMessage(command), [handler, version = decoded.config.version](LogReply &&reply) {
+        if (reply.failure == LogFailure::None) {
+            log::write(log::Level::Info, "configuration stored", {{"version", version}});
+            handler(PutOutcome::Accepted, {});
+        } else {
+            handler(reply.failure == LogFailure::Unknown ? PutOutcome::Unknown : PutOutcome::NotLeader, {});
+        }
+    });
+}
+
+void SessionControl::read(std::function<void(const std::string *document)> handler)
+{
+    m_ports.log.read([this, handler](LogReply &&reply) {
+        handler(reply.failure == LogFailure::None && m_machine.version() != 0 ? &m_machine.document() : nullptr);
+    });
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/session_control.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "primary_keeper.h"
+#include "session_control_ports.h"
+#include "session_leases.h"
+
+#include <waxwing/coordination/pool_directory.h>
+#include <waxwing/state/pool_config.h>
+#include <waxwing/state/sessions_machine.h>
+#include <waxwing/support/time.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+
+namespace waxwing::control
+{
+
+/// @brief The decisions of a member of control for a deployment that serves sessions. One thread.
+///
+/// Only the leader acts; the others refer proxies to it and pass heartbeats on.
+class SessionControl
+{
+public:
+    struct Options
+    {
+        std::string name;
+        Duration heartbeat = 1'200ms; ///< interval of the databases' heartbeats
+    };
+
+    /// What became of a configuration that was sent.
+    enum class PutOutcome {
+        Accepted,
+        Invalid,
+        NotLeader,
+        Unknown, ///< it may still be accepted
+    };
+
+    /// @param machine machine of the log; outlives this object
+    SessionControl(boost::asio::io_context &context, Options options, const SessionsMachine &machine, SessionControlPorts ports);
+
+    /// @brief Takes a message of a proxy or of another member.
+    /// @param from name of the sender
+    void handleMessage(const std::string &from, const wire::PoolEnvelope &message);
+
+    /// @brief Takes note of an applied entry of the log.
+    void handleApplied()
+    {
+        m_applied = true;
+    }
+
+    /// @brief Does what is due; called every 20 ms or so.
+    void tick();
+
+    /// @brief Takes a heartbeat, or a database's word that it leaves.
+    /// @return false if no leader is known, so that the database should try another member
+    bool beat(const wire::PoolMember &member);
+
+    /// @brief Stores a configuration.
+    /// @param document as the operator sent it
+    /// @param handler called once; with the problems if it is invalid
+    void put(std::string document, std::function<void(PutOutcome outcome, const std::vector<std::string> &errors)> handler);
+
+    /// @brief Reads the newest configuration.
+    /// @param handler called once, with null if this member can't be sure which one is the newest
+    void read(std::function<void(const std::string *document)> handler);
+
+    /// @brief Tells whether this member leads and its state is up to date.
+    bool isActive() const
+    {
+        return m_active;
+    }
+
+private:
+    void updateLeadership();
+    void activate();
+    void deactivate();
+    bool isCollected(TimePoint now) const;
+    void handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal);
+    void grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence);
+    void fill(SessionLeases::Proxy &proxy, wire::PoolGrant &grant);
+    void fillDirectory(wire::PoolGrant &grant) const;
+    void push();
+    void takeBeat(const wire::PoolMember &member);
+    void applyDocument();
+
+    boost::asio::io_context &m_context;
+    Options m_options;
+    const SessionsMachine &m_machine;
+    SessionControlPorts m_ports;
+    PoolDirectory m_directory;
+    SessionLeases m_leases;
+    PrimaryKeeper m_keeper;
+    PoolConfig m_config; ///< document of the machine, decoded
+    bool m_active = false;
+    bool m_activating = false;
+    bool m_applied = false;
+    bool m_directoryChanged = false;
+    std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
+    std::uint64_t m_term = 0;
+    std::uint32_t m_directoryNumber = 0; ///< of this leadership
+    TimePoint m_activeSince;
+};
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/session_control_settings.cpp
@@ -0,0 +1,68 @@
+#include "session_control_settings.h"
+
+#include <waxwing/support/settings.h>
+
+#include <array>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+log::Level toLevel(const std::string &text)
+{
+    if (text == "debug") {
+        return log::Level::Debug;
+    }
+    if (text == "warning") {
+        return log::Level::Warning;
+    }
+    return text == "error" ? log::Level::Error : log::Level::Info;
+}
+
+/// Host of one address with the port of another.
+std::string combine(std::string_view host, std::string_view port)
+{
+    const auto colon = port.rfind(':');
+    return std::string(host.substr(0, host.rfind(':'))) + std::string(colon == std::string_view::npos ? std::string_view() : port.substr(colon));
+}
+
+} // namespace
+
+SessionControlSettings SessionControlSettings::load(const std::string &path)
+{
+    constexpr std::array<std::string_view, 4> levels {"info", "debug", "warning", "error"};
+    SessionControlSettings result;
+    auto settings = Settings::load(path);
+    result.name = settings.text("control.name");
+    result.failureDomain = settings.text("control.failure_domain");
+    result.httpListen = settings.text("control.http");
+    result.linkListen = settings.text("control.link");
+    result.metricsListen = settings.text("control.metrics", {});
+    result.dataFolder = settings.text("control.data");
+    result.seeds = settings.texts("control.seeds");
+    result.mayForm = settings.boolean("control.may_form", false);
+    result.platformAddress = settings.text("control.platform", {});
+    result.heartbeat = settings.milliseconds("control.heartbeat_ms", {50, 60'000, 1'200});
+    result.keyFile = settings.text("link.key_file", {});
+    result.logLevel = toLevel(settings.choice("log.level", levels));
+    settings.refuseUnknownKeys();
+    result.errors = settings.errors();
+    if (result.seeds.empty()) {
+        result.errors.push_back(path + ": control.seeds: must list at least one address");
+    }
+    return result;
+}
+
+std::string SessionControlSettings::linkOf(std::string_view httpAddress) const
+{
+    return combine(httpAddress, linkListen);
+}
+
+std::string SessionControlSettings::httpOf(std::string_view linkAddress) const
+{
+    return combine(linkAddress, httpListen);
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/session_leases.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <waxwing/support/time.h>
+#include <waxwing/wire/sessions.pb.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing::control
+{
+
+/// @brief Proxies that hold a lease of this leader of control.
+class SessionLeases
+{
+public:
+    struct Options
+    {
+        /// Three renewals of 400 ms and an election of 600 ms fit, so that a change of control's leader ends no lease.
+        Duration lease = 2s;
+        unsigned driftPercent = 5; ///< largest difference between the rates of two clocks
+    };
+
+    struct Proxy
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t configVersion = 0; ///< in force there, or on its way
+        std::uint64_t directoryVersion = 0; ///< in force there, or on its way
+        bool draining = false;
+        TimePoint end; ///< its lease has ended at this time on every clock
+    };
+
+    SessionLeases();
+    explicit SessionLeases(const Options &options);
+
+    /// @brief Starts a leadership: nothing is known of leases that earlier leaders granted.
+    void reset(TimePoint now);
+
+    /// @brief Takes note of a renewal, before it is granted.
+    Proxy &renew(const wire::PoolRenewal &renewal);
+
+    /// @brief Takes note that a lease is granted now.
+    void grant(std::string_view proxy, TimePoint now);
+
+    /// @brief Forgets proxies whose leases have ended.
+    /// @return true if there were any
+    bool expire(TimePoint now);
+
+    /// @brief Tells whether every lease of earlier leaders has ended.
+    bool isComplete(TimePoint now) const
+    {
+        return now >= m_completeAt;
+    }
+
+    /// @brief Proxies that may hold a lease.
+    std::map<std::string, Proxy, std::less<>> &proxies()
+    {
+        return m_proxies;
+    }
+
+    const std::map<std::string, Proxy, std::less<>> &proxies() const
+    {
+        return m_proxies;
+    }
+
+    const Options &options() const
+    {
+        return m_options;
+    }
+
+private:
+    Duration guard() const
+    {
+        return m_options.lease + m_options.lease * m_options.driftPercent / 100;
+    }
+
+    Options m_options;
+    std::map<std::string, Proxy, std::less<>> m_proxies;
+    TimePoint m_completeAt;
+};
+
+} // namespace waxwing::control
--- a/programs/proxy/control_client.cpp
+++ b/programs/proxy/control_client.cpp
@@ -13,6 +13,8 @@
 
 // Renewals whose grants may still arrive; a lease lasts for three intervals.
 constexpr std::size_t maxSent = 64;
+// At most 8 VMs serve control; replaced ones add their addresses.
+constexpr std::size_t maxAddresses = 64;
 
 LinkPeer peerAt(const std::string &address)
 {
@@ -21,13 +23,20 @@
 
 } // namespace
 
-ControlClient::ControlClient(Options options, LinkSender sender, std::function<void(wire::Renewal &renewal)> fill)
+ControlClient::ControlClient(Options options, LinkSender sender, MakeRenewal makeRenewal)
     : m_options(std::move(options))
     , m_sender(std::move(sender))
-    , m_fill(std::move(fill))
+    , m_makeRenewal(std::move(makeRenewal))
 {
 }
 
+void ControlClient::learn(const std::string &address)
+{
+    if (!isKnown(address) && m_options.addresses.size() < maxAddresses) {
+        m_options.addresses.push_back(address);
+    }
+}
+
 bool ControlClient::isKnown(const std::string &address) const
 {
     return std::find(m_options.addresses.begin(), m_options.addresses.end(), address) != m_options.addresses.end();
@@ -56,10 +65,7 @@
 
 void ControlClient::renew(TimePoint now)
 {
-    wire::Envelope message;
-    auto &renewal = *message.mutable_renewal();
-    renewal.set_sequence(++m_sequence);
-    m_fill(renewal);
+    const auto message = m_makeRenewal(++m_sequence);
     m_isUrgent = false;
     m_lastRenewal = now;
     if (!m_unansweredSince) {
@@ -84,12 +90,12 @@
     return isSent;
 }
 
-std::optional<TimePoint> ControlClient::onGrant(const LinkPeer &from, const wire::Grant &grant, TimePoint)
+std::optional<TimePoint> ControlClient::onGrant(const LinkPeer &from, std::uint64_t sequence)
 {
-    if (grant.sequence() == 0) {
+    if (sequence == 0) {
         return std::nullopt;
     }
-    const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&](const Sent &entry) { return entry.sequence == grant.sequence(); });
+    const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&](const Sent &entry) { return entry.sequence == sequence; });
     if (sent == m_sent.end()) {
         return std::nullopt;
     }
@@ -102,9 +108,8 @@
     return sentAt;
 }
 
-void ControlClient::onNotLeader(const LinkPeer &from, const wire::NotLeader &message)
+void ControlClient::onNotLeader(const LinkPeer &from, const std::string &leader)
 {
-    const auto &leader = message.leader_link_address();
     const bool isHelpful = !leader.empty() && isKnown(leader) && leader != m_leader;
     // Only the process that is believed to lead, or any while none is known, changes the belief: hints of others may be old.
     if (from.id == m_leader || m_leader.empty()) {
--- a/programs/proxy/control_client.h
+++ b/programs/proxy/control_client.h
@@ -30,10 +30,15 @@
         Duration urgentSpacing = 20ms; ///< shortest time between renewals that are sent ahead of time
     };
 
+    /// Makes a renewal with the present state of this proxy; control echoes the sequence.
+    using MakeRenewal = std::function<wire::Envelope(std::uint64_t sequence)>;
+
     /// @brief Creates a client that knows no leader yet.
     /// @param sender sends to the link
-    /// @param fill completes a renewal with the present state of this proxy
-    ControlClient(Options options, LinkSender sender, std::function<void(wire::Renewal &renewal)> fill);
+    ControlClient(Options options, LinkSender sender, MakeRenewal makeRenewal);
+
+    /// @brief Adds control processes that were found.
+    void learn(const std::string &address);
 
     /// @brief Sends what is due; call at least every 20 ms.
     void tick(TimePoint now);
@@ -43,10 +48,11 @@
 
     /// @brief Notes a grant.
     /// @return when the renewal that it answers was sent; nothing for a push or an unknown renewal
-    std::optional<TimePoint> onGrant(const LinkPeer &from, const wire::Grant &grant, TimePoint now);
+    std::optional<TimePoint> onGrant(const LinkPeer &from, std::uint64_t sequence);
 
     /// @brief Follows the hint of a control process that is not the leader.
-    void onNotLeader(const LinkPeer &from, const wire::NotLeader &message);
+    /// @param leader link address of the leader, empty if unknown
+    void onNotLeader(const LinkPeer &from, const std::string &leader);
 
     /// @brief Sends a message to the leader, or to every control address while none is known.
     /// @return false if it was sent to none
@@ -64,7 +70,7 @@
 
     Options m_options;
     LinkSender m_sender;
-    std::function<void(wire::Renewal &renewal)> m_fill;
+    MakeRenewal m_makeRenewal;
     std::string m_leader;
     std::uint64_t m_sequence = 0;
     std::deque<Sent> m_sent;
--- a/programs/proxy/dispatcher.cpp
+++ b/programs/proxy/dispatcher.cpp
@@ -37,7 +37,12 @@
     , m_timer(context)
     , m_explain(m_options.explainCapacity)
     , m_witness(context)
-    , m_control({.addresses = m_options.controlAddresses}, m_sender, [this](wire::Renewal &renewal) { fillRenewal(renewal); })
+    , m_control({.addresses = m_options.controlAddresses}, m_sender, [this](std::uint64_t sequence) {
+        wire::Envelope message;
+        message.mutable_renewal()->set_sequence(sequence);
+        fillRenewal(*message.mutable_renewal());
+        return message;
+    })
     , m_intents({.proxy = m_options.name, .incarnation = m_options.incarnation}, [this](const wire::Envelope &message) { return m_control.send(message); })
     , m_groupContext {context, m_random, m_lease, m_keys, m_explain, m_intents, m_directory, m_options.name, m_options.hedgesReads}
     , m_router({.proxy = m_options.name, .maxWaiting = m_options.maxWaiting}, m_directory, m_explain, m_random, m_sender,
@@ -213,7 +218,7 @@
         onGrant(from, message.grant());
         return;
     case wire::Envelope::kNotLeader:
-        m_control.onNotLeader(from, message.not_leader());
+        m_control.onNotLeader(from, message.not_leader().leader_link_address());
         return;
     case wire::Envelope::kTermWithdraw:
         onTermWithdraw(from, message.term_withdraw());
@@ -256,7 +261,7 @@
     if (change.isStale) {
         return;
     }
-    if (const auto sentAt = m_control.onGrant(from, grant, now)) {
+    if (const auto sentAt = m_control.onGrant(from, grant.sequence())) {
         m_lease.renew(*sentAt, std::chrono::milliseconds(grant.lease_ms()));
         m_announcements.confirm(grant.sequence());
         m_isReady = true;
--- a/programs/proxy/main.cpp
+++ b/programs/proxy/main.cpp
@@ -1,6 +1,8 @@
 #include "proxy_process.h"
 #include "proxy_settings.h"
 #include "session_keys.h"
+#include "session_process.h"
+#include "session_settings.h"
 
 #include <waxwing/support/log.h>
 #include <waxwing/transport/link_key.h>
@@ -12,6 +14,7 @@
 #include <array>
 #include <cstdio>
 #include <string>
+#include <string_view>
 
 using namespace waxwing;
 
@@ -21,9 +24,10 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
-constexpr const char *usage = "Usage: waxwing-proxy --settings FILE [--check-settings]\n"
+constexpr const char *usage = "Usage: waxwing-proxy [sessions] --settings FILE [--check-settings]\n"
                               "\n"
-                              "Serves callers of database groups; see docs/design.md.\n"
+                              "Serves callers of database groups over HTTP (docs/design.md), or with the command sessions\n"
+                              "over connections that are sessions (docs/platform.md).\n"
                               "\n"
                               "  -s, --settings FILE    settings in TOML\n"
                               "      --check-settings   check the settings and the key files, then exit\n"
@@ -37,6 +41,7 @@
 {
     std::string settings;
     bool checksOnly = false;
+    bool sessions = false;
     int exitCode = -1; ///< set if the program is to end at once
 };
 
@@ -70,6 +75,10 @@
             return line;
         }
     }
+    if (optind < argc && std::string_view(argv[optind]) == "sessions") {
+        line.sessions = true;
+        ++optind;
+    }
     if (line.settings.empty() || optind != argc) {
         std::fputs(usage, stderr);
         line.exitCode = exitUsage;
@@ -113,6 +122,18 @@
     return isComplete ? 0 : exitFailure;
 }
 
+int runSessions(const CommandLine &line)
+{
+    const auto settings = SessionSettings::load(line.settings);
+    for (const auto &error : settings.errors) {
+        std::fprintf(stderr, "%s\n", error.c_str());
+    }
+    if (!settings.errors.empty()) {
+        return exitUsage;
+    }
+    return line.checksOnly ? 0 : runSessionProxy(settings);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -121,6 +142,9 @@
     if (line.exitCode >= 0) {
         return line.exitCode;
     }
+    if (line.sessions) {
+        return runSessions(line);
+    }
     auto loaded = loadProxySettings(line.settings);
     LinkKey linkKey;
     if (!loaded.settings.keyFile.empty()) {
--- /dev/null
+++ b/programs/proxy/position_poll.cpp
@@ -0,0 +1,76 @@
+#include "position_poll.h"
+
+#include <waxwing/platform/database_wire.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace waxwing
+{
+
+namespace
+{
+
+// Ages from 1,500 ms on are asked for; with a position each 400 ms one is always young enough, a lost one included.
+constexpr Duration pollAge = 400ms;
+constexpr Duration pollLimit = 500ms; // a round trip of 40 ms and the statements that hold all connections
+constexpr int pollPriority = 0; // before statements, since they depend on it
+
+} // namespace
+
+PositionPoll::PositionPoll(boost::asio::io_context &context, SessionDirectory &directory)
+    : m_context(context)
+    , m_directory(directory)
+{
+}
+
+void PositionPoll::tick(TimePoint now)
+{
+    for (const auto &[name, service] : m_directory.services()) {
+        const auto newest = service->history().newest();
+        const bool due = !newest || now - *newest >= pollAge;
+        if (due && service->primary() && m_directory.lease().covers(name, service->epoch(), now) && m_asking.insert(name).second) {
+            boost::asio::co_spawn(m_context, ask(name), boost::asio::detached);
+        }
+    }
+}
+
+boost::asio::awaitable<void> PositionPoll::ask(std::string name)
+{
+    static auto &asked = Metrics::instance().counter("waxwing_session_position_polls_total");
+    auto *service = m_directory.service(name);
+    const auto pool = service->primary();
+    const auto epoch = service->epoch();
+    const SessionState session;
+    const auto limit = Clock::now() + pollLimit;
+    auto connection = co_await pool->acquire(session, pollPriority, limit);
+    if (connection) {
+        asked.add();
+        // An empty transaction takes no slot; every answer tells the position.
+        std::string bytes = platform::encodeOwnStatement(platform::beginText(false)) + platform::encodeOwnStatement(platform::rollbackText());
+        const auto sentAt = Clock::now();
+        pool->noteSent(sentAt);
+        const auto answer = co_await connection->run(std::move(bytes), 2, limit);
+        const auto now = Clock::now();
+        const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
+        if (complete) {
+            pool->noteReply(now);
+        } else {
+            pool->noteSilence(now);
+        }
+        const bool clean = complete && answer.replies.front().error == SessionError::None && answer.replies.back().state == TransactionState::Idle;
+        if (clean && answer.replies.front().position && service->epoch() == epoch && m_directory.lease().covers(name, epoch, now)) {
+            service->history().add(*answer.replies.front().position, sentAt);
+        } else if (complete && !clean) {
+            connection->close();
+        }
+        pool->release(std::move(connection));
+    }
+    m_asking.erase(name);
+}
+
+} // namespace waxwing
