--- /dev/null
+++ b/programs/proxy/session_process.cpp
@@ -0,0 +1,335 @@
+#include "session_process.h"
+
+#include "control_client.h"
+#include "position_poll.h"
+#include "session_settings.h"
+
+#include <waxwing/platform/control_calls.h>
+#include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/session_server.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/identifier.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/transport/http_reply.h>
+#include <waxwing/transport/http_request.h>
+#include <waxwing/transport/http_response.h>
+#include <waxwing/transport/http_server.h>
+#include <waxwing/transport/link_key.h>
+#include <waxwing/transport/message_link.h>
+#include <waxwing/wire/waxwing.pb.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace
+{
+
+// Evidence of a failed primary waits for at most this long; each wake-up is paid for.
+constexpr Duration tickInterval = 40ms;
+// A primary is reported when statements wait for this long without any answer. The longest work takes 360 ms, but a
+// database runs three statements at a time, so that something is answered in between.
+constexpr Duration silenceLimit = 300ms;
+constexpr Duration stallLimit = 600ms; // writes wait for a replica as well, up to two round trips between regions
+constexpr Duration reportSpacing = 150ms; // between renewals ahead of time that repeat the same evidence
+// The load balancer asks once a second and takes a process out after two misses.
+constexpr Duration balancerNotice = 2300ms;
+constexpr Duration exitMargin = 700ms; // left of the stop limit for the end of the process
+
+std::vector<std::string> linkAddresses(const SessionSettings &settings)
+{
+    std::vector<std::string> addresses;
+    for (const auto &seed : settings.seeds) {
+        addresses.push_back(seed.substr(0, seed.rfind(':') + 1) + std::to_string(settings.linkPort));
+    }
+    return addresses;
+}
+
+SessionDirectory::Options directoryOptions(const SessionSettings &settings)
+{
+    SessionDirectory::Options options;
+    options.proxy = settings.name;
+    options.failureDomain = settings.failureDomain;
+    options.regions = settings.regions;
+    options.warmConnections = settings.warmConnections;
+    options.connectionLimit = settings.connectionLimit;
+    return options;
+}
+
+/// The parts of a proxy that serves sessions; all on one thread beside those of the link and the log.
+class SessionProcess
+{
+public:
+    explicit SessionProcess(const SessionSettings &settings)
+        : m_settings(settings)
+        , m_incarnation(randomIdentifier())
+        , m_directory(m_context.get_executor(), directoryOptions(settings))
+        , m_server(m_context, m_directory, settings.maxSessions)
+        , m_poll(m_context, m_directory)
+        , m_control(
+              {.addresses = linkAddresses(settings)}, [this](const LinkPeer &to, const wire::Envelope &message) { return m_link && m_link->send(to, message); },
+              [this](std::uint64_t sequence) { return makeRenewal(sequence); })
+        , m_timer(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    std::string start(LinkKey key)
+    {
+        MessageLinkOptions options;
+        options.name = m_settings.name;
+        options.key = std::move(key);
+        auto link = MessageLink::start(m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); });
+        if (!link) {
+            return "can't start the link: " + link.error().message();
+        }
+        m_link.emplace(std::move(link.value()));
+        if (const auto listening = m_server.listen(m_settings.callerListen); !listening) {
+            return "can't listen on " + m_settings.callerListen + ": " + listening.error().message();
+        }
+        for (const auto &address : {m_settings.readyListen, m_settings.metricsListen}) {
+            if (address.empty()) {
+                continue;
+            }
+            HttpServerOptions http;
+            http.listen = address;
+            auto server = HttpServer::start(m_context, std::move(http), [this](HttpRequest &&request, HttpReply reply) { reply.send(answer(request)); });
+            if (!server) {
+                return "can't listen on " + address + ": " + server.error().message();
+            }
+            m_http.push_back(std::move(server.value()));
+        }
+        awaitSignal();
+        tick();
+        return {};
+    }
+
+    int run()
+    {
+        m_context.run();
+        return 0;
+    }
+
+private:
+    HttpResponse answer(const HttpRequest &request) const
+    {
+        HttpResponse response;
+        std::string unused;
+        if (platform::classify(request, unused) == platform::Call::Ready) {
+            const bool ready = !m_stopping && m_directory.isReady(Clock::now());
+            response.status = ready ? 200 : 503;
+            response.body = ready ? R"({"ready":true})" : R"({"ready":false})";
+        } else if (request.target == "/metrics") {
+            response.contentType = "text/plain; version=0.0.4";
+            response.body = Metrics::instance().exposition();
+        } else {
+            response.status = 404;
+            response.body = R"({"error":"not known"})";
+        }
+        return response;
+    }
+
+    wire::Envelope makeRenewal(std::uint64_t sequence)
+    {
+        const auto now = Clock::now();
+        wire::Envelope message;
+        auto &renewal = *message.mutable_pool()->mutable_renewal();
+        renewal.set_sequence(sequence);
+        renewal.set_proxy(m_settings.name);
+        renewal.set_incarnation(m_incarnation);
+        renewal.set_failure_domain(m_settings.failureDomain);
+        renewal.set_config_version(m_directory.configVersion());
+        renewal.set_directory_version(m_directory.directoryVersion());
+        renewal.set_draining(m_stopping);
+        for (const auto &[name, service] : m_directory.services()) {
+            const auto primary = service->primary();
+            if (!primary) {
+                continue;
+            }
+            const bool silent = primary->isSilent(now, silenceLimit);
+            const bool stalled = service->isStalled(now, stallLimit);
+            if (silent || stalled) {
+                auto &report = *renewal.add_reports();
+                report.set_service(name);
+                report.set_epoch(service->epoch());
+                report.set_unreachable(silent);
+                report.set_stalled(stalled);
+            }
+        }
+        return message;
+    }
+
+    bool hasEvidence(TimePoint now) const
+    {
+        for (const auto &[name, service] : m_directory.services()) {
+            const auto primary = service->primary();
+            if (primary && (primary->isSilent(now, silenceLimit) || service->isStalled(now, stallLimit))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void receive(const LinkPeer &from, const wire::Envelope &message)
+    {
+        if (!message.has_pool()) {
+            return;
+        }
+        const auto &body = message.pool();
+        if (body.has_grant()) {
+            const auto sentAt = m_control.onGrant(from, body.grant().sequence());
+            for (const auto &address : body.grant().control()) {
+                m_control.learn(address);
+            }
+            if (sentAt || body.grant().sequence() == 0) {
+                m_directory.apply(body.grant(), sentAt.value_or(TimePoint()));
+            }
+        } else if (body.has_withdraw()) {
+            withdraw(from, body.withdraw());
+        } else if (body.has_not_leader()) {
+            m_control.onNotLeader(from, body.not_leader().leader());
+        }
+    }
+
+    void withdraw(const LinkPeer &from, const wire::PoolWithdraw &request)
+    {
+        const auto acknowledged = m_directory.withdraw(request.service(), request.epoch());
+        log::write(log::Level::Info, "epoch withdrawn",
+                   {{"service", request.service()}, {"epoch", request.epoch()}, {"acknowledged_term", acknowledged.term}, {"acknowledged", acknowledged.position}});
+        wire::Envelope message;
+        auto &reply = *message.mutable_pool()->mutable_withdrawn();
+        reply.set_service(request.service());
+        reply.set_epoch(request.epoch());
+        reply.set_proxy(m_settings.name);
+        reply.set_incarnation(m_incarnation);
+        reply.mutable_acknowledged()->set_term(acknowledged.term);
+        reply.mutable_acknowledged()->set_number(acknowledged.position);
+        m_link->send(from, message);
+    }
+
+    void tick()
+    {
+        const auto now = Clock::now();
+        noteLease(now);
+        if (now - m_lastReport >= reportSpacing && hasEvidence(now)) {
+            m_lastReport = now;
+            m_control.hurry();
+        }
+        m_control.tick(now);
+        m_poll.tick(now);
+        if (m_stopping && advanceStop(now)) {
+            m_context.stop();
+            return;
+        }
+        m_timer.expires_after(tickInterval);
+        m_timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void noteLease(TimePoint now)
+    {
+        const bool leased = m_directory.lease().isValid(now);
+        if (m_leased && !leased) {
+            log::write(log::Level::Warning, "lease lost", {{"config_version", m_directory.configVersion()}});
+            Metrics::instance().counter("waxwing_session_leases_lost_total").add();
+        }
+        m_leased = leased;
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                // Nothing that a running process uses may change but the seeds, which matter to a start only.
+                log::write(log::Level::Info, "reload requested", {{"effect", "none"}});
+            } else if (!m_stopping) {
+                log::write(log::Level::Info, "stopping", {{"sessions", m_server.sessions()}});
+                m_stopping = true;
+                m_stopSince = Clock::now();
+            }
+            awaitSignal();
+        });
+    }
+
+    /// Goes on with a planned stop; true when the process may end.
+    bool advanceStop(TimePoint now)
+    {
+        const auto since = now - m_stopSince;
+        if (since < balancerNotice) {
+            return false; // new callers still arrive
+        }
+        if (since >= m_settings.stopLimit / 2) {
+            m_server.abortTransactions("the proxy stops");
+        }
+        const auto left = m_server.closeIdle();
+        if (left != 0 && since < m_settings.stopLimit - exitMargin) {
+            return false;
+        }
+        log::write(log::Level::Info, "stopped", {{"sessions_left", left}, {"after_ms", toMilliseconds(since).count()}});
+        return true;
+    }
+
+    const SessionSettings &m_settings;
+    std::uint64_t m_incarnation;
+    boost::asio::io_context m_context {1};
+    std::optional<MessageLink> m_link;
+    SessionDirectory m_directory;
+    SessionServer m_server;
+    PositionPoll m_poll;
+    ControlClient m_control;
+    std::vector<HttpServer> m_http;
+    boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
+    TimePoint m_lastReport;
+    TimePoint m_stopSince;
+    bool m_leased = false;
+    bool m_stopping = false;
+};
+
+} // namespace
+
+int runSessionProxy(const SessionSettings &settings)
+{
+    LinkKey key;
+    if (!settings.keyFile.empty()) {
+        auto loaded = loadLinkKey(settings.keyFile);
+        if (!loaded) {
+            std::fprintf(stderr, "%s: %s\n", settings.keyFile.c_str(), loaded.error().message().c_str());
+            return 1;
+        }
+        key = std::move(loaded.value());
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    log::start({.process = settings.name, .standardOutput = true, .level = settings.logLevel});
+    int code = 1;
+    {
+        SessionProcess process(settings);
+        if (const auto problem = process.start(std::move(key)); !problem.empty()) {
+            log::write(log::Level::Error, "can't start", {{"problem", problem}});
+        } else {
+            log::write(log::Level::Info, "started", {{"listen", settings.callerListen}, {"failure_domain", settings.failureDomain}});
+            code = process.run();
+        }
+        // Sessions that are left end with the process; their coroutines must not outlive its parts.
+        log::stop();
+        std::fflush(stdout);
+        std::_Exit(code);
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/programs/proxy/session_settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <waxwing/support/log.h>
+#include <waxwing/support/time.h>
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace waxwing
+{
+
+/// @brief Settings of a proxy that serves sessions, from its TOML file.
+struct SessionSettings
+{
+    std::string name; ///< unique among the proxies
+    std::string failureDomain;
+    std::map<std::string, std::string> regions; ///< region by failure domain
+    std::string callerListen; ///< IP:port for sessions
+    std::string readyListen; ///< IP:port for the load balancer's question
+    std::string metricsListen; ///< IP:port for metrics; none when empty
+    std::vector<std::string> seeds; ///< IP:port of control processes
+    std::size_t linkPort = 0; ///< port of the link on every control VM
+    std::string keyFile; ///< CURVE keys; empty for an unencrypted link
+    log::Level logLevel = log::Level::Info;
+    std::size_t maxSessions = 3'500; ///< of 4,300 descriptors, 200 are set aside and up to 200 go to databases
+    std::size_t warmConnections = 2;
+    std::size_t connectionLimit = 8;
+    Duration stopLimit = 6s; ///< the process is killed this long after SIGTERM
+    std::vector<std::string> errors; ///< one sentence each, with file and line
+
+    /// @brief Reads and checks a settings file.
+    static SessionSettings load(const std::string &path);
+};
+
+} // namespace waxwing
--- a/tools/bench/open_load.cpp
+++ b/tools/bench/open_load.cpp
@@ -73,7 +73,7 @@
     for (; m_started < m_options.requests; ++m_started) {
         const auto at = m_start + std::chrono::duration_cast<Duration>(interval * static_cast<double>(m_started));
         if (at > now) {
-            m_timer.expires_at(at);
+            m_timer.expires_after(at - Clock::now());
             m_timer.async_wait([this](const boost::system::error_code &error) {
                 if (!error) {
                     startDue();
--- a/tools/load/generator.cpp
+++ b/tools/load/generator.cpp
@@ -63,7 +63,7 @@
         finishIfLast();
         return;
     }
-    m_timer.expires_at(m_start + m_arrivals[m_next].planned);
+    m_timer.expires_after(m_start + m_arrivals[m_next].planned - Clock::now());
     m_timer.async_wait([this](const boost::system::error_code &) { startDue(); });
 }
 
--- a/tools/standin/replicator.cpp
+++ b/tools/standin/replicator.cpp
@@ -202,7 +202,7 @@
         }
     }
     if (!m_pending.empty()) {
-        m_applyTimer.expires_at(m_pending.front().due);
+        m_applyTimer.expires_after(m_pending.front().due - Clock::now());
         m_applyTimer.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
                 applyDue();
