Recover at once after a new leader, use connections beyond the share, pass lagging replicas over

Change: members are recorded in the replicated log; a pool may go beyond its share and closes what is idle for 1 s; a replica that answered lagging is passed over for 30 to 480 ms; writes that progress clear the suspicion of a stall; the process exits 50 ms after its last line; an ended session passes nothing on.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -26,8 +26,10 @@
     {
         std::string caller; ///< name of this process
         std::size_t limit = 2; ///< largest number of connections
+        std::size_t share = 2; ///< connections that are kept while idle; the rest is there for a crest
+        Duration idleSurplus = 1s; ///< a connection beyond the share is closed after this much idleness
         Duration connectTimeout = 1s; ///< a connection takes 12 to 27 ms of a slot and up to two round trips of 40 ms
-        Duration fullPause = 500ms; ///< after the database refused a connection for their number
+        Duration fullPause = 250ms; ///< after the database refused a connection for their number
         Duration failurePause = 150ms; ///< after a failed attempt to connect; doubled up to the next
         Duration failurePauseHigh = 1s;
     };
@@ -50,8 +52,22 @@
     /// @brief Takes over what the directory says.
     void update(const wire::PoolMember &member);
 
-    /// @brief Changes the largest number of connections.
-    void setLimit(std::size_t limit);
+    /// @brief Changes the number of connections.
+    /// @param share kept while idle
+    /// @param limit largest number
+    void setLimits(std::size_t share, std::size_t limit);
+
+    /// @brief Closes idle connections beyond the share.
+    void trim(TimePoint now);
+
+    /// @brief Takes note that the database had not reached a position, or had reached it.
+    void noteLag(bool lagging, TimePoint now);
+
+    /// @brief Tells whether the database probably lacks the positions that are asked for.
+    bool isLagging(TimePoint now) const
+    {
+        return now < m_laggingUntil;
+    }
 
     /// @brief Opens connections ahead of their use.
     /// @param count number that should be open
@@ -120,7 +136,13 @@
     boost::asio::any_io_executor m_executor;
     wire::PoolMember m_member;
     Options m_options;
-    std::vector<ConnectionPointer> m_idle;
+    struct Idle
+    {
+        ConnectionPointer connection;
+        TimePoint since;
+    };
+
+    std::vector<Idle> m_idle;
     std::list<Waiter *> m_waiting; ///< by priority, then arrival
     std::size_t m_count = 0; ///< open or opening
     std::size_t m_opening = 0;
@@ -130,6 +152,8 @@
     TimePoint m_runningSince; ///< since then at least one exchange has been waiting
     TimePoint m_lastReply;
     TimePoint m_avoidUntil;
+    TimePoint m_laggingUntil;
+    unsigned m_lags = 0; ///< in a row
     TimePoint m_openAfter; ///< no new connection before
     unsigned m_failures = 0;
     bool m_shut = false;
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -27,7 +27,7 @@
         std::map<std::string, std::string> regions; ///< region by failure domain
         std::size_t reservedConnections = 2; ///< of each database, for control
         std::size_t warmConnections = 2; ///< opened to each database ahead of use; a crest needs them within milliseconds
-        std::size_t connectionLimit = 8; ///< to one database; more than a database has slots only lengthens its queue
+        std::size_t connectionLimit = 12; ///< to one database; four times its slots, since open transactions hold connections while callers pause
     };
 
     SessionDirectory(const boost::asio::any_io_executor &executor, Options options);
@@ -36,6 +36,9 @@
     /// @param sentAt when the renewal that it answers was sent; the epoch of the clock for a push
     void apply(const wire::PoolGrant &grant, TimePoint sentAt);
 
+    /// @brief Closes connections that are not needed any more, and opens missing ones.
+    void tick(TimePoint now);
+
     /// @brief Gives up an epoch.
     /// @return last commit that a caller was told about
     TermPosition withdraw(std::string_view service, std::uint64_t epoch);
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -73,7 +73,8 @@
     std::string line;
     while (!m_ended) {
         const bool received = co_await readLine(line);
-        if (!received) {
+        // A request that crossed the end of the session is left alone: it is not passed on, and the caller sees the end.
+        if (!received || m_ended) {
             break;
         }
         m_handling = true;
@@ -280,6 +281,13 @@
 std::string ClientSession::failTransaction(SessionError error, std::string_view text, TransactionState connectionState)
 {
     outcomeCounter(error).add();
+    log::write(log::Level::Info, "transaction failed",
+               {{"service", m_transaction.route.service},
+                {"database", m_transaction.pool ? m_transaction.pool->member().id() : std::string()},
+                {"error", static_cast<int>(error)},
+                {"text", text},
+                {"held_ms", toMilliseconds(Clock::now() - m_receivedAt).count()},
+                {"directory_version", m_directory.directoryVersion()}});
     dropTransaction(connectionState);
     m_transactionState = TransactionState::Failed;
     return platform::encodeError(error, text, m_transactionState);
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -23,6 +23,10 @@
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 // Connections that are opened at the same time; each takes a slot of the database.
 constexpr std::size_t openingLimit = 2;
+// A replica that lacked a position is asked again after this pause, doubled with each refusal up to 480 ms; replicas are
+// 60 ms behind on average.
+constexpr Duration lagPause = 30ms;
+constexpr unsigned lagSteps = 5;
 // A database that did not answer a statement is avoided for this long, if there is another one.
 constexpr Duration avoidance = 500ms;
 
@@ -83,21 +87,15 @@
 
 DatabasePool::ConnectionPointer DatabasePool::takeIdle(const SessionState &session)
 {
-    std::erase_if(m_idle, [this](const ConnectionPointer &connection) {
-        if (!connection->isOpen()) {
-            --m_count;
-            return true;
-        }
-        return false;
-    });
+    m_count -= std::erase_if(m_idle, [](const Idle &idle) { return !idle.connection->isOpen(); });
     if (m_idle.empty()) {
         return nullptr;
     }
     // From the back, so that the connection that was used last is preferred among equals.
-    const auto best = std::min_element(m_idle.rbegin(), m_idle.rend(), [&](const ConnectionPointer &one, const ConnectionPointer &other) {
-        return one->state().distance(session) < other->state().distance(session);
+    const auto best = std::min_element(m_idle.rbegin(), m_idle.rend(), [&](const Idle &one, const Idle &other) {
+        return one.connection->state().distance(session) < other.connection->state().distance(session);
     });
-    auto connection = std::move(*best);
+    auto connection = std::move(best->connection);
     m_idle.erase(std::next(best).base());
     return connection;
 }
@@ -118,7 +116,7 @@
         return;
     }
     if (m_waiting.empty()) {
-        m_idle.push_back(std::move(connection));
+        m_idle.push_back({std::move(connection), Clock::now()});
         return;
     }
     auto *waiter = m_waiting.front();
@@ -191,8 +189,9 @@
     m_member = member;
 }
 
-void DatabasePool::setLimit(std::size_t limit)
+void DatabasePool::setLimits(std::size_t share, std::size_t limit)
 {
+    m_options.share = share;
     m_options.limit = limit;
     while (m_count > m_options.limit && !m_idle.empty()) {
         m_idle.erase(m_idle.begin());
@@ -201,6 +200,26 @@
     openMore();
 }
 
+void DatabasePool::trim(TimePoint now)
+{
+    while (m_count > m_options.share && !m_idle.empty() && now - m_idle.front().since >= m_options.idleSurplus) {
+        m_idle.erase(m_idle.begin());
+        --m_count;
+    }
+    openMore();
+}
+
+void DatabasePool::noteLag(bool lagging, TimePoint now)
+{
+    if (!lagging) {
+        m_lags = 0;
+        m_laggingUntil = now;
+        return;
+    }
+    m_lags = std::min(m_lags + 1, lagSteps);
+    m_laggingUntil = now + lagPause * (1U << (m_lags - 1));
+}
+
 void DatabasePool::warm(std::size_t count)
 {
     m_warm = count;
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -120,16 +120,29 @@
 void SessionDirectory::updateLimits()
 {
     for (const auto &[name, service] : m_services) {
+        std::size_t share = m_options.warmConnections;
         std::size_t limit = m_options.connectionLimit;
         if (m_config) {
             if (const auto known = m_config->services.find(name); known != m_config->services.end() && known->second.maxConnections != 0) {
                 const auto usable = known->second.maxConnections - std::min<std::size_t>(m_options.reservedConnections, known->second.maxConnections);
-                limit = std::clamp<std::size_t>(usable / std::max(m_proxies, 1U), 1, m_options.connectionLimit);
+                share = std::max<std::size_t>(1, usable / std::max(m_proxies, 1U));
+                // Callers are spread unevenly, so that a proxy may need more than its share while others need less; the
+                // database itself refuses what is too much.
+                limit = std::clamp<std::size_t>(usable / 2, share, std::max(share, m_options.connectionLimit));
             }
         }
         for (const auto &[id, pool] : service->pools()) {
-            pool->setLimit(limit);
-            pool->warm(pool->member().draining() ? 0 : std::min(limit, m_options.warmConnections));
+            pool->setLimits(share, limit);
+            pool->warm(pool->member().draining() ? 0 : std::min(share, m_options.warmConnections));
+        }
+    }
+}
+
+void SessionDirectory::tick(TimePoint now)
+{
+    for (const auto &[name, service] : m_services) {
+        for (const auto &[id, pool] : service->pools()) {
+            pool->trim(now);
         }
     }
 }
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -28,12 +28,16 @@
 constexpr double readAttemptPart = 0.6;
 // Pause after a database refused for lack of slots; about one statement.
 constexpr Duration busyPause = 15ms;
+// Between two looks for the directory.
+constexpr Duration directoryPause = 25ms;
 // Another region costs a round trip of 24 or 40 ms and the dearest bytes, another domain of the region little. In the
 // unit of one running statement at the nearest database, which is 15 to 30 ms of work over three slots.
 constexpr double regionCost = 8.0;
 constexpr double domainCost = 1.0;
 // A database that did not answer lately is the last choice.
 constexpr double suspectCost = 1'000.0;
+// A replica that lacks positions costs an attempt that leads nowhere, which is more than any queue.
+constexpr double laggingCost = 100.0;
 // An age is proven with this much to spare, for the time between the caller's bytes and their reading here.
 constexpr Duration ageMargin = 100ms;
 // A rollback needs no slot, so that its answer takes a round trip.
@@ -113,7 +117,15 @@
     StatementResult result;
     auto *service = m_directory.service(job.route.service);
     asio::steady_timer pause(co_await asio::this_coro::executor);
-    while (service != nullptr && Clock::now() < job.deadline) {
+    while (Clock::now() < job.deadline) {
+        if (service == nullptr) {
+            // The directory arrives a moment after the start.
+            attempts.lastReason = "no-directory";
+            pause.expires_after(directoryPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            service = m_directory.service(job.route.service);
+            continue;
+        }
         const auto choice = choose(job, *service, attempts);
         if (!choice.pool) {
             if (!attempts.avoided.empty()) {
@@ -185,6 +197,7 @@
         const auto distance = m_directory.distance(pool->member().failure_domain());
         double cost = static_cast<double>(pool->load()) + (distance == 0 ? 0.0 : distance == 1 ? domainCost : regionCost);
         cost += pool->isSuspect(now) ? suspectCost : 0.0;
+        cost += !isPrimary && pool->isLagging(now) ? laggingCost : 0.0;
         if (!best.pool || cost < bestCost) {
             bestCost = cost;
             best = isPrimary ? primary : Choice {pool, required, false, service.epoch()};
@@ -262,6 +275,9 @@
         countRetry("lease-lost");
         co_return Verdict::AwaitPrimary;
     }
+    if (choice.after) {
+        pool->noteLag(reply.error == SessionError::Lagging, answeredAt);
+    }
     co_return judge(job, service, choice, attempts, reply, result);
 }
 
--- a/packages/state/include/waxwing/state/sessions_machine.h
+++ b/packages/state/include/waxwing/state/sessions_machine.h
@@ -14,7 +14,7 @@
 {
 
 /// @brief Replicated state of a deployment that serves sessions: the operator's configuration document under the
-/// operator's own version, and the epoch and primary of each service.
+/// operator's own version, the epoch and primary of each service, and the databases.
 ///
 /// Deterministic: its content depends only on the commands applied. Epochs are log indexes, so that one is never used
 /// twice, and they serve as fencing tokens.
@@ -59,13 +59,21 @@
         return m_services;
     }
 
+    /// @brief Databases by id, as they were when something changed last; a start for a new leader, not the present state.
+    const std::map<std::string, wire::PoolMember, std::less<>> &members() const
+    {
+        return m_members;
+    }
+
 private:
     bool startEpoch(std::uint64_t index, const wire::StartEpoch &command);
     bool setPrimary(std::uint64_t index, const wire::SetPrimary &command);
+    void setMember(const wire::PoolMember &member);
 
     std::uint64_t m_version = 0;
     std::string m_document;
     std::map<std::string, wire::EpochRecord, std::less<>> m_services;
+    std::map<std::string, wire::PoolMember, std::less<>> m_members;
 };
 
 } // namespace waxwing
--- a/packages/state/src/waxwing/state/sessions_machine.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine.cpp
@@ -30,6 +30,9 @@
     } else if (command.has_set_primary()) {
         service = command.set_primary().service();
         result.set_accepted(setPrimary(index, command.set_primary()));
+    } else if (command.has_set_member()) {
+        setMember(command.set_member().member());
+        result.set_accepted(true);
     }
     result.set_version(m_version);
     if (const auto *record = this->service(service)) {
@@ -73,6 +76,17 @@
     return true;
 }
 
+void SessionsMachine::setMember(const wire::PoolMember &member)
+{
+    if (member.leaving()) {
+        m_members.erase(member.id());
+        return;
+    }
+    // The database at an address is the one that was heard from last.
+    std::erase_if(m_members, [&](const auto &item) { return item.first != member.id() && item.second.address() == member.address(); });
+    m_members[member.id()] = member;
+}
+
 std::vector<std::byte> SessionsMachine::snapshot() const
 {
     wire::SessionsSnapshot message;
@@ -81,6 +95,9 @@
     for (const auto &[name, record] : m_services) {
         *message.add_services() = record;
     }
+    for (const auto &[id, member] : m_members) {
+        *message.add_members() = member;
+    }
     return encodeMessage(message);
 }
 
@@ -97,6 +114,10 @@
         auto name = record.service();
         m_services.emplace(std::move(name), std::move(record));
     }
+    m_members.clear();
+    for (const auto &member : message.members()) {
+        m_members[member.id()] = member;
+    }
     return true;
 }
 
--- a/packages/state/src/waxwing/state/sessions_machine_test.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine_test.cpp
@@ -87,12 +87,19 @@
         machine.applyCommand(1, setDocument(7, "a"));
         machine.applyCommand(2, setPrimary(0, "p"));
         machine.applyCommand(3, startEpoch(2));
+        wire::SessionsCommand member;
+        member.mutable_set_member()->mutable_member()->set_id("d");
+        machine.applyCommand(4, member);
         SessionsMachine copy;
         CPPUNIT_ASSERT(copy.restore(machine.snapshot()));
         CPPUNIT_ASSERT_EQUAL(std::string("a"), copy.document());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), copy.version());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), copy.service("s")->epoch());
         CPPUNIT_ASSERT_EQUAL(std::string("p"), copy.service("s")->previous());
+        CPPUNIT_ASSERT(copy.members().contains("d"));
+        member.mutable_set_member()->mutable_member()->set_leaving(true);
+        copy.applyCommand(5, member);
+        CPPUNIT_ASSERT(copy.members().empty());
     }
 };
 
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -254,6 +254,11 @@
         return "not-primary";
     }
     ++service.suspicions;
+    // Writes that go on show that a primary has its replica, whatever single proxies miss.
+    const bool progresses = answer.status && service.lastPosition < answer.status->received;
+    if (answer.status) {
+        service.lastPosition = answer.status->received;
+    }
     if (answer.reach == Reach::Refused && service.suspicions >= 2) {
         return "refused";
     }
@@ -265,7 +270,9 @@
         if (static_cast<double>(unreachable) > live * half) {
             return "cut-off";
         }
-        if (stalled >= 2 || (stalled >= 1 && static_cast<double>(stalled) >= live * half)) {
+        if (progresses) {
+            service.suspicions = 0;
+        } else if (stalled >= 2 || (stalled >= 1 && static_cast<double>(stalled) >= live * half)) {
             return "stalled";
         }
     }
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -74,6 +74,7 @@
     {
         bool busy = false; ///< a check or a change runs
         unsigned suspicions = 0; ///< checks in a row that found something wrong without certainty
+        TermPosition lastPosition; ///< of the primary, at the last check
         TimePoint nextCheck;
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
         std::uint64_t withdrawEpoch = 0; ///< epochs before this one are withdrawn
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -31,6 +31,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <optional>
+#include <thread>
 #include <utility>
 
 namespace waxwing::control
@@ -44,6 +45,7 @@
 constexpr Duration tickInterval = 20ms; // bounds the delay of a push; each wake-up is paid for
 constexpr Duration orderLimit = 2s; // the platform carries a promotion out in 300 to 1,000 ms
 constexpr Duration connectLimit = 500ms;
+constexpr Duration logNotice = 50ms;
 constexpr Duration drainLimit = 1s; // for responses in flight at the end
 constexpr std::size_t maxDocumentBytes = 4U << 20; // a configuration of 10,000 routes
 constexpr LogIndex snapshotEvery = 100; // a document of 350 routes takes 80 KB, so that the log stays below 10 MB
@@ -363,9 +365,9 @@
         code = process.run();
         log::write(log::Level::Info, "stopped", {{"code", code}});
     }
-    log::stop();
-    // Work in progress ends with the process; its coroutines must not outlive the parts that they use.
-    std::fflush(stdout);
+    // Work in progress ends with the process; its coroutines must not outlive the parts that they use. The thread of the
+    // log writes the last lines in this time; ending the log waits for threads of its library.
+    std::this_thread::sleep_for(logNotice);
     std::_Exit(code);
 }
 
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -94,6 +94,10 @@
     m_keeper.reset(true);
     applyDocument();
     m_applied = true;
+    // What earlier leaders knew serves until the heartbeats say otherwise; a silent database expires as usual.
+    for (const auto &[id, member] : m_machine.members()) {
+        m_directory.beat(member, m_activeSince);
+    }
     Metrics::instance().gauge("waxwing_control_leader").set(1);
     log::write(log::Level::Info, "leading", {{"term", m_term}, {"version", m_machine.version()}, {"services", m_machine.services().size()}});
 }
@@ -125,6 +129,10 @@
     m_leases.expire(now);
     for (const auto &id : m_directory.expire(now)) {
         log::write(log::Level::Warning, "database silent, removed", {{"database", id}});
+        wire::PoolMember gone;
+        gone.set_id(id);
+        gone.set_leaving(true);
+        record(gone);
         m_directoryChanged = true;
     }
     if (std::exchange(m_applied, false)) {
@@ -132,10 +140,8 @@
         m_directoryChanged = true;
     }
     m_keeper.tick(now, isCollected(now));
-    if (m_directoryNumber == 0 && isCollected(now)) {
-        m_directoryChanged = true;
-    }
-    if (isCollected(now) && std::exchange(m_directoryChanged, false)) {
+    const bool known = isCollected(now) || !m_machine.members().empty();
+    if (known && std::exchange(m_directoryChanged, false)) {
         ++m_directoryNumber;
     }
     push();
@@ -173,7 +179,7 @@
         return;
     }
     // An applied change of a primary that the directory does not show yet must not be followed by a lease without it.
-    if (isCollected(Clock::now()) && std::exchange(m_applied, false)) {
+    if (m_directoryNumber != 0 && std::exchange(m_applied, false)) {
         applyDocument();
         ++m_directoryNumber;
     }
@@ -267,6 +273,7 @@
     if (member.leaving()) {
         if (m_directory.leave(member.id())) {
             log::write(log::Level::Info, "database left", {{"database", member.id()}});
+            record(member);
             m_directoryChanged = true;
         }
         return;
@@ -284,10 +291,23 @@
                     {"sequence", member.sequence()},
                     {"primary", member.primary()},
                     {"draining", member.draining()}});
+        record(member);
         m_directoryChanged = true;
     }
 }
 
+void SessionControl::record(const wire::PoolMember &member)
+{
+    // The members in the log only shorten the start of the next leader, so that nothing waits for the entry.
+    wire::SessionsCommand command;
+    *command.mutable_set_member()->mutable_member() = member;
+    m_ports.log.propose(encodeMessage(command), [id = member.id()](LogReply &&reply) {
+        if (reply.failure != LogFailure::None) {
+            log::write(log::Level::Info, "database not recorded", {{"database", id}});
+        }
+    });
+}
+
 void SessionControl::put(std::string document, std::function<void(PutOutcome outcome, const std::vector<std::string> &errors)> handler)
 {
     auto decoded = platform::decodeConfig(document);
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -85,6 +85,7 @@
     void fillDirectory(wire::PoolGrant &grant) const;
     void push();
     void takeBeat(const wire::PoolMember &member);
+    void record(const wire::PoolMember &member);
     void applyDocument();
 
     boost::asio::io_context &m_context;
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -25,7 +25,9 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <optional>
+#include <thread>
 #include <utility>
 
 namespace waxwing
@@ -43,6 +45,9 @@
 constexpr Duration reportSpacing = 150ms; // between renewals ahead of time that repeat the same evidence
 // The load balancer asks once a second and takes a process out after two misses.
 constexpr Duration balancerNotice = 2300ms;
+// The thread of the log writes the last lines in this time. Ending the log waits for threads of its library, which took
+// longer than the stop limit on these machines.
+constexpr Duration logNotice = 50ms;
 constexpr Duration exitMargin = 700ms; // left of the stop limit for the end of the process
 
 std::vector<std::string> linkAddresses(const SessionSettings &settings)
@@ -226,8 +231,10 @@
         }
         m_control.tick(now);
         m_poll.tick(now);
+        m_directory.tick(now);
         if (m_stopping && advanceStop(now)) {
-            m_context.stop();
+            m_timer.expires_after(logNotice);
+            m_timer.async_wait([](const boost::system::error_code &) { std::_Exit(0); });
             return;
         }
         m_timer.expires_after(tickInterval);
@@ -326,8 +333,7 @@
             code = process.run();
         }
         // Sessions that are left end with the process; their coroutines must not outlive its parts.
-        log::stop();
-        std::fflush(stdout);
+        std::this_thread::sleep_for(logNotice);
         std::_Exit(code);
     }
 }
--- a/programs/proxy/session_settings.cpp
+++ b/programs/proxy/session_settings.cpp
@@ -39,7 +39,7 @@
     result.logLevel = toLevel(settings.choice("log.level", levels));
     result.maxSessions = static_cast<std::size_t>(settings.integer("sessions.max_sessions", {1, 1'000'000, 3'500}));
     result.warmConnections = static_cast<std::size_t>(settings.integer("sessions.warm_connections", {0, 64, 2}));
-    result.connectionLimit = static_cast<std::size_t>(settings.integer("sessions.connection_limit", {1, 1'000, 8}));
+    result.connectionLimit = static_cast<std::size_t>(settings.integer("sessions.connection_limit", {1, 1'000, 12}));
     result.stopLimit = settings.milliseconds("sessions.stop_limit_ms", {1'000, 600'000, 6'000});
     for (const auto &entry : settings.texts("sessions.regions")) {
         const auto equals = entry.find('=');
--- a/programs/proxy/session_settings.h
+++ b/programs/proxy/session_settings.h
@@ -26,7 +26,7 @@
     log::Level logLevel = log::Level::Info;
     std::size_t maxSessions = 3'500; ///< of 4,300 descriptors, 200 are set aside and up to 200 go to databases
     std::size_t warmConnections = 2;
-    std::size_t connectionLimit = 8;
+    std::size_t connectionLimit = 12;
     Duration stopLimit = 6s; ///< the process is killed this long after SIGTERM
     std::vector<std::string> errors; ///< one sentence each, with file and line
 
