Shorten failover, keep positions across a change of primary, refuse early what only others reach

Change: after a loss the replicas are paused and compared with one call; one refused check suffices when two proxies report; two lost connections are evidence after 60 ms; positions stay; a statement is refused after 400 ms when the primary answers nothing here and is not being replaced; a proxy without a lease closes idle sessions once.

--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -36,7 +36,8 @@
         return m_epoch;
     }
 
-    /// @brief Takes over the epoch and primary of the directory; positions of earlier epochs are forgotten.
+    /// @brief Takes over the epoch and primary of the directory. Positions of earlier epochs stay: what was acknowledged
+    /// before they were asked for is part of every later log up to them.
     /// @param primary id of the primary, empty while it is being replaced
     void setPrimary(std::uint64_t epoch, std::string_view primary);
 
@@ -54,7 +55,7 @@
         return m_pools;
     }
 
-    /// @brief Positions of the primary of this epoch.
+    /// @brief Positions that primaries reported under a valid lease.
     PositionHistory &history()
     {
         return m_history;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -55,6 +55,7 @@
     };
 
     Choice choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts) const;
+    bool isPrimaryOutOfReach(const SessionJob &job, const ServiceState &service, Attempts &attempts) const;
     Choice choosePrimary(const ServiceState &service) const;
     std::optional<TermPosition> requiredPosition(const SessionJob &job, ServiceState &service) const;
     boost::asio::awaitable<Verdict> attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts,
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -27,6 +27,8 @@
 // 60 ms behind on average.
 constexpr Duration lagPause = 30ms;
 constexpr unsigned lagSteps = 5;
+// Two connections that were lost or refused, and no answer for this long, are evidence by themselves.
+constexpr Duration lostLimit = 60ms;
 // A database that did not answer a statement is avoided for this long, if there is another one.
 constexpr Duration avoidance = 500ms;
 
@@ -257,7 +259,7 @@
 
 bool DatabasePool::isSilent(TimePoint now, Duration limit) const
 {
-    if (m_failures > 1 && m_lastReply + limit < now) {
+    if (m_failures > 1 && m_lastReply + std::min(limit, lostLimit) < now) {
         return true;
     }
     return m_running > 0 && std::max(m_runningSince, m_lastReply) + limit < now;
--- a/packages/sessions/src/waxwing/sessions/service_state.cpp
+++ b/packages/sessions/src/waxwing/sessions/service_state.cpp
@@ -34,7 +34,6 @@
     }
     m_epoch = epoch;
     m_primary = primary;
-    m_history.clear();
     m_writesSince = Clock::now();
     notify();
 }
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -28,6 +28,8 @@
 constexpr double readAttemptPart = 0.6;
 // Pause after a database refused for lack of slots; about one statement.
 constexpr Duration busyPause = 15ms;
+// A primary that this proxy does not reach is being replaced after this time, or others reach it.
+constexpr Duration outOfReachPatience = 400ms;
 // Between two looks for the directory.
 constexpr Duration directoryPause = 25ms;
 // Another region costs a round trip of 24 or 40 ms and the dearest bytes, another domain of the region little. In the
@@ -127,6 +129,9 @@
             continue;
         }
         const auto choice = choose(job, *service, attempts);
+        if (isPrimaryOutOfReach(job, *service, attempts)) {
+            break;
+        }
         if (!choice.pool) {
             if (!attempts.avoided.empty()) {
                 attempts.avoided.clear();
@@ -153,6 +158,19 @@
     co_return giveUp(job, service, attempts);
 }
 
+bool StatementPath::isPrimaryOutOfReach(const SessionJob &job, const ServiceState &service, Attempts &attempts) const
+{
+    // The caller's retry reaches another proxy, which may reach the primary, while waiting here leads nowhere as long as
+    // control does not replace it.
+    const auto now = Clock::now();
+    const auto primary = service.primary();
+    if (!job.needsPrimary() || !primary || now - job.receivedAt < outOfReachPatience || !primary->isSilent(now, outOfReachPatience)) {
+        return false;
+    }
+    attempts.lastReason = "primary-out-of-reach";
+    return true;
+}
+
 std::optional<TermPosition> StatementPath::requiredPosition(const SessionJob &job, ServiceState &service) const
 {
     auto required = service.history().proof(job.receivedAt - job.route.maxAge + ageMargin);
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -90,6 +90,7 @@
 {
     const auto found = m_services.find(message.service());
     if (found != m_services.end() && message.epoch() + 1 >= found->second.withdrawEpoch) {
+        found->second.term = std::max(found->second.term, message.acknowledged().term());
         found->second.withdrawals[message.proxy()] = {message.incarnation(), {message.acknowledged().term(), message.acknowledged().number()}};
     }
 }
@@ -227,6 +228,7 @@
     const auto answer = co_await m_calls.call(member, Command::Status, 0, callLimit);
     const bool confirmed = answer.status && answer.status->primary;
     if (isCurrent(generation) && confirmed) {
+        learnTerms(name, {{member.id(), answer}});
         const bool accepted = co_await setPrimary(name, 0, member.id());
         log::write(log::Level::Info, "first primary", {{"service", name}, {"primary", member.id()}, {"accepted", accepted}});
         m_publish();
@@ -259,7 +261,7 @@
     if (answer.status) {
         service.lastPosition = answer.status->received;
     }
-    if (answer.reach == Reach::Refused && service.suspicions >= 2) {
+    if (answer.reach == Reach::Refused && (service.suspicions >= 2 || unreachable >= 2)) {
         return "refused";
     }
     // Silence that two proxies confirm; one observer may itself be cut off.
@@ -287,6 +289,7 @@
         co_return;
     }
     auto &service = m_services[name];
+    learnTerms(name, {{primary.id(), answer}});
     const auto verdict = judge(service, answer);
     log::write(log::Level::Info, "primary checked",
                {{"service", name},
@@ -311,8 +314,9 @@
     changes.add();
     log::write(log::Level::Warning, "primary change started", {{"service", name}, {"cause", cause}});
     bool done = false;
+    bool primaryLost = cause == "refused" || cause == "silent";
     while (isCurrent(generation) && !done) {
-        done = co_await changeOnce(name, generation);
+        done = co_await changeOnce(name, generation, std::exchange(primaryLost, false));
         if (!done && isCurrent(generation)) {
             co_await pause(retryPause);
         }
@@ -378,7 +382,7 @@
     return highest;
 }
 
-asio::awaitable<bool> PrimaryKeeper::changeOnce(const std::string &name, std::uint64_t generation)
+asio::awaitable<bool> PrimaryKeeper::changeOnce(const std::string &name, std::uint64_t generation, bool primaryLost)
 {
     const auto *record = m_state.machine.service(name);
     if (record == nullptr) {
@@ -392,7 +396,10 @@
     m_publish();
     advanceWithdrawal(m_services[name], name, *epoch, Clock::now());
     std::string candidate;
-    while (isCurrent(generation)) {
+    if (primaryLost) {
+        candidate = co_await chooseAfterLoss(name, previous, generation);
+    }
+    while (isCurrent(generation) && candidate.empty()) {
         candidate = co_await choose(name, previous, generation);
         if (!isCurrent(generation)) {
             co_return false;
@@ -406,6 +413,8 @@
     while (isCurrent(generation) && !advanceWithdrawal(m_services[name], name, *epoch, Clock::now())) {
         co_await pause(stepPause);
     }
+    log::write(log::Level::Info, "candidate chosen",
+               {{"service", name}, {"candidate", candidate}, {"epoch", *epoch}, {"term", m_services[name].term}, {"proxies", m_state.leases.proxies().size()}});
     const auto *entry = m_state.directory.find(candidate);
     if (!isCurrent(generation) || entry == nullptr) {
         co_return false;
@@ -431,6 +440,34 @@
     co_return accepted;
 }
 
+void PrimaryKeeper::learnTerms(const std::string &name, const Answers &answers)
+{
+    auto &term = m_services[name].term;
+    for (const auto &[id, answer] : answers) {
+        if (answer.status) {
+            term = std::max({term, answer.status->term, answer.status->pausedTerm, answer.status->received.term});
+        }
+    }
+}
+
+asio::awaitable<std::string> PrimaryKeeper::chooseAfterLoss(const std::string &name, std::string previous, std::uint64_t generation)
+{
+    // The primary was just found not to answer, so that the others are asked without it, and with one call.
+    const auto term = m_services[name].term;
+    if (term == 0) {
+        co_return std::string();
+    }
+    auto others = members(name);
+    std::erase_if(others, [&](const auto &member) { return member.id() == previous; });
+    const auto answers = co_await m_calls.callAll(others, Command::Pause, term + 1, callLimit);
+    if (!isCurrent(generation)) {
+        co_return std::string();
+    }
+    learnTerms(name, answers);
+    const bool complete = std::all_of(answers.begin(), answers.end(), [&](const auto &item) { return item.second.status && item.second.status->term <= term; });
+    co_return complete ? pick(name, previous, answers, false) : std::string();
+}
+
 asio::awaitable<std::string> PrimaryKeeper::choose(const std::string &name, std::string previous, std::uint64_t generation)
 {
     auto all = members(name);
@@ -438,15 +475,9 @@
     if (!isCurrent(generation)) {
         co_return std::string();
     }
-    std::uint64_t term = 0;
-    bool primaryAnswers = false;
-    for (const auto &[id, answer] : answers) {
-        if (answer.status) {
-            term = std::max({term, answer.status->term, answer.status->pausedTerm});
-            primaryAnswers = primaryAnswers || answer.status->primary;
-        }
-    }
-    ++term;
+    learnTerms(name, answers);
+    const bool primaryAnswers = std::any_of(answers.begin(), answers.end(), [](const auto &item) { return item.second.status && item.second.status->primary; });
+    const auto term = m_services[name].term + 1;
     std::vector<wire::PoolMember> primaries;
     std::vector<wire::PoolMember> others;
     for (const auto &member : all) {
@@ -551,6 +582,10 @@
     const auto deadline = Clock::now() + roleLimit;
     while (isCurrent(generation) && Clock::now() < deadline) {
         const auto answer = co_await m_calls.call(member, Command::Status, 0, callLimit);
+        if (!isCurrent(generation)) {
+            co_return false;
+        }
+        learnTerms(member.service(), {{member.id(), answer}});
         if (answer.status && answer.status->primary) {
             co_return true;
         }
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -75,6 +75,7 @@
         bool busy = false; ///< a check or a change runs
         unsigned suspicions = 0; ///< checks in a row that found something wrong without certainty
         TermPosition lastPosition; ///< of the primary, at the last check
+        std::uint64_t term = 0; ///< highest term that a database or proxy told
         TimePoint nextCheck;
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
         std::uint64_t withdrawEpoch = 0; ///< epochs before this one are withdrawn
@@ -94,12 +95,14 @@
     std::string judge(Service &service, const DatabaseCalls::Answer &answer) const;
     std::size_t countReports(const Service &service, bool Report::*kind, TimePoint now) const;
     boost::asio::awaitable<void> change(std::string name, std::string cause);
-    boost::asio::awaitable<bool> changeOnce(const std::string &name, std::uint64_t generation);
+    boost::asio::awaitable<bool> changeOnce(const std::string &name, std::uint64_t generation, bool primaryLost);
     boost::asio::awaitable<std::optional<std::uint64_t>> startEpoch(std::string name, std::uint64_t expected);
     boost::asio::awaitable<bool> setPrimary(std::string name, std::uint64_t epoch, std::string primary);
     bool advanceWithdrawal(Service &service, const std::string &name, std::uint64_t epoch, TimePoint now);
     std::optional<TermPosition> acknowledgedByAll(const Service &service, TimePoint now) const;
+    boost::asio::awaitable<std::string> chooseAfterLoss(const std::string &name, std::string previous, std::uint64_t generation);
     boost::asio::awaitable<std::string> choose(const std::string &name, std::string previous, std::uint64_t generation);
+    void learnTerms(const std::string &name, const Answers &answers);
     std::string pick(const std::string &name, const std::string &previous, const Answers &answers, bool steppedDown) const;
     boost::asio::awaitable<bool> awaitRole(wire::PoolMember member, std::uint64_t generation);
     boost::asio::awaitable<void> pause(Duration duration);
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -252,6 +252,16 @@
             log::write(log::Level::Warning, "lease lost", {{"config_version", m_directory.configVersion()}});
             Metrics::instance().counter("waxwing_session_leases_lost_total").add();
         }
+        if (leased) {
+            m_unleasedSince.reset();
+        } else if (!m_unleasedSince) {
+            m_unleasedSince = now;
+            m_handedOver = false;
+        } else if (!m_handedOver && now - *m_unleasedSince >= balancerNotice) {
+            // By now the load balancer sends callers elsewhere, so that idle sessions are served sooner after a new start.
+            m_handedOver = true;
+            log::write(log::Level::Info, "idle sessions closed without a lease", {{"left", m_server.closeIdle()}});
+        }
         m_leased = leased;
     }
 
@@ -304,6 +314,8 @@
     boost::asio::signal_set m_signals;
     TimePoint m_lastReport;
     TimePoint m_stopSince;
+    std::optional<TimePoint> m_unleasedSince;
+    bool m_handedOver = false; ///< idle sessions were closed since the lease was lost
     bool m_leased = false;
     bool m_stopping = false;
 };
