Refuse at once when the queue is too long, choose databases by expected time

Change: a pool knows the expected wait for a connection and the expected reply time; the cost of a database is the sum, in time; a statement whose answer is expected after 0.75 of its latency target is refused at once with when to come back; a refusal is logged with the state of the pools.

--- a/packages/sessions/include/waxwing/sessions/database_connection.h
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -80,6 +80,9 @@
         return m_state;
     }
 
+    /// @brief When the connection was handed out last; kept by its pool.
+    TimePoint handedOutAt;
+
     /// @brief End of the database's log as the last answer told it.
     const std::optional<TermPosition> &position() const
     {
--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -79,9 +79,20 @@
     /// @brief Takes note that statements were sent.
     void noteSent(TimePoint now);
 
-    /// @brief Takes note of the answer to statements that were sent.
+    /// @brief Takes note of the answer to commands that were sent.
     void noteReply(TimePoint now);
 
+    /// @brief Takes note of how long the answer to a statement took.
+    void noteReplyTime(Duration took, TimePoint now);
+
+    /// @brief Expected time until a connection is free.
+    /// @param priority priority of the statement; those of lower ones wait behind it
+    Duration expectedWait(int priority) const;
+
+    /// @brief Expected time from sending a statement to its answer. What was measured counts less the longer it is ago.
+    /// @param base time to expect without a measurement
+    Duration expectedReply(Duration base, TimePoint now) const;
+
     /// @brief Takes note that statements that were sent got no answer.
     void noteSilence(TimePoint now);
 
@@ -110,6 +121,9 @@
         return m_shut;
     }
 
+    /// @brief State for a log line: connections open, idle and in use, statements that wait.
+    std::string describe() const;
+
     /// @brief Consecutive failed attempts to reach the database.
     unsigned failures() const
     {
@@ -126,6 +140,12 @@
         bool failed = false;
     };
 
+    struct Idle
+    {
+        ConnectionPointer connection;
+        TimePoint since;
+    };
+
     ConnectionPointer takeIdle(const SessionState &session);
     ConnectionPointer hand(ConnectionPointer connection);
     void openMore();
@@ -136,12 +156,6 @@
     boost::asio::any_io_executor m_executor;
     wire::PoolMember m_member;
     Options m_options;
-    struct Idle
-    {
-        ConnectionPointer connection;
-        TimePoint since;
-    };
-
     std::vector<Idle> m_idle;
     std::list<Waiter *> m_waiting; ///< by priority, then arrival
     std::size_t m_count = 0; ///< open or opening
@@ -151,6 +165,9 @@
     std::size_t m_running = 0; ///< exchanges that wait for an answer
     TimePoint m_runningSince; ///< since then at least one exchange has been waiting
     TimePoint m_lastReply;
+    Duration m_replyTime {}; ///< moving average, zero before the first
+    TimePoint m_replyTimeAt;
+    Duration m_holdTime {}; ///< moving average of the time for which a connection is in use
     TimePoint m_avoidUntil;
     TimePoint m_laggingUntil;
     unsigned m_lags = 0; ///< in a row
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -36,6 +36,7 @@
         std::optional<TermPosition> after; ///< position that the database must have reached
         bool primary = false;
         std::uint64_t epoch = 0;
+        bool crowded = false; ///< without a pool: the queues are too long
     };
 
     /// What an attempt led to.
@@ -56,6 +57,8 @@
 
     Choice choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts) const;
     bool isPrimaryOutOfReach(const SessionJob &job, const ServiceState &service, Attempts &attempts) const;
+    Duration expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
+    bool isCrowded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
     Choice choosePrimary(const ServiceState &service) const;
     std::optional<TermPosition> requiredPosition(const SessionJob &job, ServiceState &service) const;
     boost::asio::awaitable<Verdict> attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts,
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace waxwing
@@ -21,6 +22,8 @@
 {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int averageWindow = 8; // values in a moving average; a crest builds up over some tens of statements
+constexpr double replyMemorySeconds = 1.0; // after this time a measured reply time counts a third
 // Connections that are opened at the same time; each takes a slot of the database.
 constexpr std::size_t openingLimit = 2;
 // A replica that lacked a position is asked again after this pause, doubled with each refusal up to 480 ms; replicas are
@@ -32,6 +35,11 @@
 // A database that did not answer a statement is avoided for this long, if there is another one.
 constexpr Duration avoidance = 500ms;
 
+Duration average(Duration before, Duration value)
+{
+    return before == Duration::zero() ? value : before + (value - before) / averageWindow;
+}
+
 std::string_view openResultName(DatabaseConnection::OpenResult result)
 {
     switch (result) {
@@ -105,12 +113,16 @@
 DatabasePool::ConnectionPointer DatabasePool::hand(ConnectionPointer connection)
 {
     ++m_busy;
+    connection->handedOutAt = Clock::now();
     return connection;
 }
 
 void DatabasePool::release(ConnectionPointer connection)
 {
     --m_busy;
+    if (connection->handedOutAt != TimePoint()) {
+        m_holdTime = average(m_holdTime, Clock::now() - connection->handedOutAt);
+    }
     if (!connection->isOpen() || m_shut || m_count > m_options.limit) {
         connection.reset();
         --m_count;
@@ -250,6 +262,30 @@
     m_failures = 0;
 }
 
+void DatabasePool::noteReplyTime(Duration took, TimePoint now)
+{
+    m_replyTime = average(m_replyTime, took);
+    m_replyTimeAt = now;
+}
+
+Duration DatabasePool::expectedWait(int priority) const
+{
+    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [priority](const Waiter *waiter) { return waiter->priority <= priority; });
+    if (ahead == 0 && (!m_idle.empty() || m_count < m_options.limit)) {
+        return Duration::zero();
+    }
+    return m_holdTime * (ahead + 1) / static_cast<int>(std::max<std::size_t>(1, m_count));
+}
+
+Duration DatabasePool::expectedReply(Duration base, TimePoint now) const
+{
+    if (m_replyTime == Duration::zero()) {
+        return base;
+    }
+    const auto age = std::chrono::duration<double>(now - m_replyTimeAt).count();
+    return base + std::chrono::duration_cast<Duration>((m_replyTime - base) * std::exp(-age / replyMemorySeconds));
+}
+
 void DatabasePool::noteSilence(TimePoint now)
 {
     --m_running;
@@ -257,6 +293,13 @@
     ++m_failures;
 }
 
+std::string DatabasePool::describe() const
+{
+    return m_member.id() + (m_member.draining() ? " draining" : "") + " open " + std::to_string(m_count) + '/' + std::to_string(m_options.limit) + " idle "
+        + std::to_string(m_idle.size()) + " used " + std::to_string(m_busy) + " running " + std::to_string(m_running) + " waiting "
+        + std::to_string(m_waiting.size()) + " failures " + std::to_string(m_failures) + " lags " + std::to_string(m_lags);
+}
+
 bool DatabasePool::isSilent(TimePoint now, Duration limit) const
 {
     if (m_failures > 1 && m_lastReply + std::min(limit, lostLimit) < now) {
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -32,14 +33,18 @@
 constexpr Duration outOfReachPatience = 400ms;
 // Between two looks for the directory.
 constexpr Duration directoryPause = 25ms;
-// Another region costs a round trip of 24 or 40 ms and the dearest bytes, another domain of the region little. In the
-// unit of one running statement at the nearest database, which is 15 to 30 ms of work over three slots.
-constexpr double regionCost = 8.0;
-constexpr double domainCost = 1.0;
+// Reply times to expect before the first is measured: 5 to 34 ms of work, and a round trip of 24 or 40 ms between regions.
+constexpr Duration nearReply = 20ms;
+constexpr Duration farReply = 55ms;
+// The bytes of a statement between regions are worth a few percent of the statement; in time, about this much.
+constexpr Duration regionBytes = 15ms;
 // A database that did not answer lately is the last choice.
-constexpr double suspectCost = 1'000.0;
+constexpr Duration suspectCost = 10s;
 // A replica that lacks positions costs an attempt that leads nowhere, which is more than any queue.
-constexpr double laggingCost = 100.0;
+constexpr Duration laggingCost = 2s;
+// A statement is refused at once when its answer is expected later than this part of its latency target: served late it
+// would make others late too.
+constexpr double crowdedPart = 0.75;
 // An age is proven with this much to spare, for the time between the caller's bytes and their reading here.
 constexpr Duration ageMargin = 100ms;
 // A rollback needs no slot, so that its answer takes a round trip.
@@ -133,6 +138,10 @@
             break;
         }
         if (!choice.pool) {
+            if (choice.crowded) {
+                attempts.lastReason = "queue-full";
+                break;
+            }
             if (!attempts.avoided.empty()) {
                 attempts.avoided.clear();
                 pause.expires_after(busyPause);
@@ -158,6 +167,19 @@
     co_return giveUp(job, service, attempts);
 }
 
+Duration StatementPath::expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
+{
+    const bool far = m_directory.distance(pool.member().failure_domain()) > 1;
+    return pool.expectedWait(job.route.priority) + pool.expectedReply(far ? farReply : nearReply, now);
+}
+
+bool StatementPath::isCrowded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
+{
+    const auto target = job.route.latencyTarget == Duration::zero() ? job.route.statementTimeout : job.route.latencyTarget;
+    return pool.expectedWait(job.route.priority) != Duration::zero()
+        && expectedTime(job, pool, now) > std::chrono::duration_cast<Duration>(target * crowdedPart);
+}
+
 bool StatementPath::isPrimaryOutOfReach(const SessionJob &job, const ServiceState &service, Attempts &attempts) const
 {
     // The caller's retry reaches another proxy, which may reach the primary, while waiting here leads nowhere as long as
@@ -201,29 +223,37 @@
         const bool needsLease = !job.writes && !(job.begins && !job.readOnly);
         if (primary.pool && ((needsLease && !leased) || attempts.avoided.contains(primary.pool->member().id()))) {
             primary.pool = nullptr;
+        } else if (primary.pool && isCrowded(job, *primary.pool, now)) {
+            primary.pool = nullptr;
+            primary.crowded = true;
         }
         return primary;
     }
     const auto required = requiredPosition(job, const_cast<ServiceState &>(service));
     Choice best;
-    double bestCost = 0;
+    Duration bestCost {};
+    bool crowded = false;
     for (const auto &[id, pool] : service.pools()) {
         const bool isPrimary = pool == primary.pool;
         if (pool->member().draining() || attempts.avoided.contains(id) || (isPrimary && !leased) || (!isPrimary && !required)) {
             continue;
         }
-        const auto distance = m_directory.distance(pool->member().failure_domain());
-        double cost = static_cast<double>(pool->load()) + (distance == 0 ? 0.0 : distance == 1 ? domainCost : regionCost);
-        cost += pool->isSuspect(now) ? suspectCost : 0.0;
-        cost += !isPrimary && pool->isLagging(now) ? laggingCost : 0.0;
+        if (isCrowded(job, *pool, now)) {
+            crowded = true;
+            continue;
+        }
+        auto cost = expectedTime(job, *pool, now) + (m_directory.distance(pool->member().failure_domain()) > 1 ? regionBytes : Duration::zero());
+        cost += pool->isSuspect(now) ? suspectCost : Duration::zero();
+        cost += !isPrimary && pool->isLagging(now) ? laggingCost : Duration::zero();
         if (!best.pool || cost < bestCost) {
             bestCost = cost;
             best = isPrimary ? primary : Choice {pool, required, false, service.epoch()};
         }
     }
-    if (!best.pool && leased && primary.pool && !attempts.avoided.contains(primary.pool->member().id())) {
+    if (!best.pool && leased && !crowded && primary.pool && !attempts.avoided.contains(primary.pool->member().id())) {
         return primary; // it drains, but no other database can run the statement
     }
+    best.crowded = !best.pool && crowded;
     return best;
 }
 
@@ -307,6 +337,7 @@
     if (job.writes) {
         service.noteWriteSent(Clock::now());
     }
+    const auto sentAt = Clock::now();
     auto answer = co_await connection.run(bytes, commands, limit);
     const auto now = Clock::now();
     const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
@@ -315,6 +346,9 @@
     }
     if (complete) {
         pool.noteReply(now);
+        if (answer.replies.back().error == SessionError::None) {
+            pool.noteReplyTime(now - sentAt, now);
+        }
     } else {
         pool.noteSilence(now);
     }
@@ -411,6 +445,12 @@
     result.error = SessionError::Busy;
     result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
     Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
+    boost::json::array pools;
+    if (service != nullptr) {
+        for (const auto &[id, pool] : service->pools()) {
+            pools.emplace_back(pool->describe());
+        }
+    }
     log::write(log::Level::Info, "statement refused",
                {{"request", job.id},
                 {"service", job.route.service},
@@ -421,7 +461,8 @@
                 {"epoch", service == nullptr ? 0 : service->epoch()},
                 {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
                 {"config_version", m_directory.configVersion()},
-                {"directory_version", m_directory.directoryVersion()}});
+                {"directory_version", m_directory.directoryVersion()},
+                {"pools", std::move(pools)}});
     return result;
 }
 
