Change the primary when all replicas lag by more than 4 s

Change: proxies report a primary that serves alone; the leader checks the replicas' own figures and changes the primary, at most once in 5 s for a service. The new primary leads with all that it received, and the former one is a replica without lag.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -121,6 +121,9 @@
         return m_shut;
     }
 
+    /// @brief Tells whether the database lacked positions again and again, most recently just now.
+    bool lagsBehind() const;
+
     /// @brief State for a log line: connections open, idle and in use, statements that wait.
     std::string describe() const;
 
--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -82,6 +82,9 @@
         return m_writes > 0 && std::max(m_writesSince, m_lastWrite) + limit < now;
     }
 
+    /// @brief Tells whether every replica lags too far to serve reads, so that the primary serves alone.
+    bool isPrimaryAlone() const;
+
     /// @brief Waits until something changes: primary, members, lease.
     boost::asio::awaitable<void> changed(TimePoint deadline);
 
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -293,6 +293,11 @@
     ++m_failures;
 }
 
+bool DatabasePool::lagsBehind() const
+{
+    return m_lags == lagSteps;
+}
+
 std::string DatabasePool::describe() const
 {
     return m_member.id() + (m_member.draining() ? " draining" : "") + " open " + std::to_string(m_count) + '/' + std::to_string(m_options.limit) + " idle "
--- a/packages/sessions/src/waxwing/sessions/service_state.cpp
+++ b/packages/sessions/src/waxwing/sessions/service_state.cpp
@@ -65,6 +65,12 @@
     }
 }
 
+bool ServiceState::isPrimaryAlone() const
+{
+    return !m_primary.empty() && m_pools.size() > 1
+        && std::all_of(m_pools.begin(), m_pools.end(), [this](const auto &item) { return item.first == m_primary || item.second->lagsBehind(); });
+}
+
 asio::awaitable<void> ServiceState::changed(TimePoint deadline)
 {
     const auto signal = m_signal;
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -40,6 +40,11 @@
 constexpr Duration catchUpLimit = 600ms; // for a replica to receive what a primary had when it stepped down
 constexpr Duration roleLimit = 4s; // a promotion takes 300 to 1,000 ms after the order
 constexpr Duration retryPause = 150ms;
+// When all replicas lag by more than this, the primary serves every read alone. A replica leads with all that it has
+// received, applied or not, and the former primary then is a replica that lags by nothing. The change itself takes 0.5 to
+// 1.3 s without writes, so that a shorter lag is waited for.
+constexpr Duration lagLimit = 4s;
+constexpr Duration lagChangeSpacing = 5s; // since the last change of the service
 constexpr double half = 0.5;
 
 std::string reachName(const DatabaseCalls::Answer &answer)
@@ -81,7 +86,7 @@
     for (const auto &report : renewal.reports()) {
         const auto *record = m_state.machine.service(report.service());
         if (record != nullptr && record->epoch() == report.epoch()) {
-            m_services[report.service()].reports[proxy] = {now, report.unreachable(), report.stalled()};
+            m_services[report.service()].reports[proxy] = {now, report.unreachable(), report.stalled(), report.lagging()};
         }
     }
 }
@@ -290,7 +295,15 @@
     }
     auto &service = m_services[name];
     learnTerms(name, {{primary.id(), answer}});
-    const auto verdict = judge(service, answer);
+    auto verdict = judge(service, answer);
+    const auto now = Clock::now();
+    if (verdict.empty() && answer.status && countReports(service, &Report::lagging, now) >= 2 && now - service.changedAt >= lagChangeSpacing) {
+        const bool lag = co_await doReplicasLag(name, primary.id());
+        if (!isCurrent(generation)) {
+            co_return;
+        }
+        verdict = lag ? "replicas-lag" : "";
+    }
     log::write(log::Level::Info, "primary checked",
                {{"service", name},
                 {"primary", primary.id()},
@@ -306,6 +319,14 @@
     service.nextCheck = Clock::now() + checkSpacing;
 }
 
+asio::awaitable<bool> PrimaryKeeper::doReplicasLag(std::string name, std::string primary)
+{
+    auto others = members(name);
+    std::erase_if(others, [&](const auto &member) { return member.id() == primary || member.draining(); });
+    const auto answers = co_await m_calls.callAll(others, Command::Status, 0, callLimit);
+    co_return !answers.empty() && std::all_of(answers.begin(), answers.end(), [](const auto &item) { return item.second.status && item.second.status->lag >= lagLimit; });
+}
+
 asio::awaitable<void> PrimaryKeeper::change(std::string name, std::string cause)
 {
     static auto &changes = Metrics::instance().counter("waxwing_control_primary_changes_total");
@@ -333,6 +354,7 @@
                 {"took_ms", toMilliseconds(Clock::now() - startedAt).count()}});
     auto &service = m_services[name];
     service.busy = false;
+    service.changedAt = Clock::now();
     service.suspicions = 0;
     service.reports.clear();
     service.nextCheck = Clock::now() + checkSpacing;
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -62,6 +62,7 @@
         TimePoint at;
         bool unreachable = false;
         bool stalled = false;
+        bool lagging = false;
     };
 
     struct Withdrawal
@@ -77,6 +78,7 @@
         TermPosition lastPosition; ///< of the primary, at the last check
         std::uint64_t term = 0; ///< highest term that a database or proxy told
         TimePoint nextCheck;
+        TimePoint changedAt; ///< end of the last change
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
         std::uint64_t withdrawEpoch = 0; ///< epochs before this one are withdrawn
         std::map<std::string, Withdrawal> withdrawals; ///< by proxy
@@ -93,6 +95,7 @@
     boost::asio::awaitable<void> adopt(std::string name, wire::PoolMember member);
     boost::asio::awaitable<void> check(std::string name, wire::PoolMember primary);
     std::string judge(Service &service, const DatabaseCalls::Answer &answer) const;
+    boost::asio::awaitable<bool> doReplicasLag(std::string name, std::string primary);
     std::size_t countReports(const Service &service, bool Report::*kind, TimePoint now) const;
     boost::asio::awaitable<void> change(std::string name, std::string cause);
     boost::asio::awaitable<bool> changeOnce(const std::string &name, std::uint64_t generation, bool primaryLost);
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -162,12 +162,14 @@
             }
             const bool silent = primary->isSilent(now, silenceLimit);
             const bool stalled = service->isStalled(now, stallLimit);
-            if (silent || stalled) {
+            const bool lagging = service->isPrimaryAlone();
+            if (silent || stalled || lagging) {
                 auto &report = *renewal.add_reports();
                 report.set_service(name);
                 report.set_epoch(service->epoch());
                 report.set_unreachable(silent);
                 report.set_stalled(stalled);
+                report.set_lagging(lagging);
             }
         }
         return message;
