--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -235,9 +235,7 @@
         m_poll.tick(now);
         m_directory.tick(now);
         if (m_stopping && advanceStop(now)) {
-            m_timer.expires_after(logNotice);
-            m_timer.async_wait([](const boost::system::error_code &) { std::_Exit(0); });
-            return;
+            std::_Exit(0);
         }
         m_timer.expires_after(tickInterval);
         m_timer.async_wait([this](const boost::system::error_code &error) {
@@ -296,11 +294,14 @@
             m_server.abortTransactions("the proxy stops");
         }
         const auto left = m_server.closeIdle();
-        if (left != 0 && since < m_settings.stopLimit - exitMargin) {
-            return false;
+        const bool last = since >= m_settings.stopLimit - exitMargin;
+        if (!m_lastCallers && (left == 0 || last)) {
+            // From here on no caller can arrive whose request the end of the process would cut.
+            m_server.stopAccepting();
+            m_lastCallers = now;
+            log::write(log::Level::Info, "stopped accepting", {{"sessions_left", left}, {"after_ms", toMilliseconds(since).count()}});
         }
-        log::write(log::Level::Info, "stopped", {{"sessions_left", left}, {"after_ms", toMilliseconds(since).count()}});
-        return true;
+        return m_lastCallers && now - *m_lastCallers >= logNotice && (left == 0 || last);
     }
 
     const SessionSettings &m_settings;
@@ -317,6 +318,7 @@
     TimePoint m_lastReport;
     TimePoint m_stopSince;
     std::optional<TimePoint> m_unleasedSince;
+    std::optional<TimePoint> m_lastCallers; ///< when a planned stop closed the listening socket
     bool m_handedOver = false; ///< idle sessions were closed since the lease was lost
     bool m_leased = false;
     bool m_stopping = false;
