Share the connections to databases by demand

Change: renewals carry the demand (sessions and statements a second), grants the part of the connections in thousandths; limits add up to what a database takes.

--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -41,8 +41,7 @@
     return std::binary_search(m_initialMembers.begin(), m_initialMembers.end(), address);
 }
 
-std::vector<LogMembership::Addressed> LogMembership::receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty,
-                                                             TimePoint now)
+std::vector<LogMembership::Addressed> LogMembership::receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty, TimePoint now)
 {
     if (!packet.has_join()) {
         if (packet.has_join_reply()) {
@@ -164,9 +163,8 @@
     // A late request of an earlier process must not remove the member that now runs at its address.
     std::erase_if(m_joining, [&](const auto &item) {
         return (m_options.open && now - item.second.at > m_options.joinAge)
-            || std::any_of(membership.members().begin(), membership.members().end(), [&](const auto &member) {
-                   return member.address() == item.first && (member.id() == item.second.id || isActive(member.id()));
-               });
+            || std::any_of(membership.members().begin(), membership.members().end(),
+                           [&](const auto &member) { return member.address() == item.first && (member.id() == item.second.id || isActive(member.id())); });
     });
     for (const auto &[address, joining] : m_joining) {
         for (const auto &member : membership.members()) {
@@ -189,8 +187,8 @@
     return std::nullopt;
 }
 
-std::optional<RaftMembershipChange> LogMembership::nextReplacement(const wire::RaftMembership &membership,
-                                                                   const std::function<bool(MemberId)> &isCaughtUp, TimePoint now) const
+std::optional<RaftMembershipChange> LogMembership::nextReplacement(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
+                                                                   TimePoint now) const
 {
     const auto isSilent = [&](MemberId id) {
         const auto since = m_silentSince.find(id);
--- a/packages/coordination/src/waxwing/coordination/pool_directory.cpp
+++ b/packages/coordination/src/waxwing/coordination/pool_directory.cpp
@@ -48,8 +48,7 @@
         return true;
     }
     auto &entry = found->second;
-    const bool newer = member.born_ms() > entry.member.born_ms()
-        || (member.born_ms() == entry.member.born_ms() && member.sequence() > entry.member.sequence());
+    const bool newer = member.born_ms() > entry.member.born_ms() || (member.born_ms() == entry.member.born_ms() && member.sequence() > entry.member.sequence());
     if (!newer) {
         return false;
     }
--- a/packages/coordination/src/waxwing/coordination/position_history.cpp
+++ b/packages/coordination/src/waxwing/coordination/position_history.cpp
@@ -31,8 +31,8 @@
 
 std::optional<TermPosition> PositionHistory::proof(TimePoint notBefore) const
 {
-    const auto found = std::lower_bound(m_samples.begin(), m_samples.end(), notBefore,
-                                        [](const Sample &sample, TimePoint time) { return sample.askedAt < time; });
+    const auto found
+        = std::lower_bound(m_samples.begin(), m_samples.end(), notBefore, [](const Sample &sample, TimePoint time) { return sample.askedAt < time; });
     if (found == m_samples.end()) {
         return std::nullopt;
     }
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -100,7 +100,7 @@
     EpochLease m_lease;
     std::uint64_t m_controlTerm = 0;
     std::uint64_t m_directoryVersion = 0;
-    std::uint32_t m_proxies = 1;
+    std::uint32_t m_sharePermille = 1000; ///< part of the connections to each database
     std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> m_services;
 };
 
--- a/packages/sessions/include/waxwing/sessions/session_server.h
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -42,6 +42,12 @@
     /// @brief Rolls open transactions back that wait for their caller.
     void abortTransactions(std::string_view reason);
 
+    /// @brief Statements that were taken so far.
+    std::uint64_t statements() const
+    {
+        return m_path.statements();
+    }
+
     /// @brief Number of sessions.
     std::size_t sessions() const
     {
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -23,10 +23,15 @@
     /// @brief Runs a single statement, or begins a transaction with its first statement.
     boost::asio::awaitable<StatementResult> run(const SessionJob &job);
 
+    /// @brief Statements that were taken so far.
+    std::uint64_t statements() const
+    {
+        return m_statements;
+    }
+
     /// @brief Ends what is open on a connection and returns it; a connection that can't be cleaned is closed.
     /// @param state state that the database reported last
-    static boost::asio::awaitable<void> returnClean(std::shared_ptr<DatabasePool> pool, DatabasePool::ConnectionPointer connection,
-                                                    TransactionState state);
+    static boost::asio::awaitable<void> returnClean(std::shared_ptr<DatabasePool> pool, DatabasePool::ConnectionPointer connection, TransactionState state);
 
 private:
     /// Database for one attempt.
@@ -61,18 +66,17 @@
     bool isCrowded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
     Choice choosePrimary(const ServiceState &service) const;
     std::optional<TermPosition> requiredPosition(const SessionJob &job, ServiceState &service) const;
-    boost::asio::awaitable<Verdict> attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts,
-                                            StatementResult &result);
+    boost::asio::awaitable<Verdict> attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts, StatementResult &result);
     boost::asio::awaitable<DatabaseConnection::RunResult> exchangeOnce(const SessionJob &job, ServiceState &service, DatabasePool &pool,
                                                                        DatabaseConnection &connection, const std::string &bytes, std::size_t commands,
                                                                        TimePoint limit);
     static Verdict abortBegun(StatementResult &result, std::string_view text);
-    Verdict judgeSilence(const SessionJob &job, const Choice &choice, Attempts &attempts, DatabaseConnection::RunStatus status,
-                         StatementResult &result) const;
+    Verdict judgeSilence(const SessionJob &job, const Choice &choice, Attempts &attempts, DatabaseConnection::RunStatus status, StatementResult &result) const;
     Verdict judge(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts, PoolReply &reply, StatementResult &result) const;
     StatementResult giveUp(const SessionJob &job, const ServiceState *service, const Attempts &attempts) const;
 
     SessionDirectory &m_directory;
+    std::uint64_t m_statements = 0;
 };
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -1,9 +1,8 @@
-#include <waxwing/sessions/client_session.h>
-
 #include "socket_options.h"
 
 #include <waxwing/platform/caller_wire.h>
 #include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/client_session.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
@@ -271,8 +270,8 @@
 void ClientSession::dropTransaction(TransactionState connectionState)
 {
     if (m_transaction.connection) {
-        asio::co_spawn(m_socket.get_executor(),
-                       StatementPath::returnClean(std::move(m_transaction.pool), std::move(m_transaction.connection), connectionState), asio::detached);
+        asio::co_spawn(m_socket.get_executor(), StatementPath::returnClean(std::move(m_transaction.pool), std::move(m_transaction.connection), connectionState),
+                       asio::detached);
     }
     m_transaction.connection = nullptr;
     m_transaction.pool = nullptr;
--- a/packages/sessions/src/waxwing/sessions/database_connection.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -1,15 +1,13 @@
-#include <waxwing/sessions/database_connection.h>
-
 #include "socket_options.h"
 
 #include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/database_connection.h>
 #include <waxwing/transport/socket_address.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-
 #include <sys/socket.h>
 
 #include <array>
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -1,5 +1,4 @@
 #include <waxwing/sessions/database_pool.h>
-
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -1,9 +1,8 @@
-#include <waxwing/sessions/session_directory.h>
-
 #include <waxwing/platform/control_calls.h>
+#include <waxwing/sessions/session_directory.h>
+#include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
-#include <waxwing/support/counter.h>
 
 #include <algorithm>
 #include <set>
@@ -12,6 +11,14 @@
 namespace waxwing
 {
 
+namespace
+{
+
+// A transaction that waits for its caller must not stop all other statements.
+constexpr std::size_t leastConnections = 2;
+
+} // namespace
+
 SessionDirectory::SessionDirectory(const boost::asio::any_io_executor &executor, Options options)
     : m_executor(executor)
     , m_options(std::move(options))
@@ -41,8 +48,8 @@
             }
         }
     }
-    if (grant.proxies() != 0 && grant.proxies() != m_proxies) {
-        m_proxies = grant.proxies();
+    if (grant.share_permille() != 0 && grant.share_permille() != m_sharePermille) {
+        m_sharePermille = grant.share_permille();
         updateLimits();
     }
 }
@@ -125,10 +132,9 @@
         if (m_config) {
             if (const auto known = m_config->services.find(name); known != m_config->services.end() && known->second.maxConnections != 0) {
                 const auto usable = known->second.maxConnections - std::min<std::size_t>(m_options.reservedConnections, known->second.maxConnections);
-                share = std::max<std::size_t>(1, usable / std::max(m_proxies, 1U));
-                // Callers are spread unevenly, so that a proxy may need more than its share while others need less; the
-                // database itself refuses what is too much.
-                limit = std::clamp<std::size_t>(usable / 2, share, std::max(share, m_options.connectionLimit));
+                constexpr std::size_t permille = 1000;
+                limit = std::clamp<std::size_t>((usable * m_sharePermille + permille / 2) / permille, leastConnections, m_options.connectionLimit);
+                share = std::max<std::size_t>(leastConnections, limit / 2);
             }
         }
         for (const auto &[id, pool] : service->pools()) {
--- a/packages/sessions/src/waxwing/sessions/session_path_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_path_test.cpp
@@ -91,7 +91,9 @@
         CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE -|I"), second.query("ROLLBACK"));
         const auto ran = bed.primary.ran();
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), ran.size());
-        const auto connection = [&](std::size_t index) { return ran[index].substr(0, ran[index].find(' ')); };
+        const auto connection = [&](std::size_t index) {
+            return ran[index].substr(0, ran[index].find(' '));
+        };
         CPPUNIT_ASSERT(connection(0) != connection(1));
         CPPUNIT_ASSERT_EQUAL(connection(0), connection(2));
         CPPUNIT_ASSERT_EQUAL(connection(0), connection(3));
--- a/packages/sessions/src/waxwing/sessions/session_server.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -1,5 +1,4 @@
 #include <waxwing/sessions/session_server.h>
-
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -1,6 +1,5 @@
-#include <waxwing/sessions/statement_path.h>
-
 #include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/statement_path.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
@@ -122,6 +121,7 @@
 {
     Attempts attempts;
     StatementResult result;
+    ++m_statements;
     auto *service = m_directory.service(job.route.service);
     asio::steady_timer pause(co_await asio::this_coro::executor);
     while (Clock::now() < job.deadline) {
@@ -274,7 +274,8 @@
         co_return Verdict::Retry;
     }
     // The directory may have changed while the statement waited.
-    if (pool->isShut() || (choice.primary && (service.epoch() != choice.epoch || service.primary() != pool)) || (!choice.primary && pool->member().draining())) {
+    if (pool->isShut() || (choice.primary && (service.epoch() != choice.epoch || service.primary() != pool))
+        || (!choice.primary && pool->member().draining())) {
         pool->release(std::move(connection));
         countRetry("directory-changed");
         co_return Verdict::Retry;
--- a/packages/sessions/testing/session_bed.h
+++ b/packages/sessions/testing/session_bed.h
@@ -61,7 +61,7 @@
         message.set_document(document);
         message.set_directory_version(epoch);
         message.set_has_directory(true);
-        message.set_proxies(1);
+        message.set_share_permille(1000);
         auto &view = *message.add_services();
         view.set_service("s");
         view.set_epoch(epoch);
--- a/packages/support/include/waxwing/support/time.h
+++ b/packages/support/include/waxwing/support/time.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <ctime>
-
 #include <chrono>
+#include <ctime>
 
 namespace waxwing
 {
--- a/programs/control/database_calls.cpp
+++ b/programs/control/database_calls.cpp
@@ -77,7 +77,7 @@
             const auto opened = co_await connection->open(std::move(target), deadline);
             if (opened != DatabaseConnection::OpenResult::Open) {
                 answer.reach = opened == DatabaseConnection::OpenResult::Silent ? Reach::Silent
-                    : opened == DatabaseConnection::OpenResult::Full           ? Reach::Busy
+                    : opened == DatabaseConnection::OpenResult::Full            ? Reach::Busy
                                                                                 : Reach::Refused;
                 co_return answer;
             }
@@ -115,8 +115,8 @@
     co_return answer;
 }
 
-asio::awaitable<std::map<std::string, DatabaseCalls::Answer>> DatabaseCalls::callAll(std::vector<wire::PoolMember> members, Command command,
-                                                                                     std::uint64_t term, Duration limit)
+asio::awaitable<std::map<std::string, DatabaseCalls::Answer>> DatabaseCalls::callAll(std::vector<wire::PoolMember> members, Command command, std::uint64_t term,
+                                                                                     Duration limit)
 {
     const auto gathering = std::make_shared<Gathering>(m_context); // shared: a call may end after the wait was given up
     gathering->missing = members.size();
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -224,7 +224,7 @@
     command.mutable_set_primary()->set_primary(primary);
     const auto reply = co_await propose(std::move(command));
     wire::SessionsResult result;
-    co_return reply.failure == LogFailure::None && decodeMessage(reply.result, result) && result.accepted();
+    co_return reply.failure == LogFailure::None &&decodeMessage(reply.result, result) && result.accepted();
 }
 
 asio::awaitable<void> PrimaryKeeper::adopt(std::string name, wire::PoolMember member)
@@ -324,7 +324,8 @@
     auto others = members(name);
     std::erase_if(others, [&](const auto &member) { return member.id() == primary || member.draining(); });
     const auto answers = co_await m_calls.callAll(others, Command::Status, 0, callLimit);
-    co_return !answers.empty() && std::all_of(answers.begin(), answers.end(), [](const auto &item) { return item.second.status && item.second.status->lag >= lagLimit; });
+    co_return !answers.empty()
+        && std::all_of(answers.begin(), answers.end(), [](const auto &item) { return item.second.status && item.second.status->lag >= lagLimit; });
 }
 
 asio::awaitable<void> PrimaryKeeper::change(std::string name, std::string cause)
@@ -448,7 +449,10 @@
                {{"service", name},
                 {"candidate", candidate},
                 {"epoch", *epoch},
-                {"answer", ordered == OrderAnswer::Accepted ? "accepted" : ordered == OrderAnswer::Conflict ? "conflict" : "none"},
+                {"answer",
+                 ordered == OrderAnswer::Accepted       ? "accepted"
+                     : ordered == OrderAnswer::Conflict ? "conflict"
+                                                        : "none"},
                 {"took_ms", toMilliseconds(Clock::now() - orderedAt).count()}});
     if (ordered != OrderAnswer::Accepted || !isCurrent(generation)) {
         co_return false;
@@ -579,7 +583,9 @@
             continue;
         }
         // The former primary has everything, but is the one to be replaced.
-        const auto rank = [&](const Candidate &one) { return std::make_tuple(!one.draining, one.id != previous, one.position); };
+        const auto rank = [&](const Candidate &one) {
+            return std::make_tuple(!one.draining, one.id != previous, one.position);
+        };
         if (steppedDown && candidate.id == previous) {
             continue;
         }
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -129,8 +129,12 @@
     {
         SessionControlPorts ports;
         ports.log = m_log.port();
-        ports.sendToProxy = [this](const std::string &proxy, const wire::PoolEnvelope &message) { send({LinkPeer::Kind::Accepted, proxy}, message); };
-        ports.sendToMember = [this](const std::string &member, const wire::PoolEnvelope &message) { send({LinkPeer::Kind::Dialed, member}, message); };
+        ports.sendToProxy = [this](const std::string &proxy, const wire::PoolEnvelope &message) {
+            send({LinkPeer::Kind::Accepted, proxy}, message);
+        };
+        ports.sendToMember = [this](const std::string &member, const wire::PoolEnvelope &message) {
+            send({LinkPeer::Kind::Dialed, member}, message);
+        };
         ports.members = [this] {
             std::vector<std::string> addresses;
             const auto status = m_log.host().status();
@@ -164,8 +168,8 @@
             connection.connect(address, connectLimit, [shared](std::error_code error) { (*shared)(error); });
         };
         std::string address = m_settings.platformAddress;
-        const auto connectError = co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(std::error_code)>(std::move(connect),
-                                                                                                                      asio::use_awaitable, std::move(address));
+        const auto connectError = co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(std::error_code)>(std::move(connect), asio::use_awaitable,
+                                                                                                                        std::move(address));
         if (connectError) {
             log::write(log::Level::Warning, "platform not reached", {{"error", connectError.message()}});
             co_return OrderAnswer::None;
@@ -175,8 +179,8 @@
             connection.exchange(request, orderLimit, [shared](HttpExchange &&result) { (*shared)(std::move(result)); });
         };
         auto request = platform::promotionOrder(service, database, m_settings.name, token);
-        const auto result = co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(HttpExchange)>(std::move(exchange), asio::use_awaitable,
-                                                                                                             std::move(request));
+        const auto result
+            = co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(HttpExchange)>(std::move(exchange), asio::use_awaitable, std::move(request));
         if (result.error) {
             log::write(log::Level::Warning, "order without an answer", {{"service", service}, {"token", token}, {"error", result.error.message()}});
             co_return OrderAnswer::None;
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -196,7 +196,7 @@
 {
     grant.set_control_term(m_term);
     grant.set_config_version(m_machine.version());
-    grant.set_proxies(static_cast<std::uint32_t>(m_leases.proxies().size()));
+    grant.set_share_permille(m_leases.share(proxy));
     if (proxy.configVersion < m_machine.version()) {
         grant.set_document(m_machine.document());
         proxy.configVersion = m_machine.version();
@@ -335,9 +335,8 @@
 
 void SessionControl::read(std::function<void(const std::string *document)> handler)
 {
-    m_ports.log.read([this, handler](LogReply &&reply) {
-        handler(reply.failure == LogFailure::None && m_machine.version() != 0 ? &m_machine.document() : nullptr);
-    });
+    m_ports.log.read(
+        [this, handler](LogReply &&reply) { handler(reply.failure == LogFailure::None && m_machine.version() != 0 ? &m_machine.document() : nullptr); });
 }
 
 } // namespace waxwing::control
--- a/programs/control/session_leases.cpp
+++ b/programs/control/session_leases.cpp
@@ -5,6 +5,15 @@
 namespace waxwing::control
 {
 
+namespace
+{
+
+constexpr std::uint64_t permille = 1000;
+// A proxy without demand gets this part of an equal share.
+constexpr std::uint64_t floorParts = 4;
+
+} // namespace
+
 SessionLeases::SessionLeases()
     : SessionLeases(Options())
 {
@@ -29,6 +38,7 @@
     proxy.configVersion = renewal.config_version();
     proxy.directoryVersion = renewal.directory_version();
     proxy.draining = renewal.draining();
+    proxy.demand = renewal.demand();
     return proxy;
 }
 
@@ -39,6 +49,18 @@
     }
 }
 
+std::uint32_t SessionLeases::share(const Proxy &proxy) const
+{
+    std::uint64_t total = 0;
+    for (const auto &[name, other] : m_proxies) {
+        total += other.demand;
+    }
+    // A proxy that has just started has no demand yet and needs some connections for it to arise.
+    const auto floor = std::max<std::uint64_t>(1, total / (floorParts * std::max<std::size_t>(1, m_proxies.size())));
+    const auto weight = proxy.demand + floor;
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, permille * weight / (total + floor * m_proxies.size())));
+}
+
 bool SessionLeases::expire(TimePoint now)
 {
     return std::erase_if(m_proxies, [now](const auto &item) { return item.second.end <= now; }) != 0;
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -30,6 +30,7 @@
         std::uint64_t configVersion = 0; ///< in force there, or on its way
         std::uint64_t directoryVersion = 0; ///< in force there, or on its way
         bool draining = false;
+        std::uint32_t demand = 0; ///< sessions and statements a second
         TimePoint end; ///< its lease has ended at this time on every clock
     };
 
@@ -45,6 +46,11 @@
     /// @brief Takes note that a lease is granted now.
     void grant(std::string_view proxy, TimePoint now);
 
+    /// @brief Part of the connections to each database that a proxy may hold, by its demand. Callers are spread unevenly, and
+    /// equal shares would starve the only proxy of a failure domain.
+    /// @return thousandths, at least 1
+    std::uint32_t share(const Proxy &proxy) const;
+
     /// @brief Forgets proxies whose leases have ended.
     /// @return true if there were any
     bool expire(TimePoint now);
--- a/programs/proxy/dispatcher.cpp
+++ b/programs/proxy/dispatcher.cpp
@@ -37,12 +37,13 @@
     , m_timer(context)
     , m_explain(m_options.explainCapacity)
     , m_witness(context)
-    , m_control({.addresses = m_options.controlAddresses}, m_sender, [this](std::uint64_t sequence) {
-        wire::Envelope message;
-        message.mutable_renewal()->set_sequence(sequence);
-        fillRenewal(*message.mutable_renewal());
-        return message;
-    })
+    , m_control({.addresses = m_options.controlAddresses}, m_sender,
+                [this](std::uint64_t sequence) {
+                    wire::Envelope message;
+                    message.mutable_renewal()->set_sequence(sequence);
+                    fillRenewal(*message.mutable_renewal());
+                    return message;
+                })
     , m_intents({.proxy = m_options.name, .incarnation = m_options.incarnation}, [this](const wire::Envelope &message) { return m_control.send(message); })
     , m_groupContext {context, m_random, m_lease, m_keys, m_explain, m_intents, m_directory, m_options.name, m_options.hedgesReads}
     , m_router({.proxy = m_options.name, .maxWaiting = m_options.maxWaiting}, m_directory, m_explain, m_random, m_sender,
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -42,6 +42,8 @@
 // database runs three statements at a time, so that something is answered in between.
 constexpr Duration silenceLimit = 300ms;
 constexpr Duration stallLimit = 600ms; // writes wait for a replica as well, up to two round trips between regions
+constexpr double demandSeconds = 0.35; // a little less than the time between renewals
+constexpr double demandWeight = 0.5; // demand doubles within some seconds, which an average of two or three values follows
 constexpr Duration reportSpacing = 150ms; // between renewals ahead of time that repeat the same evidence
 // The load balancer asks once a second and takes a process out after two misses.
 constexpr Duration balancerNotice = 2300ms;
@@ -155,6 +157,7 @@
         renewal.set_config_version(m_directory.configVersion());
         renewal.set_directory_version(m_directory.directoryVersion());
         renewal.set_draining(m_stopping);
+        renewal.set_demand(measureDemand(now));
         for (const auto &[name, service] : m_directory.services()) {
             const auto primary = service->primary();
             if (!primary) {
@@ -175,6 +178,19 @@
         return message;
     }
 
+    /// Sessions and statements a second since the last renewal.
+    std::uint32_t measureDemand(TimePoint now)
+    {
+        const auto seconds = std::chrono::duration<double>(now - m_demandAt).count();
+        if (seconds >= demandSeconds) {
+            const auto statements = m_server.statements();
+            m_statementRate += (static_cast<double>(statements - m_demandStatements) / seconds - m_statementRate) * demandWeight;
+            m_demandStatements = statements;
+            m_demandAt = now;
+        }
+        return static_cast<std::uint32_t>(static_cast<double>(m_server.sessions()) + m_statementRate);
+    }
+
     bool hasEvidence(TimePoint now) const
     {
         for (const auto &[name, service] : m_directory.services()) {
@@ -210,8 +226,9 @@
     void withdraw(const LinkPeer &from, const wire::PoolWithdraw &request)
     {
         const auto acknowledged = m_directory.withdraw(request.service(), request.epoch());
-        log::write(log::Level::Info, "epoch withdrawn",
-                   {{"service", request.service()}, {"epoch", request.epoch()}, {"acknowledged_term", acknowledged.term}, {"acknowledged", acknowledged.position}});
+        log::write(
+            log::Level::Info, "epoch withdrawn",
+            {{"service", request.service()}, {"epoch", request.epoch()}, {"acknowledged_term", acknowledged.term}, {"acknowledged", acknowledged.position}});
         wire::Envelope message;
         auto &reply = *message.mutable_pool()->mutable_withdrawn();
         reply.set_service(request.service());
@@ -316,6 +333,9 @@
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
     TimePoint m_lastReport;
+    TimePoint m_demandAt = Clock::now();
+    std::uint64_t m_demandStatements = 0;
+    double m_statementRate = 0; ///< a second, moving average
     TimePoint m_stopSince;
     std::optional<TimePoint> m_unleasedSince;
     std::optional<TimePoint> m_lastCallers; ///< when a planned stop closed the listening socket
