Hold the start of a session until the configuration arrives, shorten elections, bound the log

The asynchronous appender of log4cplus blocks when its queue is full. Change: a start waits up to 1.5 s for the configuration (callers give up after 2 s); election timeouts of 220 to 440 ms with heartbeats of 55 ms for these members; a budget of lines a second for each event, with a counter of what was dropped. Conclusion: callers are served late instead of refused; nothing is held that was given up.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -55,7 +55,7 @@
     boost::asio::awaitable<bool> readLine(std::string &line);
     boost::asio::awaitable<bool> send(std::string bytes);
     boost::asio::awaitable<std::string> handle(SessionRequest request);
-    std::string start(const std::string &database);
+    boost::asio::awaitable<std::string> start(std::string database);
     boost::asio::awaitable<std::string> handleStatement(SessionStatement statement);
     boost::asio::awaitable<std::string> handleFailed(const SessionStatement &statement);
     std::string keep(const SessionStatement &statement);
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -34,6 +34,9 @@
 constexpr Duration callerKeepAliveIdle = 20s;
 // Answers are complete this long before the statement's time is over, for their way back.
 constexpr Duration answerMargin = 30ms;
+// Callers give a start up after 2 s.
+constexpr Duration startPatience = 1500ms;
+constexpr Duration startPause = 25ms;
 // Pause before a commit is offered again to a database without a free slot; about one statement.
 constexpr Duration busyPause = 10ms;
 
@@ -142,26 +145,33 @@
         co_return answer;
     }
     if (request.kind == SessionRequest::Kind::Start && m_database.empty()) {
-        co_return start(request.database);
+        std::string answer = co_await start(std::move(request.database));
+        co_return answer;
     }
     m_ended = true;
     co_return platform::encodeStartRefusal(SessionError::Malformed, "not a valid message");
 }
 
-std::string ClientSession::start(const std::string &database)
+asio::awaitable<std::string> ClientSession::start(std::string database)
 {
-    m_database = database;
+    m_database = std::move(database);
+    // A process that has just started has the configuration a moment later, which is sooner than the caller's next attempt.
+    asio::steady_timer pause(m_socket.get_executor());
+    while (!m_directory.config() && Clock::now() < m_receivedAt + startPatience) {
+        pause.expires_after(startPause);
+        co_await pause.async_wait(useTuple);
+    }
     if (!m_directory.config()) {
         m_ended = true;
         outcomeCounter(SessionError::Busy).add();
-        return platform::encodeStartRefusal(SessionError::Busy, "no configuration yet");
+        co_return platform::encodeStartRefusal(SessionError::Busy, "not run, no configuration yet");
     }
     if (route() == nullptr) {
         m_ended = true;
         outcomeCounter(SessionError::UnknownDatabase).add();
-        return platform::encodeStartRefusal(SessionError::UnknownDatabase, "no such database");
+        co_return platform::encodeStartRefusal(SessionError::UnknownDatabase, "no such database");
     }
-    return platform::encodeReady(m_transactionState);
+    co_return platform::encodeReady(m_transactionState);
 }
 
 const PoolRoute *ClientSession::route() const
--- a/packages/support/include/waxwing/support/log.h
+++ b/packages/support/include/waxwing/support/log.h
@@ -24,6 +24,8 @@
     bool standardOutput = false; ///< without a file, write to standard output
     Level level = Level::Info;
     unsigned queueLength = 10'000; ///< lines that wait for the log thread
+    unsigned linesPerSecond = 100; ///< of one event; further ones are counted in `waxwing_log_lines_dropped_total`
+    unsigned burst = 400; ///< of one event; lines that may come at once
 };
 
 /// @brief Starts the log. Without it, lines are dropped.
--- a/packages/support/src/waxwing/support/log.cpp
+++ b/packages/support/src/waxwing/support/log.cpp
@@ -1,5 +1,8 @@
+#include <waxwing/support/counter.h>
 #include <waxwing/support/identifier.h>
 #include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/support/time.h>
 
 #include <boost/json/serialize.hpp>
 #include <log4cplus/asyncappender.h>
@@ -9,8 +12,11 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include <algorithm>
 #include <atomic>
+#include <map>
 #include <memory>
+#include <mutex>
 
 namespace waxwing::log
 {
@@ -18,11 +24,21 @@
 namespace
 {
 
+/// Lines of one event that may still be written.
+struct Budget
+{
+    double lines = 0;
+    TimePoint at;
+};
+
 struct Sink
 {
     log4cplus::Initializer initializer;
     log4cplus::Logger logger;
     std::string process;
+    Options options;
+    std::mutex mutex; ///< guards the budgets
+    std::map<std::string, Budget, std::less<>> budgets;
 };
 
 std::unique_ptr<Sink> &sink()
@@ -64,6 +80,27 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
+/// Takes one line from the budget of an event, so that a flood of one event neither fills the queue of the log thread, which
+/// would block, nor hides other events.
+bool admit(Sink &target, std::string_view event)
+{
+    const auto now = Clock::now();
+    const std::lock_guard lock(target.mutex);
+    auto found = target.budgets.find(event);
+    if (found == target.budgets.end()) {
+        found = target.budgets.emplace(std::string(event), Budget {static_cast<double>(target.options.burst), now}).first;
+    }
+    auto &budget = found->second;
+    budget.lines = std::min(static_cast<double>(target.options.burst),
+                            budget.lines + std::chrono::duration<double>(now - budget.at).count() * target.options.linesPerSecond);
+    budget.at = now;
+    if (budget.lines < 1) {
+        return false;
+    }
+    budget.lines -= 1;
+    return true;
+}
+
 log4cplus::SharedAppenderPtr makeAppender(const Options &options)
 {
     log4cplus::SharedAppenderPtr target;
@@ -82,6 +119,7 @@
 {
     auto next = std::make_unique<Sink>();
     next->process = options.process;
+    next->options = options;
     next->logger = log4cplus::Logger::getInstance("waxwing");
     next->logger.setAdditivity(false);
     next->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
@@ -109,6 +147,10 @@
     if (!isEnabled(level)) {
         return;
     }
+    if (!admit(*sink(), event)) {
+        Metrics::instance().counter("waxwing_log_lines_dropped_total", "event", event).add();
+        return;
+    }
     boost::json::object line;
     line["time_ms"] = unixMilliseconds();
     line["level"] = levelName(level);
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -46,6 +46,12 @@
 constexpr Duration orderLimit = 2s; // the platform carries a promotion out in 300 to 1,000 ms
 constexpr Duration connectLimit = 500ms;
 constexpr Duration logNotice = 50ms;
+// Every part of the service waits for an election after all members have started again. Three heartbeats and a round trip
+// of 40 ms between regions fit into the shortest timeout.
+constexpr Duration raftHeartbeat = 55ms;
+constexpr Duration electionLow = 220ms;
+constexpr Duration electionHigh = 440ms;
+constexpr Duration raftLease = 195ms; // 10% shorter than the shortest timeout, for the drift between clocks
 constexpr Duration drainLimit = 1s; // for responses in flight at the end
 constexpr std::size_t maxDocumentBytes = 4U << 20; // a configuration of 10,000 routes
 constexpr LogIndex snapshotEvery = 100; // a document of 350 routes takes 80 KB, so that the log stays below 10 MB
@@ -122,6 +128,10 @@
         options.membership.open = true;
         options.membership.mayForm = settings.mayForm;
         options.snapshotEvery = snapshotEvery;
+        options.raft.heartbeatInterval = raftHeartbeat;
+        options.raft.electionTimeoutLow = electionLow;
+        options.raft.electionTimeoutHigh = electionHigh;
+        options.raft.leaseDuration = raftLease;
         return options;
     }
 
