--- a/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
@@ -35,6 +35,15 @@
     return membership;
 }
 
+wire::RaftMembership voters(const std::vector<std::pair<MemberId, std::string>> &members)
+{
+    wire::RaftMembership membership;
+    for (const auto &[id, address] : members) {
+        *membership.add_members() = member(id, address, true).members(0);
+    }
+    return membership;
+}
+
 } // namespace
 
 class LogMembershipTest : public CppUnit::TestFixture
@@ -43,6 +52,10 @@
     CPPUNIT_TEST(logIsFormedOnlyWhenAllDisksAreEmpty);
     CPPUNIT_TEST(learnerOfReplacedEntryJoinsAgain);
     CPPUNIT_TEST(lateRequestDoesNotRemoveActiveMember);
+    CPPUNIT_TEST(openLogIsNotFormedTwice);
+    CPPUNIT_TEST(memberFromAnyAddressJoinsAnOpenLog);
+    CPPUNIT_TEST(learnerVotesInPlaceOfASilentVoter);
+    CPPUNIT_TEST(replacedVoterAsksToJoinAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +106,65 @@
         const auto change = leader.nextChange(present, isFalse, isFalse);
         CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 3);
     }
+
+    // Guards against a second log of members that were replaced or lost their disks after the first start of the system.
+    void openLogIsNotFormedTwice()
+    {
+        LogMembership a("a", {"a", "b"}, {.open = true, .mayForm = false});
+        LogMembership b("b", {"a", "b"}, {.open = true, .mayForm = false});
+        a.start(1);
+        b.start(2);
+        exchange(a, b, "b", true);
+        CPPUNIT_ASSERT(!a.canBootstrap());
+        CPPUNIT_ASSERT(a.shouldJoin({}, false));
+    }
+
+    // Guards against a new machine that never becomes a member because its address was not listed or its seeds are old.
+    void memberFromAnyAddressJoinsAnOpenLog()
+    {
+        LogMembership follower("a", {"a", "b", "c"}, {.open = true});
+        follower.start(1);
+        LogMembership joiner("d", {"a"}, {.open = true, .mayForm = false});
+        joiner.start(4);
+        const auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+        const auto replies = follower.receive(joiner.joinRequests().front().packet, present, false, TimePoint(1s));
+        joiner.receive(replies.front().packet, {}, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), joiner.joinRequests().size());
+        auto change = follower.nextChange(present, isFalse, isTrue, TimePoint(1s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::AddLearner && change->id == 4);
+        change = follower.nextChange(present, isFalse, isTrue, TimePoint(3s));
+        CPPUNIT_ASSERT(!change); // the request is old
+    }
+
+    // Guards against a lost voter that counts for good, and against a fourth vote, which tolerates no further loss.
+    void learnerVotesInPlaceOfASilentVoter()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true});
+        leader.start(1);
+        auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+        auto &learner = *present.add_members();
+        learner.set_id(4);
+        learner.set_address("d");
+        const auto isActive = [](MemberId id) {
+            return id != 3;
+        };
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isActive, TimePoint(2s)));
+        auto change = leader.nextChange(present, isTrue, isActive, TimePoint(5s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 3);
+        present.mutable_members()->DeleteSubrange(2, 1);
+        change = leader.nextChange(present, isTrue, isActive, TimePoint(5s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Promote && change->id == 4);
+    }
+
+    // Guards against a voter that was cut off, was replaced meanwhile, and stays outside after its return.
+    void replacedVoterAsksToJoinAgain()
+    {
+        LogMembership returned("c", {"a", "b", "c"}, {.open = true, .mayForm = false});
+        returned.start(3);
+        CPPUNIT_ASSERT(returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), false));
+        CPPUNIT_ASSERT(!returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), true));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogMembershipTest);
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -32,9 +32,10 @@
 constexpr Duration outOfReachPatience = 400ms;
 // Between two looks for the directory.
 constexpr Duration directoryPause = 25ms;
-// Reply times to expect before the first is measured: 5 to 34 ms of work, and a round trip of 24 or 40 ms between regions.
-constexpr Duration nearReply = 20ms;
-constexpr Duration farReply = 55ms;
+// Reply times to expect before the first is measured, at the lower end, so that a database that was not asked lately is
+// tried: 5 to 34 ms of work, and a round trip of 24 or 40 ms between regions.
+constexpr Duration nearReply = 5ms;
+constexpr Duration farReply = 45ms;
 // The bytes of a statement between regions are worth a few percent of the statement; in time, about this much.
 constexpr Duration regionBytes = 15ms;
 // A database that did not answer lately is the last choice.
--- a/packages/sessions/testing/fake_database.h
+++ b/packages/sessions/testing/fake_database.h
@@ -30,18 +30,16 @@
         : m_id(std::move(id))
         , m_primary(primary)
         , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_endpoint(m_acceptor.local_endpoint())
         , m_thread([this] { accept(); })
     {
     }
 
     ~FakeDatabase()
     {
-        m_stopping = true;
-        boost::system::error_code ignored;
-        // Wakes the blocking accept.
-        boost::asio::ip::tcp::socket wake(m_context);
-        wake.connect(m_acceptor.local_endpoint(), ignored);
-        m_thread.join();
+        if (m_thread.joinable()) {
+            refuseConnections();
+        }
         closeConnections();
         for (auto &thread : m_threads) {
             thread.join();
@@ -50,7 +48,7 @@
 
     std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        return "127.0.0.1:" + std::to_string(m_endpoint.port());
     }
 
     const std::string &id() const
@@ -65,6 +63,13 @@
         return m_ran;
     }
 
+    /// Commands of control, in the order in which they came.
+    std::vector<std::string> commands() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_commands;
+    }
+
     void setPosition(std::uint64_t term, std::uint64_t number)
     {
         const std::lock_guard lock(m_mutex);
@@ -90,6 +95,18 @@
         m_busy = count;
     }
 
+    /// Ends all connections and refuses new ones, as a crashed process does.
+    void refuseConnections()
+    {
+        m_stopping = true;
+        boost::system::error_code ignored;
+        boost::asio::ip::tcp::socket wake(m_context);
+        wake.connect(m_endpoint, ignored);
+        m_thread.join();
+        m_acceptor.close(ignored);
+        closeConnections();
+    }
+
     void closeConnections()
     {
         const std::lock_guard lock(m_mutex);
@@ -199,10 +216,25 @@
         return run(connection, id, text);
     }
 
+    std::string status(const Connection &connection) const
+    {
+        return std::string("DATAROW ") + (m_primary ? "primary" : "replica") + ' ' + std::to_string(m_term) + ' ' + std::to_string(m_term) + '.'
+            + std::to_string(m_number) + ' ' + std::to_string(m_paused) + " 0 0 1\r\nCOMPLETE -\r\n" + ready(connection);
+    }
+
     std::string run(Connection &connection, const std::string &id, const std::string &text)
     {
         auto rest = text;
         const auto verb = word(rest);
+        if (verb == "STATUS" || verb == "PAUSE" || verb == "STEPDOWN" || verb == "RESUME") {
+            m_commands.push_back(text);
+            if (verb == "PAUSE") {
+                m_paused = std::stoull(rest);
+            } else if (verb == "STEPDOWN") {
+                m_primary = false;
+            }
+            return status(connection);
+        }
         if (text == "BEGIN" || text == "BEGIN READ") {
             if (text == "BEGIN" && !m_primary) {
                 return error(connection, "READONLY");
@@ -273,13 +305,16 @@
     bool m_primary;
     std::uint64_t m_term = 3;
     std::uint64_t m_number = 100;
+    std::uint64_t m_paused = 0;
     std::vector<std::string> m_ran;
+    std::vector<std::string> m_commands;
     std::atomic<bool> m_loseAnswer {false};
     std::atomic<int> m_busy {0};
     std::atomic<bool> m_stopping {false};
     mutable std::mutex m_mutex;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_endpoint;
     std::set<boost::asio::ip::tcp::socket *> m_sockets;
     std::list<std::thread> m_threads;
     std::thread m_thread; ///< last, since it uses everything above
--- a/packages/sessions/testing/session_bed.h
+++ b/packages/sessions/testing/session_bed.h
@@ -30,7 +30,8 @@
           R"({"name":"r3","host":"own","path_prefix":"/","kind":"read_your_writes","max_staleness_ms":60000,"timeout_ms":2000,"priority":2,"service":"s"}],)"
           R"("services":[{"name":"s","max_conns":12,"sync_replicas":1}],"limits":{"tx_idle_ms":60000}})";
 
-    SessionBed()
+    /// @param granted control has answered already
+    explicit SessionBed(bool granted = true)
         : primary("i-1", true)
         , replica("i-2", false)
         , m_guard(boost::asio::make_work_guard(m_context))
@@ -41,7 +42,9 @@
             throw std::runtime_error("no listening socket");
         }
         m_thread = std::thread([this] { m_context.run(); });
-        grant(1, "i-1");
+        if (granted) {
+            grant(1, "i-1");
+        }
     }
 
     ~SessionBed()
@@ -95,6 +98,13 @@
         return left;
     }
 
+    std::size_t sessions()
+    {
+        std::size_t count = 0;
+        onServer([&] { count = m_server->sessions(); });
+        return count;
+    }
+
     unsigned short port() const
     {
         return m_server->port();
--- /dev/null
+++ b/packages/support/src/waxwing/support/log_test.cpp
@@ -0,0 +1,46 @@
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+using namespace waxwing;
+
+class LogTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LogTest);
+    CPPUNIT_TEST(floodOfOneEventIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a flood of refusals that fills the queue of the log thread, blocks the process and hides other events.
+    void floodOfOneEventIsBounded()
+    {
+        const auto file = std::filesystem::temp_directory_path() / ("waxwing-log-test-" + std::to_string(::getpid()));
+        log::start({.process = "test", .file = file.string(), .linesPerSecond = 0, .burst = 5});
+        for (int i = 0; i < 10'000; ++i) {
+            log::write(log::Level::Info, "flood", {{"i", i}});
+        }
+        log::write(log::Level::Info, "other");
+        log::stop();
+        std::ifstream stream(file);
+        int floods = 0;
+        int others = 0;
+        for (std::string line; std::getline(stream, line);) {
+            floods += line.find("\"flood\"") == std::string::npos ? 0 : 1;
+            others += line.find("\"other\"") == std::string::npos ? 0 : 1;
+        }
+        std::filesystem::remove(file);
+        CPPUNIT_ASSERT_EQUAL(5, floods);
+        CPPUNIT_ASSERT_EQUAL(1, others);
+        CPPUNIT_ASSERT(Metrics::instance().exposition().find("waxwing_log_lines_dropped_total{event=\"flood\"} 9995") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
--- /dev/null
+++ b/programs/control/primary_keeper_test.cpp
@@ -0,0 +1,185 @@
+#include "testing/session_control_bed.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace waxwing;
+using namespace waxwing::control;
+using waxwing::control::testing::SessionControlBed;
+using waxwing::testing::FakeDatabase;
+
+namespace
+{
+
+bool has(const std::vector<std::string> &commands, const std::string &prefix)
+{
+    return std::any_of(commands.begin(), commands.end(), [&](const std::string &command) { return command.starts_with(prefix); });
+}
+
+} // namespace
+
+class PrimaryKeeperTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PrimaryKeeperTest);
+    CPPUNIT_TEST(firstPrimaryIsTakenOver);
+    CPPUNIT_TEST(lostPrimaryIsReplacedByTheLongestLog);
+    CPPUNIT_TEST(missingReplicaStopsThePromotion);
+    CPPUNIT_TEST(acknowledgedPositionsStandInForAMissingReplica);
+    CPPUNIT_TEST(leaseThatWasNotGivenUpDelaysTheOrder);
+    CPPUNIT_TEST(orderWithoutAnswerIsFollowedByAHigherToken);
+    CPPUNIT_TEST(drainingPrimaryStepsDownFirst);
+    CPPUNIT_TEST(reachablePrimaryIsKept);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a service that stays without a primary at the first start.
+    void firstPrimaryIsTakenOver()
+    {
+        SessionControlBed bed;
+        start(bed);
+        CPPUNIT_ASSERT(bed.orders.empty());
+    }
+
+    // Guards against lost commits: the promoted database must have what the others have, and nothing may arrive meanwhile.
+    void lostPrimaryIsReplacedByTheLongestLog()
+    {
+        SessionControlBed bed;
+        start(bed);
+        database(bed, "b").setPosition(3, 120);
+        database(bed, "c").setPosition(3, 119);
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.primary() == "b"; }));
+        CPPUNIT_ASSERT(has(database(bed, "b").commands(), "PAUSE 4"));
+        CPPUNIT_ASSERT(has(database(bed, "c").commands(), "PAUSE 4"));
+        CPPUNIT_ASSERT_EQUAL(bed.machine.service("s")->epoch(), bed.orders.back().token);
+    }
+
+    // Guards against lost commits: a replica that does not answer may hold commits that the other one lacks.
+    void missingReplicaStopsThePromotion()
+    {
+        SessionControlBed bed;
+        start(bed);
+        bed.renew("p1", false);
+        const auto epoch = bed.machine.service("s")->epoch();
+        lose(bed, "c");
+        lose(bed, "a");
+        // A third proxy holds a lease and never says what it acknowledged.
+        bed.onProxyMessage = [](const std::string &, const wire::PoolEnvelope &) {
+        };
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            report(bed);
+            return database(bed, "b").commands().size() > 6;
+        }));
+        CPPUNIT_ASSERT(bed.orders.empty());
+        CPPUNIT_ASSERT(bed.machine.service("s")->epoch() > epoch);
+    }
+
+    // Guards against a service that stays without a primary although no acknowledged commit can be missing.
+    void acknowledgedPositionsStandInForAMissingReplica()
+    {
+        SessionControlBed bed;
+        start(bed);
+        database(bed, "b").setPosition(3, 120);
+        bed.onProxyMessage = [&](const std::string &proxy, const wire::PoolEnvelope &message) {
+            if (message.has_withdraw()) {
+                bed.confirm(proxy, message.withdraw().epoch(), 3, 120);
+            }
+        };
+        lose(bed, "c");
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            report(bed);
+            return bed.primary() == "b";
+        }));
+    }
+
+    // Guards against a stale read: a proxy that can't be told may read from the former primary until its lease ends.
+    void leaseThatWasNotGivenUpDelaysTheOrder()
+    {
+        SessionControlBed bed;
+        start(bed);
+        bed.renew("cut-off", false);
+        const auto granted = Clock::now();
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.orders.empty(); }));
+        CPPUNIT_ASSERT(Clock::now() - granted >= SessionLeases::Options().lease);
+    }
+
+    // Guards against an order that is carried out late and takes the lead from the database that was published.
+    void orderWithoutAnswerIsFollowedByAHigherToken()
+    {
+        SessionControlBed bed;
+        start(bed);
+        bed.answerOrder = [&](const SessionControlBed::Order &order) {
+            bed.promote(order.database);
+            return bed.orders.size() < 2 ? OrderAnswer::None : OrderAnswer::Accepted;
+        };
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.primary().empty() && bed.primary() != "a"; }));
+        CPPUNIT_ASSERT(bed.orders.size() >= 2);
+        CPPUNIT_ASSERT(bed.orders[1].token > bed.orders[0].token);
+        CPPUNIT_ASSERT_EQUAL(bed.orders.back().token, bed.machine.service("s")->epoch());
+    }
+
+    // Guards against commits that a leaving primary acknowledges after positions were compared.
+    void drainingPrimaryStepsDownFirst()
+    {
+        SessionControlBed bed;
+        start(bed);
+        bed.beat(database(bed, "a"), true, true);
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.primary().empty() && bed.primary() != "a"; }));
+        CPPUNIT_ASSERT(has(database(bed, "a").commands(), "STEPDOWN 4"));
+    }
+
+    // Guards against a promotion because a single proxy can't reach a primary that works.
+    void reachablePrimaryIsKept()
+    {
+        SessionControlBed bed;
+        start(bed);
+        bed.renew("p1", false);
+        bed.renew("p2", false);
+        bed.renew("p3", true);
+        CPPUNIT_ASSERT(bed.runUntil([&] { return database(bed, "a").commands().size() >= 3; }));
+        CPPUNIT_ASSERT(bed.orders.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), bed.primary());
+    }
+
+private:
+    /// A service of three databases with the primary a, past the time in which leases of an earlier leader may be valid.
+    static void start(SessionControlBed &bed)
+    {
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.control.isActive(); }));
+        bed.add("a", true);
+        bed.add("b", false);
+        bed.add("c", false);
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.primary() == "a"; }));
+    }
+
+    static FakeDatabase &database(SessionControlBed &bed, const std::string &id)
+    {
+        return *std::find_if(bed.databases.begin(), bed.databases.end(), [&](const auto &one) { return one.id() == id; });
+    }
+
+    /// Ends a database; two proxies without a lease keep reporting the primary.
+    static void lose(SessionControlBed &bed, const std::string &id)
+    {
+        database(bed, id).refuseConnections();
+        report(bed);
+    }
+
+    static void report(SessionControlBed &bed)
+    {
+        bed.renew("p1", true);
+        bed.renew("p2", true);
+        if (!bed.onProxyMessage) {
+            bed.onProxyMessage = [&bed](const std::string &proxy, const wire::PoolEnvelope &message) {
+                if (message.has_withdraw() && proxy != "cut-off") {
+                    bed.confirm(proxy, message.withdraw().epoch(), 3, 100);
+                }
+            };
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrimaryKeeperTest);
--- /dev/null
+++ b/programs/control/testing/session_control_bed.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "../session_control.h"
+#include "fake_database.h"
+
+#include <waxwing/state/message_bytes.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace waxwing::control::testing
+{
+
+/// @brief A leader of control with a log that commits at once, fake databases on loopback, and a platform and proxies that
+/// the test plays. Runs on the thread of the test.
+class SessionControlBed
+{
+public:
+    SessionControlBed()
+        : control(context, {"core-1", std::chrono::milliseconds(100)}, machine, ports())
+    {
+    }
+
+    /// Runs until a condition holds.
+    /// @return false if it does not within ten seconds, for a test that fails instead of hanging
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const auto deadline = Clock::now() + 10s;
+        while (!condition()) {
+            if (Clock::now() >= deadline) {
+                return false;
+            }
+            control.tick();
+            context.restart();
+            context.run_for(std::chrono::milliseconds(2));
+        }
+        return true;
+    }
+
+    /// Adds a database and its heartbeat.
+    waxwing::testing::FakeDatabase &add(const std::string &id, bool primary)
+    {
+        auto &database = databases.emplace_back(id, primary);
+        beat(database, primary, false);
+        return database;
+    }
+
+    void beat(const waxwing::testing::FakeDatabase &database, bool primary, bool draining)
+    {
+        wire::PoolMember member;
+        member.set_id(database.id());
+        member.set_service("s");
+        member.set_address(database.address());
+        member.set_born_ms(1);
+        member.set_sequence(++sequence);
+        member.set_slots(3);
+        member.set_primary(primary);
+        member.set_draining(draining);
+        control.beat(member);
+    }
+
+    /// Renews the lease of a proxy, which reports the primary as unreachable if asked to.
+    void renew(const std::string &proxy, bool unreachable)
+    {
+        wire::PoolEnvelope message;
+        auto &renewal = *message.mutable_renewal();
+        renewal.set_sequence(++sequence);
+        renewal.set_proxy(proxy);
+        renewal.set_incarnation(1);
+        if (const auto *record = machine.service("s"); unreachable && record != nullptr) {
+            auto &report = *renewal.add_reports();
+            report.set_service("s");
+            report.set_epoch(record->epoch());
+            report.set_unreachable(true);
+        }
+        control.handleMessage(proxy, message);
+    }
+
+    /// Confirms a withdrawal.
+    void confirm(const std::string &proxy, std::uint64_t epoch, std::uint64_t term, std::uint64_t number)
+    {
+        wire::PoolEnvelope message;
+        auto &withdrawn = *message.mutable_withdrawn();
+        withdrawn.set_service("s");
+        withdrawn.set_epoch(epoch);
+        withdrawn.set_proxy(proxy);
+        withdrawn.set_incarnation(1);
+        withdrawn.mutable_acknowledged()->set_term(term);
+        withdrawn.mutable_acknowledged()->set_number(number);
+        control.handleMessage(proxy, message);
+    }
+
+    std::string primary() const
+    {
+        const auto *record = machine.service("s");
+        return record == nullptr ? std::string() : record->primary();
+    }
+
+    struct Order
+    {
+        std::string database;
+        std::uint64_t token = 0;
+    };
+
+    boost::asio::io_context context;
+    SessionsMachine machine;
+    std::uint64_t index = 0;
+    std::uint64_t sequence = 0;
+    bool leads = true;
+    std::list<waxwing::testing::FakeDatabase> databases;
+    std::vector<Order> orders; ///< in the order in which they came
+    std::function<OrderAnswer(const Order &order)> answerOrder; ///< promotes the database if empty
+    std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> onProxyMessage;
+    SessionControl control;
+
+private:
+    SessionControlPorts ports()
+    {
+        SessionControlPorts ports;
+        ports.log.propose = [this](std::vector<std::byte> command, LogPort::Handler handler) {
+            auto result = machine.apply(++index, command);
+            control.handleApplied();
+            handler({LogFailure::None, std::move(result)});
+        };
+        ports.log.read = [this](LogPort::Handler handler) {
+            handler({leads ? LogFailure::None : LogFailure::NotLeader, {}});
+        };
+        ports.log.isLeader = [this] {
+            return leads;
+        };
+        ports.log.term = [] {
+            return std::uint64_t(1);
+        };
+        ports.log.leaderHint = [] {
+            return std::string("core-2");
+        };
+        ports.sendToProxy = [this](const std::string &proxy, const wire::PoolEnvelope &message) {
+            if (onProxyMessage) {
+                onProxyMessage(proxy, message);
+            }
+        };
+        ports.sendToMember = [](const std::string &, const wire::PoolEnvelope &) {
+        };
+        ports.members = [] {
+            return std::vector<std::string> {"core-1"};
+        };
+        ports.orderPromotion = [this](std::string, std::string database, std::uint64_t token) -> boost::asio::awaitable<OrderAnswer> {
+            orders.push_back({database, token});
+            if (answerOrder) {
+                co_return answerOrder(orders.back());
+            }
+            promote(database);
+            co_return OrderAnswer::Accepted;
+        };
+        return ports;
+    }
+
+public:
+    /// What the platform does when it carries an order out.
+    void promote(const std::string &id)
+    {
+        for (auto &database : databases) {
+            database.setPrimary(database.id() == id);
+        }
+    }
+};
+
+} // namespace waxwing::control::testing
