--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -79,6 +79,7 @@
     platform::LineReader m_lines;
     SessionState m_state;
     std::string m_database; ///< empty before the start
+    std::string m_requestId; ///< of the present or last statement
     TransactionState m_transactionState = TransactionState::Idle;
     Transaction m_transaction;
     TimePoint m_receivedAt; ///< last bytes of the caller
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -187,6 +187,7 @@
 asio::awaitable<std::string> ClientSession::handleStatement(SessionStatement statement)
 {
     using Kind = SessionStatement::Kind;
+    m_requestId = statement.id;
     if (m_transactionState == TransactionState::Failed) {
         co_return co_await handleFailed(statement);
     }
@@ -291,7 +292,8 @@
 {
     outcomeCounter(error).add();
     log::write(log::Level::Info, "transaction failed",
-               {{"service", m_transaction.route.service},
+               {{"request", m_requestId},
+                {"service", m_transaction.route.service},
                 {"database", m_transaction.pool ? m_transaction.pool->member().id() : std::string()},
                 {"error", static_cast<int>(error)},
                 {"text", text},
@@ -513,6 +515,14 @@
                 service->noteAcknowledged(*reply.position, now);
             }
         }
+        if (reply.error != SessionError::None) {
+            log::write(log::Level::Info, "commit refused",
+                       {{"request", m_requestId},
+                        {"service", route.service},
+                        {"database", m_transaction.pool->member().id()},
+                        {"error", static_cast<int>(reply.error)},
+                        {"held_ms", toMilliseconds(now - m_receivedAt).count()}});
+        }
         dropTransaction(reply.state);
         m_transactionState = TransactionState::Idle;
         outcomeCounter(reply.error).add();
