--- a/packages/transport/src/waxwing/transport/link_thread.cpp
+++ b/packages/transport/src/waxwing/transport/link_thread.cpp
@@ -20,6 +20,11 @@
 constexpr int reconnectMilliseconds = 50;
 constexpr int reconnectMaxMilliseconds = 500;
 constexpr int heartbeatsUntilTimeout = 3;
+// The kernel repeats a lost opening packet after 1, 2 and 4 s, so that without a limit of its own a connection that was
+// begun during a short partition opens seconds after its end. A round trip between regions takes 40 ms.
+constexpr int connectMilliseconds = 300;
+constexpr int handshakeMilliseconds = 1000; // a few round trips; the default of 30 s outlasts any partition
+constexpr int unacknowledgedMilliseconds = 2000; // sent bytes without an acknowledgement for this long end a connection
 // Messages taken from one socket before the others get their turn.
 constexpr int messagesPerTurn = 256;
 constexpr auto pollTimeout = 200ms;
@@ -62,6 +67,9 @@
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeatsUntilTimeout * heartbeat);
     socket.set(zmq::sockopt::reconnect_ivl, reconnectMilliseconds);
     socket.set(zmq::sockopt::reconnect_ivl_max, reconnectMaxMilliseconds);
+    socket.set(zmq::sockopt::connect_timeout, connectMilliseconds);
+    socket.set(zmq::sockopt::handshake_ivl, handshakeMilliseconds);
+    socket.set(zmq::sockopt::tcp_maxrt, unacknowledgedMilliseconds);
 }
 
 bool LinkThread::bind()
