--- a/programs/control/primary_keeper_test.cpp
+++ b/programs/control/primary_keeper_test.cpp
@@ -1,5 +1,7 @@
 #include "testing/session_control_bed.h"
 
+#include <waxwing/platform/database_wire.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -50,8 +52,8 @@
         database(bed, "c").setPosition(3, 119);
         lose(bed, "a");
         CPPUNIT_ASSERT(bed.runUntil([&] { return bed.primary() == "b"; }));
-        CPPUNIT_ASSERT(has(database(bed, "b").commands(), "PAUSE 4"));
-        CPPUNIT_ASSERT(has(database(bed, "c").commands(), "PAUSE 4"));
+        CPPUNIT_ASSERT(has(database(bed, "b").commands(), platform::pauseText(4)));
+        CPPUNIT_ASSERT(has(database(bed, "c").commands(), platform::pauseText(4)));
         CPPUNIT_ASSERT_EQUAL(bed.machine.service("s")->epoch(), bed.orders.back().token);
     }
 
@@ -129,7 +131,7 @@
         start(bed);
         bed.beat(database(bed, "a"), true, true);
         CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.primary().empty() && bed.primary() != "a"; }));
-        CPPUNIT_ASSERT(has(database(bed, "a").commands(), "STEPDOWN 4"));
+        CPPUNIT_ASSERT(has(database(bed, "a").commands(), platform::stepDownText(4)));
     }
 
     // Guards against a promotion because a single proxy can't reach a primary that works.
