Find silent peers of the link by the kernel's limits, not by ZeroMQ's heartbeats

Cause: a member of control ended by itself after a suspension (libzmq 4.3.4, stream_engine_base.cpp:331, !_io_error): its heartbeat timer writes to a connection whose input has stopped and failed. Change: sessions deployments run the link without ZeroMQ's heartbeats, with keep-alive each second and 800 ms for unacknowledged bytes.

--- a/packages/transport/include/waxwing/transport/message_link.h
+++ b/packages/transport/include/waxwing/transport/message_link.h
@@ -30,7 +30,7 @@
     LinkKey key; ///< without a key the link is not encrypted
     std::size_t ringCapacity = 16'384; ///< messages that wait between the threads, each way
     int highWaterMark = 10'000; ///< messages that ZeroMQ holds for one peer
-    Duration heartbeat = 250ms; ///< interval of ZeroMQ heartbeats; a silent peer is dropped after three
+    Duration heartbeat = 250ms; ///< interval of ZeroMQ heartbeats; a silent peer is dropped after three; zero for limits of the kernel instead
 };
 
 /// @brief Sends and receives protobuf envelopes over ZeroMQ on a thread of its own.
--- a/packages/transport/src/waxwing/transport/link_thread.cpp
+++ b/packages/transport/src/waxwing/transport/link_thread.cpp
@@ -24,7 +24,11 @@
 // begun during a short partition opens seconds after its end. A round trip between regions takes 40 ms.
 constexpr int connectMilliseconds = 300;
 constexpr int handshakeMilliseconds = 1000; // a few round trips; the default of 30 s outlasts any partition
-constexpr int unacknowledgedMilliseconds = 2000; // sent bytes without an acknowledgement for this long end a connection
+// Sent bytes without an acknowledgement for this long end a connection: two repeated packets at a round trip of 40 ms.
+constexpr int unacknowledgedMilliseconds = 800;
+// Without ZeroMQ's heartbeats the kernel finds out whether the peer of an idle connection is still there.
+constexpr int keepAliveSeconds = 1;
+constexpr int keepAliveProbes = 2;
 // Messages taken from one socket before the others get their turn.
 constexpr int messagesPerTurn = 256;
 constexpr auto pollTimeout = 200ms;
@@ -59,7 +63,7 @@
 
 void LinkThread::applyCommon(zmq::socket_t &socket)
 {
-    const int heartbeat = static_cast<int>(toMilliseconds(m_options.heartbeat).count());
+    const int heartbeat = static_cast<int>(toMilliseconds(m_options.heartbeat).count()); // 0 for none
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, m_options.highWaterMark);
     socket.set(zmq::sockopt::rcvhwm, m_options.highWaterMark);
@@ -70,6 +74,12 @@
     socket.set(zmq::sockopt::connect_timeout, connectMilliseconds);
     socket.set(zmq::sockopt::handshake_ivl, handshakeMilliseconds);
     socket.set(zmq::sockopt::tcp_maxrt, unacknowledgedMilliseconds);
+    if (heartbeat == 0) {
+        socket.set(zmq::sockopt::tcp_keepalive, 1);
+        socket.set(zmq::sockopt::tcp_keepalive_idle, keepAliveSeconds);
+        socket.set(zmq::sockopt::tcp_keepalive_intvl, keepAliveSeconds);
+        socket.set(zmq::sockopt::tcp_keepalive_cnt, keepAliveProbes);
+    }
 }
 
 bool LinkThread::bind()
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -26,8 +26,7 @@
 } // namespace
 
 SessionControl::SessionControl(boost::asio::io_context &context, Options options, const SessionsMachine &machine, SessionControlPorts ports)
-    : m_context(context)
-    , m_options(std::move(options))
+    : m_options(std::move(options))
     , m_machine(machine)
     , m_ports(std::move(ports))
     , m_keeper(context, PrimaryKeeper::State {m_machine, m_directory, m_leases}, m_ports, m_options.name, [this] { m_directoryChanged = true; })
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -88,7 +88,6 @@
     void record(const wire::PoolMember &member);
     void applyDocument();
 
-    boost::asio::io_context &m_context;
     Options m_options;
     const SessionsMachine &m_machine;
     SessionControlPorts m_ports;
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -94,6 +94,9 @@
     {
         MessageLinkOptions options;
         options.name = m_settings.name;
+        // ZeroMQ 4.3.4 aborts the process when its heartbeat is due on a connection whose input has stopped and failed
+        // (`!_io_error`), which happens after a suspension; the kernel's limits find silent peers instead.
+        options.heartbeat = Duration::zero();
         options.key = std::move(key);
         auto link = MessageLink::start(m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); });
         if (!link) {
