Drop log lines instead of waiting for a reader that has stopped, read log.level in one place

Cause: the queue of log4cplus blocks the writer when it is full, which a flood of many events or a collector that stops reading brings about. The library can't be started twice in one process. Change: lines in the queue are counted and further ones dropped and counted; Settings::logLevel() replaces four copies.

--- a/packages/support/include/waxwing/support/settings.h
+++ b/packages/support/include/waxwing/support/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/support/log.h>
 #include <waxwing/support/time.h>
 
 #include <cstdint>
@@ -50,6 +51,9 @@
     /// @param choices allowed words; the first is the default
     std::string choice(std::string_view key, std::span<const std::string_view> choices);
 
+    /// @brief Reads the least severity that is logged (`log.level`).
+    log::Level logLevel();
+
     /// @brief Reads a list of texts.
     std::vector<std::string> texts(std::string_view key);
 
--- a/packages/support/src/waxwing/support/log.cpp
+++ b/packages/support/src/waxwing/support/log.cpp
@@ -33,10 +33,11 @@
 
 struct Sink
 {
-    log4cplus::Initializer initializer;
     log4cplus::Logger logger;
+    log4cplus::SharedAppenderPtr appender;
     std::string process;
     Options options;
+    std::atomic<std::size_t> waiting {0}; ///< lines that the log thread has not written yet
     std::mutex mutex; ///< guards the budgets
     std::map<std::string, Budget, std::less<>> budgets;
 };
@@ -101,7 +102,38 @@
     return true;
 }
 
-log4cplus::SharedAppenderPtr makeAppender(const Options &options)
+/// Layout that counts down the lines that wait. The log thread formats a line right before it writes it.
+class CountingLayout : public log4cplus::PatternLayout
+{
+public:
+    explicit CountingLayout(std::atomic<std::size_t> &waiting)
+        : log4cplus::PatternLayout("%m%n")
+        , m_waiting(waiting)
+    {
+    }
+
+    void formatAndAppend(log4cplus::tostream &output, const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        log4cplus::PatternLayout::formatAndAppend(output, event);
+        m_waiting.fetch_sub(1, std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::size_t> &m_waiting;
+};
+
+/// Takes a place in the queue of the log thread. The queue of the library blocks when it is full, so that lines beyond it
+/// are dropped before.
+bool reserve(Sink &target)
+{
+    if (target.waiting.fetch_add(1, std::memory_order_relaxed) < target.options.queueLength) {
+        return true;
+    }
+    target.waiting.fetch_sub(1, std::memory_order_relaxed);
+    return false;
+}
+
+log4cplus::SharedAppenderPtr makeAppender(const Options &options, std::atomic<std::size_t> &waiting)
 {
     log4cplus::SharedAppenderPtr target;
     if (options.file.empty()) {
@@ -109,7 +141,7 @@
     } else {
         target = new log4cplus::FileAppender(options.file, std::ios_base::app, true);
     }
-    target->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    target->setLayout(std::make_unique<CountingLayout>(waiting));
     return target;
 }
 
@@ -117,13 +149,16 @@
 
 void start(const Options &options)
 {
+    // The library can't be started a second time in one process.
+    static const log4cplus::Initializer initializer;
     auto next = std::make_unique<Sink>();
     next->process = options.process;
     next->options = options;
     next->logger = log4cplus::Logger::getInstance("waxwing");
     next->logger.setAdditivity(false);
     next->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
-    next->logger.addAppender(log4cplus::SharedAppenderPtr(new log4cplus::AsyncAppender(makeAppender(options), options.queueLength)));
+    next->appender = log4cplus::SharedAppenderPtr(new log4cplus::AsyncAppender(makeAppender(options, next->waiting), options.queueLength + 1));
+    next->logger.addAppender(next->appender);
     sink() = std::move(next);
     threshold.store(options.level);
     started.store(true, std::memory_order_release);
@@ -133,6 +168,7 @@
 {
     if (started.exchange(false)) {
         sink()->logger.removeAllAppenders();
+        sink()->appender->close(); // waits for the lines in the queue
         sink().reset();
     }
 }
@@ -147,7 +183,7 @@
     if (!isEnabled(level)) {
         return;
     }
-    if (!admit(*sink(), event)) {
+    if (!admit(*sink(), event) || !reserve(*sink())) {
         Metrics::instance().counter("waxwing_log_lines_dropped_total", "event", event).add();
         return;
     }
--- a/packages/support/src/waxwing/support/log_test.cpp
+++ b/packages/support/src/waxwing/support/log_test.cpp
@@ -3,12 +3,16 @@
 #include <waxwing/support/metrics.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
-#include <cstdio>
+#include <array>
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <thread>
 
 using namespace waxwing;
 
@@ -16,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(LogTest);
     CPPUNIT_TEST(floodOfOneEventIsBounded);
+    CPPUNIT_TEST(readerThatStopsDoesNotBlock);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,6 +46,35 @@
         CPPUNIT_ASSERT_EQUAL(1, others);
         CPPUNIT_ASSERT(Metrics::instance().exposition().find("waxwing_log_lines_dropped_total{event=\"flood\"} 9995") != std::string::npos);
     }
+
+    // Guards against a collector that stops reading and blocks every thread that logs.
+    void readerThatStopsDoesNotBlock()
+    {
+        const auto pipe = std::filesystem::temp_directory_path() / ("waxwing-log-pipe-" + std::to_string(::getpid()));
+        CPPUNIT_ASSERT_EQUAL(0, ::mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR));
+        const int reader = ::open(pipe.c_str(), O_RDWR | O_NONBLOCK);
+        CPPUNIT_ASSERT(reader >= 0);
+        constexpr unsigned queued = 100;
+        constexpr int lines = 20'000; // 2 MB, more than a pipe and the queue hold
+        log::start({.process = "test", .file = pipe.string(), .queueLength = queued, .linesPerSecond = lines, .burst = lines});
+        for (int i = 0; i < lines; ++i) {
+            log::write(log::Level::Info, "unread", {{"i", i}});
+        }
+        // Only a reader lets the log end.
+        std::atomic<bool> ended {false};
+        std::thread drain([&] {
+            std::array<char, 65'536> bytes {};
+            while (!ended) {
+                [[maybe_unused]] const auto size = ::read(reader, bytes.data(), bytes.size());
+            }
+        });
+        log::stop();
+        ended = true;
+        drain.join();
+        ::close(reader);
+        std::filesystem::remove(pipe);
+        CPPUNIT_ASSERT(Metrics::instance().exposition().find("waxwing_log_lines_dropped_total{event=\"unread\"}") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
--- a/packages/support/src/waxwing/support/settings.cpp
+++ b/packages/support/src/waxwing/support/settings.cpp
@@ -3,6 +3,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -121,6 +122,14 @@
     return value;
 }
 
+log::Level Settings::logLevel()
+{
+    constexpr std::array<std::string_view, 4> names {"info", "debug", "warning", "error"};
+    constexpr std::array levels {log::Level::Info, log::Level::Debug, log::Level::Warning, log::Level::Error};
+    const auto name = choice("log.level", names);
+    return levels[static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin())];
+}
+
 std::vector<std::string> Settings::texts(std::string_view key)
 {
     std::vector<std::string> values;
--- a/programs/control/control_settings.cpp
+++ b/programs/control/control_settings.cpp
@@ -5,7 +5,6 @@
 #include <sys/stat.h>
 
 #include <algorithm>
-#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -17,22 +16,10 @@
 
 constexpr std::size_t maxMembers = 8;
 
-log::Level toLevel(const std::string &text)
-{
-    if (text == "debug") {
-        return log::Level::Debug;
-    }
-    if (text == "warning") {
-        return log::Level::Warning;
-    }
-    return text == "error" ? log::Level::Error : log::Level::Info;
-}
-
 } // namespace
 
 ControlSettings ControlSettings::load(const std::string &path)
 {
-    constexpr std::array<std::string_view, 4> levels {"info", "debug", "warning", "error"};
     ControlSettings result;
     auto settings = Settings::load(path);
     result.self.name = settings.text("control.name");
@@ -43,7 +30,7 @@
     result.tokenFile = settings.text("operator.token_file");
     result.keyFile = settings.text("link.key_file", {});
     result.logFile = settings.text("log.file", {});
-    result.logLevel = toLevel(settings.choice("log.level", levels));
+    result.logLevel = settings.logLevel();
     const auto members = settings.texts("control.members");
     settings.refuseUnknownKeys();
     result.errors = settings.errors();
--- a/programs/control/session_control_settings.cpp
+++ b/programs/control/session_control_settings.cpp
@@ -2,25 +2,12 @@
 
 #include <waxwing/support/settings.h>
 
-#include <array>
-
 namespace waxwing::control
 {
 
 namespace
 {
 
-log::Level toLevel(const std::string &text)
-{
-    if (text == "debug") {
-        return log::Level::Debug;
-    }
-    if (text == "warning") {
-        return log::Level::Warning;
-    }
-    return text == "error" ? log::Level::Error : log::Level::Info;
-}
-
 /// Host of one address with the port of another.
 std::string combine(std::string_view host, std::string_view port)
 {
@@ -32,7 +19,6 @@
 
 SessionControlSettings SessionControlSettings::load(const std::string &path)
 {
-    constexpr std::array<std::string_view, 4> levels {"info", "debug", "warning", "error"};
     SessionControlSettings result;
     auto settings = Settings::load(path);
     result.name = settings.text("control.name");
@@ -46,7 +32,7 @@
     result.platformAddress = settings.text("control.platform", {});
     result.heartbeat = settings.milliseconds("control.heartbeat_ms", {50, 60'000, 1'200});
     result.keyFile = settings.text("link.key_file", {});
-    result.logLevel = toLevel(settings.choice("log.level", levels));
+    result.logLevel = settings.logLevel();
     settings.refuseUnknownKeys();
     result.errors = settings.errors();
     if (result.seeds.empty()) {
--- a/programs/proxy/main.cpp
+++ b/programs/proxy/main.cpp
@@ -86,17 +86,6 @@
     return line;
 }
 
-log::Level levelOf(const std::string &name)
-{
-    if (name == "debug") {
-        return log::Level::Debug;
-    }
-    if (name == "warning") {
-        return log::Level::Warning;
-    }
-    return name == "error" ? log::Level::Error : log::Level::Info;
-}
-
 int run(const ProxySettings &settings, TokenKeyRing &&keys, LinkKey &&linkKey)
 {
     // The signals are taken by sigwait() below; the threads inherit the mask.
@@ -106,7 +95,7 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
-    log::start({.process = settings.name, .file = settings.logFile, .level = levelOf(settings.logLevel)});
+    log::start({.process = settings.name, .file = settings.logFile, .level = settings.logLevel});
     ProxyProcess proxy(settings, std::move(keys), std::move(linkKey));
     if (const auto error = proxy.start(); !error.empty()) {
         log::stop();
--- a/programs/proxy/proxy_settings.cpp
+++ b/programs/proxy/proxy_settings.cpp
@@ -3,18 +3,12 @@
 #include <waxwing/support/settings.h>
 #include <waxwing/transport/socket_address.h>
 
-#include <array>
-
 namespace waxwing
 {
 
 namespace
 {
 
-using namespace std::string_view_literals;
-
-constexpr std::array logLevels = {"info"sv, "debug"sv, "warning"sv, "error"sv};
-
 // Transaction identifiers join the names of proxy and group with a colon.
 bool isName(std::string_view text)
 {
@@ -47,7 +41,7 @@
     values.keyFile = file.text("keys.link", "");
     values.sessionKeyFile = file.text("keys.session");
     values.logFile = file.text("log.file", "");
-    values.logLevel = file.choice("log.level", logLevels);
+    values.logLevel = file.logLevel();
     values.maxConnections = static_cast<std::size_t>(file.integer("limits.connections", {.low = 1, .high = 100'000, .fallback = 10'000}));
     values.maxBodyBytes = static_cast<std::size_t>(file.integer("limits.body_bytes", {.low = 1'024, .high = 64 << 20, .fallback = 1 << 20}));
     values.ringCapacity = static_cast<std::size_t>(file.integer("limits.ring", {.low = 16, .high = 1 << 20, .fallback = 16'384}));
--- a/programs/proxy/proxy_settings.h
+++ b/programs/proxy/proxy_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/support/log.h>
 #include <waxwing/support/time.h>
 
 #include <cstddef>
@@ -23,7 +24,7 @@
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link, in tests only
     std::string sessionKeyFile; ///< keys that sign session tokens
     std::string logFile; ///< standard error when empty
-    std::string logLevel = "info";
+    log::Level logLevel = log::Level::Info;
 
     std::size_t maxConnections = 10'000;
     std::size_t maxBodyBytes = 1 << 20;
--- a/programs/proxy/session_settings.cpp
+++ b/programs/proxy/session_settings.cpp
@@ -2,30 +2,11 @@
 
 #include <waxwing/support/settings.h>
 
-#include <array>
-
 namespace waxwing
 {
 
-namespace
-{
-
-log::Level toLevel(const std::string &text)
-{
-    if (text == "debug") {
-        return log::Level::Debug;
-    }
-    if (text == "warning") {
-        return log::Level::Warning;
-    }
-    return text == "error" ? log::Level::Error : log::Level::Info;
-}
-
-} // namespace
-
 SessionSettings SessionSettings::load(const std::string &path)
 {
-    constexpr std::array<std::string_view, 4> levels {"info", "debug", "warning", "error"};
     SessionSettings result;
     auto settings = Settings::load(path);
     result.name = settings.text("sessions.name");
@@ -36,7 +17,7 @@
     result.seeds = settings.texts("control.seeds");
     result.linkPort = static_cast<std::size_t>(settings.integer("control.link_port", {1, 65'535, 7'440}));
     result.keyFile = settings.text("link.key_file", {});
-    result.logLevel = toLevel(settings.choice("log.level", levels));
+    result.logLevel = settings.logLevel();
     result.maxSessions = static_cast<std::size_t>(settings.integer("sessions.max_sessions", {1, 1'000'000, 3'500}));
     result.warmConnections = static_cast<std::size_t>(settings.integer("sessions.warm_connections", {0, 64, 2}));
     result.connectionLimit = static_cast<std::size_t>(settings.integer("sessions.connection_limit", {1, 1'000, 12}));
