Promote without one of the replicas only if no acknowledged commit can be missing

Cause: found by reading. A promotion without a replica that does not answer relied on the positions that proxies with a lease had acknowledged; a proxy could still acknowledge a commit after it had told its position, proxies whose lease had ended were forgotten although they go on writing, a new leader knew of none of them, and a replica whose heartbeats were lost for 8 s did not count as missing. Change: a withdrawal can close an epoch, after which its commits are told as unknown; commits are acknowledged for at most 10 s after the end of a lease; control asks for a position that the primary reported after that time; databases removed for silence count as missing for a minute.

--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -15,6 +15,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <functional>
@@ -200,6 +201,17 @@
             status.membership = m_node->log().membership();
             status.ready = isLeader();
             status.failed = m_node->hasFailed();
+            const auto &members = status.membership.members();
+            const bool votes = std::any_of(members.begin(), members.end(), [&](const auto &member) { return member.id() == status.id && member.voter(); });
+            status.serving = votes && !status.failed && status.leader != 0 && status.commitIndex != 0 && status.appliedIndex == status.commitIndex;
+            if (status.role == RaftNode::Role::Leader) {
+                const auto now = Clock::now();
+                for (const auto &member : members) {
+                    if (member.id() == status.id || m_node->isActive(now, member.id())) {
+                        status.active.push_back(member.id());
+                    }
+                }
+            }
         }
         return status;
     }
--- a/packages/coordination/include/waxwing/coordination/log_types.h
+++ b/packages/coordination/include/waxwing/coordination/log_types.h
@@ -6,6 +6,7 @@
 #include <concepts>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,12 @@
     LogIndex snapshotIndex = 0;
     wire::RaftMembership membership;
     bool ready = false; ///< leads with a valid lease
+    bool serving = false; ///< votes, knows the leader and has applied what it knows to be committed
+    std::vector<MemberId> active; ///< leader only: members that were heard from lately, with this one
+
+    /// @brief Voters that may be lost before the log stops; by what the leader knows.
+    /// @return nothing on other members
+    std::optional<std::size_t> losses() const;
     bool failed = false; ///< a disk error stopped the member
 };
 
--- a/packages/coordination/include/waxwing/coordination/pool_directory.h
+++ b/packages/coordination/include/waxwing/coordination/pool_directory.h
@@ -41,8 +41,8 @@
     bool leave(std::string_view id);
 
     /// @brief Removes databases that are silent.
-    /// @return their ids
-    std::vector<std::string> expire(TimePoint now);
+    /// @return what was known of them
+    std::vector<Entry> expire(TimePoint now);
 
     /// @brief Forgets everything.
     void clear();
--- a/packages/coordination/src/waxwing/coordination/epoch_lease.cpp
+++ b/packages/coordination/src/waxwing/coordination/epoch_lease.cpp
@@ -24,6 +24,19 @@
     known.withdrawn = std::max(known.withdrawn, epoch);
 }
 
+void EpochLease::close(std::string_view service, std::uint64_t epoch)
+{
+    withdraw(service, epoch);
+    auto &known = m_epochs[std::string(service)];
+    known.closed = std::max(known.closed, epoch);
+}
+
+bool EpochLease::mayAcknowledge(std::string_view service, std::uint64_t epoch, TimePoint now) const
+{
+    const auto known = m_epochs.find(service);
+    return now < m_expiresAt + acknowledgementGrace && (known == m_epochs.end() || epoch > known->second.closed);
+}
+
 bool EpochLease::covers(std::string_view service, std::uint64_t epoch, TimePoint now) const
 {
     const auto known = m_epochs.find(service);
--- a/packages/coordination/src/waxwing/coordination/epoch_lease_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/epoch_lease_test.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST(leaseCountsFromTheRenewal);
     CPPUNIT_TEST(withdrawnEpochStaysWithdrawn);
     CPPUNIT_TEST(olderEpochIsNotCovered);
+    CPPUNIT_TEST(closedEpochAcknowledgesNothing);
+    CPPUNIT_TEST(acknowledgementsEndSomeTimeAfterTheLease);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +53,32 @@
         CPPUNIT_ASSERT(lease.covers("s", 7, TimePoint(1ms)));
         CPPUNIT_ASSERT(!lease.covers("t", 7, TimePoint(1ms)));
     }
+
+    // Guards against a commit that is acknowledged after control compared the logs without it.
+    void closedEpochAcknowledgesNothing()
+    {
+        EpochLease lease;
+        lease.renew(TimePoint(0ms), 1000ms);
+        lease.grantEpoch("s", 5);
+        lease.withdraw("s", 5);
+        CPPUNIT_ASSERT(lease.mayAcknowledge("s", 5, TimePoint(1ms)));
+        lease.close("s", 5);
+        CPPUNIT_ASSERT(!lease.mayAcknowledge("s", 5, TimePoint(1ms)));
+        CPPUNIT_ASSERT(!lease.mayAcknowledge("s", 4, TimePoint(1ms)));
+        CPPUNIT_ASSERT(lease.mayAcknowledge("s", 6, TimePoint(1ms)));
+    }
+
+    // Guards against a proxy that control can't ask and that acknowledges commits for ever.
+    void acknowledgementsEndSomeTimeAfterTheLease()
+    {
+        EpochLease lease;
+        CPPUNIT_ASSERT(!lease.mayAcknowledge("s", 5, TimePoint(EpochLease::acknowledgementGrace)));
+        lease.renew(TimePoint(0ms), 1000ms);
+        lease.grantEpoch("s", 5);
+        CPPUNIT_ASSERT(!lease.covers("s", 5, TimePoint(1000ms)));
+        CPPUNIT_ASSERT(lease.mayAcknowledge("s", 5, TimePoint(1000ms)));
+        CPPUNIT_ASSERT(!lease.mayAcknowledge("s", 5, TimePoint(950ms) + EpochLease::acknowledgementGrace));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EpochLeaseTest);
--- a/packages/coordination/src/waxwing/coordination/pool_directory.cpp
+++ b/packages/coordination/src/waxwing/coordination/pool_directory.cpp
@@ -71,17 +71,16 @@
     return true;
 }
 
-std::vector<std::string> PoolDirectory::expire(TimePoint now)
+std::vector<PoolDirectory::Entry> PoolDirectory::expire(TimePoint now)
 {
-    std::vector<std::string> expired;
-    for (const auto &[id, entry] : m_entries) {
-        if (now - entry.heard >= m_options.expiry) {
-            expired.push_back(id);
+    std::vector<Entry> expired;
+    std::erase_if(m_entries, [&](const auto &item) {
+        if (now - item.second.heard < m_options.expiry) {
+            return false;
         }
-    }
-    for (const auto &id : expired) {
-        m_entries.erase(id);
-    }
+        expired.push_back(item.second);
+        return true;
+    });
     return expired;
 }
 
--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,7 @@
         PoolRoute route; ///< as it was when the transaction began
         bool readOnly = false;
         bool writes = false; ///< a statement that writes was sent
+        std::uint64_t epoch = 0; ///< of the service, when the transaction began
         DatabasePool::ConnectionPointer connection; ///< null before the first statement
         std::shared_ptr<DatabasePool> pool; // shared: see DatabasePool
         std::string failure; ///< why it failed; for the caller's next statement
--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -61,6 +61,11 @@
         return m_history;
     }
 
+    const PositionHistory &history() const
+    {
+        return m_history;
+    }
+
     /// @brief Takes note that a caller was told about a commit.
     void noteAcknowledged(const TermPosition &position, TimePoint now);
 
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -39,9 +39,9 @@
     /// @brief Closes connections that are not needed any more, and opens missing ones.
     void tick(TimePoint now);
 
-    /// @brief Gives up an epoch.
-    /// @return last commit that a caller was told about
-    TermPosition withdraw(std::string_view service, std::uint64_t epoch);
+    /// @brief Gives up an epoch, and closes it if that is asked for.
+    /// @return confirmation with what this proxy acknowledged; without the process's own fields
+    wire::PoolWithdrawn withdraw(const wire::PoolWithdraw &request, TimePoint now);
 
     /// @brief Configuration in force; null before the first. Shared with sessions, which keep one for an operation.
     const std::shared_ptr<const PoolConfig> &config() const
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -65,7 +65,7 @@
     Duration expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
     bool isCrowded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
     Choice choosePrimary(const ServiceState &service) const;
-    std::optional<TermPosition> requiredPosition(const SessionJob &job, ServiceState &service) const;
+    std::optional<TermPosition> requiredPosition(const SessionJob &job, const ServiceState &service) const;
     boost::asio::awaitable<Verdict> attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts, StatementResult &result);
     boost::asio::awaitable<DatabaseConnection::RunResult> exchangeOnce(const SessionJob &job, ServiceState &service, DatabasePool &pool,
                                                                        DatabaseConnection &connection, const std::string &bytes, std::size_t commands,
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -3,9 +3,8 @@
 #include <waxwing/platform/caller_wire.h>
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/sessions/client_session.h>
-#include <waxwing/support/counter.h>
+#include <waxwing/sessions/statement_log.h>
 #include <waxwing/support/log.h>
-#include <waxwing/support/metrics.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -40,25 +39,6 @@
 // Pause before a commit is offered again to a database without a free slot; about one statement.
 constexpr Duration busyPause = 10ms;
 
-Counter &outcomeCounter(SessionError error)
-{
-    static auto &done = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "done");
-    static auto &refused = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "not-run");
-    static auto &failed = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "failed");
-    static auto &unknown = Metrics::instance().counter("waxwing_session_statements_total", "outcome", "unknown");
-    switch (error) {
-    case SessionError::None:
-        return done;
-    case SessionError::Failed:
-        return failed;
-    case SessionError::Unknown:
-    case SessionError::TimedOut:
-        return unknown;
-    default:
-        return refused;
-    }
-}
-
 } // namespace
 
 ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementPath &path)
@@ -163,12 +143,12 @@
     }
     if (!m_directory.config()) {
         m_ended = true;
-        outcomeCounter(SessionError::Busy).add();
+        countOutcome(SessionError::Busy);
         co_return platform::encodeStartRefusal(SessionError::Busy, "not run, no configuration yet");
     }
     if (route() == nullptr) {
         m_ended = true;
-        outcomeCounter(SessionError::UnknownDatabase).add();
+        countOutcome(SessionError::UnknownDatabase);
         co_return platform::encodeStartRefusal(SessionError::UnknownDatabase, "no such database");
     }
     co_return platform::encodeReady(m_transactionState);
@@ -223,7 +203,7 @@
     case Kind::Unreadable:
         break;
     }
-    outcomeCounter(SessionError::Malformed).add();
+    countOutcome(SessionError::Malformed);
     co_return platform::encodeError(SessionError::Malformed, "not valid here", m_transactionState);
 }
 
@@ -241,7 +221,7 @@
     // A transaction that was ended between two statements is told with the next one.
     auto failure = std::exchange(m_transaction.failure, {});
     const auto error = failure.empty() ? SessionError::Malformed : SessionError::Aborted;
-    outcomeCounter(error).add();
+    countOutcome(error);
     co_return platform::encodeError(error, failure.empty() ? "the transaction has failed" : failure, m_transactionState);
 }
 
@@ -290,7 +270,7 @@
 
 std::string ClientSession::failTransaction(SessionError error, std::string_view text, TransactionState connectionState)
 {
-    outcomeCounter(error).add();
+    countOutcome(error);
     log::write(log::Level::Info, "transaction failed",
                {{"request", m_requestId},
                 {"service", m_transaction.route.service},
@@ -372,7 +352,7 @@
 {
     const auto *known = route();
     if (known == nullptr) {
-        outcomeCounter(SessionError::UnknownDatabase).add();
+        countOutcome(SessionError::UnknownDatabase);
         co_return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
     }
     const auto job = makeJob(statement, *known);
@@ -380,7 +360,7 @@
         co_return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
     }
     const auto result = co_await m_path.run(*job);
-    outcomeCounter(result.error).add();
+    countOutcome(result.error);
     if (result.error == SessionError::None) {
         if (job->writes) {
             noteCommit(job->route.service, result.reply);
@@ -403,17 +383,18 @@
     auto result = co_await m_path.run(*job);
     if (commits) {
         m_transactionState = TransactionState::Idle;
-        outcomeCounter(result.error).add();
+        countOutcome(result.error);
         co_return result.error == SessionError::None ? platform::encodeResult(result.reply, m_transactionState)
                                                      : platform::encodeError(result.error, result.text, m_transactionState);
     }
     if (result.error != SessionError::None) {
         co_return failTransaction(result.error, result.text, TransactionState::Open);
     }
-    outcomeCounter(result.error).add();
+    countOutcome(result.error);
     m_transaction.connection = std::move(result.connection);
     m_transaction.pool = std::move(result.pool);
     m_transaction.writes = job->writes;
+    m_transaction.epoch = result.epoch;
     if (!m_transaction.connection) {
         co_return failTransaction(SessionError::Aborted, "the database ended the transaction", TransactionState::Idle);
     }
@@ -448,7 +429,8 @@
         }
         connection.state().apply(preparation, prepared);
         bytes += platform::encodeStatement(statement.id, job->text);
-        m_transaction.pool->noteSent(Clock::now());
+        const auto sentAt = Clock::now();
+        m_transaction.pool->noteSent(sentAt);
         auto answer = co_await connection.run(std::move(bytes), commands, job->deadline);
         if (answer.status != DatabaseConnection::RunStatus::Complete) {
             m_transaction.pool->noteSilence(Clock::now());
@@ -457,7 +439,8 @@
         m_transaction.pool->noteReply(Clock::now());
         auto &reply = answer.replies.back();
         if (reply.error == SessionError::None) {
-            outcomeCounter(reply.error).add();
+            countOutcome(reply.error);
+            noteDone(*job, {.database = m_transaction.pool->member().id(), .queued = sentAt - m_receivedAt, .ran = Clock::now() - sentAt});
             co_return platform::encodeResult(reply, m_transactionState);
         }
         if (reply.error == SessionError::Busy && reply.state == TransactionState::Open && Clock::now() + busyPause < job->deadline) {
@@ -498,7 +481,7 @@
             // Without a write nothing can be kept, whatever became of the commit.
             const bool certain = !m_transaction.writes || answer.status == DatabaseConnection::RunStatus::NotSent;
             const auto error = certain ? SessionError::Aborted : SessionError::Unknown;
-            outcomeCounter(error).add();
+            countOutcome(error);
             auto text = platform::encodeError(error, "the connection to the database was lost", m_transactionState);
             co_return certain ? std::move(text) : logUnknown(statement, route, "commit without an answer", std::move(text));
         }
@@ -509,6 +492,15 @@
             co_await pause.async_wait(useTuple);
             continue;
         }
+        if (reply.error == SessionError::None && m_transaction.writes && !m_directory.lease().mayAcknowledge(route.service, m_transaction.epoch, now)) {
+            // Control may have chosen the next primary without this commit.
+            dropTransaction(reply.state);
+            m_transactionState = TransactionState::Idle;
+            countOutcome(SessionError::Unknown);
+            constexpr std::string_view reason = "the primary was replaced while the commit ran";
+            auto text = platform::encodeError(SessionError::Unknown, reason, m_transactionState);
+            co_return logUnknown(statement, route, std::string(reason), std::move(text));
+        }
         if (reply.error == SessionError::None && m_transaction.writes) {
             noteCommit(route.service, reply);
             if (service != nullptr && reply.position) {
@@ -525,7 +517,7 @@
         }
         dropTransaction(reply.state);
         m_transactionState = TransactionState::Idle;
-        outcomeCounter(reply.error).add();
+        countOutcome(reply.error);
         co_return reply.error == SessionError::None ? platform::encodeResult(reply, m_transactionState)
                                                     : platform::encodeError(reply.error, reply.errorText, m_transactionState);
     }
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -153,11 +153,27 @@
     }
 }
 
-TermPosition SessionDirectory::withdraw(std::string_view service, std::uint64_t epoch)
+wire::PoolWithdrawn SessionDirectory::withdraw(const wire::PoolWithdraw &request, TimePoint now)
 {
-    m_lease.withdraw(service, epoch);
-    const auto *state = this->service(service);
-    return state == nullptr ? TermPosition() : state->acknowledged();
+    wire::PoolWithdrawn reply;
+    reply.set_service(request.service());
+    reply.set_epoch(request.epoch());
+    reply.set_closed(request.closes());
+    if (request.closes()) {
+        m_lease.close(request.service(), request.epoch());
+    } else {
+        m_lease.withdraw(request.service(), request.epoch());
+    }
+    if (const auto *state = service(request.service())) {
+        reply.mutable_acknowledged()->set_term(state->acknowledged().term);
+        reply.mutable_acknowledged()->set_number(state->acknowledged().position);
+        const auto evidence = request.evidence_ms() == 0 ? std::nullopt : state->history().proof(now - std::chrono::milliseconds(request.evidence_ms()));
+        if (evidence) {
+            reply.mutable_reported()->set_term(evidence->term);
+            reply.mutable_reported()->set_number(evidence->position);
+        }
+    }
+    return reply;
 }
 
 ServiceState *SessionDirectory::service(std::string_view name) const
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -1,4 +1,5 @@
 #include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/statement_log.h>
 #include <waxwing/sessions/statement_path.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
@@ -155,6 +156,11 @@
         }
         const auto verdict = co_await attempt(job, *service, choice, attempts, result);
         if (verdict == Verdict::Finished) {
+            result.retries = attempts.count;
+            result.retryReason = attempts.count == 0 ? std::string_view() : attempts.lastReason;
+            if (result.error == SessionError::None) {
+                noteDone(job, {result.database, result.retries, result.retryReason, result.queued, result.ran});
+            }
             co_return result;
         }
         ++attempts.count;
@@ -194,7 +200,7 @@
     return true;
 }
 
-std::optional<TermPosition> StatementPath::requiredPosition(const SessionJob &job, ServiceState &service) const
+std::optional<TermPosition> StatementPath::requiredPosition(const SessionJob &job, const ServiceState &service) const
 {
     auto required = service.history().proof(job.receivedAt - job.route.maxAge + ageMargin);
     if (!required || job.route.freshness != Freshness::OwnWrites) {
@@ -222,7 +228,8 @@
     const bool leased = m_directory.lease().covers(service.name(), service.epoch(), now);
     if (job.needsPrimary()) {
         const bool needsLease = !job.writes && !(job.begins && !job.readOnly);
-        if (primary.pool && ((needsLease && !leased) || attempts.avoided.contains(primary.pool->member().id()))) {
+        const bool mayAcknowledge = m_directory.lease().mayAcknowledge(service.name(), service.epoch(), now);
+        if (primary.pool && ((needsLease && !leased) || (!needsLease && !mayAcknowledge) || attempts.avoided.contains(primary.pool->member().id()))) {
             primary.pool = nullptr;
         } else if (primary.pool && isCrowded(job, *primary.pool, now)) {
             primary.pool = nullptr;
@@ -230,7 +237,7 @@
         }
         return primary;
     }
-    const auto required = requiredPosition(job, const_cast<ServiceState &>(service));
+    const auto required = requiredPosition(job, service);
     Choice best;
     Duration bestCost {};
     bool crowded = false;
@@ -298,6 +305,9 @@
         co_return judgeSilence(job, choice, attempts, answer.status, result);
     }
     const auto answeredAt = Clock::now();
+    result.database = pool->member().id();
+    result.queued = sentAt - job.receivedAt;
+    result.ran = answeredAt - sentAt;
     auto &reply = decisiveReply(answer.replies);
     const bool succeeded = reply.error == SessionError::None;
     const bool leased = m_directory.lease().covers(service.name(), choice.epoch, answeredAt) && service.epoch() == choice.epoch;
@@ -313,6 +323,7 @@
     if (staysOpen && !unleased && answer.replies.back().state == TransactionState::Open) {
         result.connection = std::move(connection);
         result.pool = pool;
+        result.epoch = choice.epoch;
     } else {
         const auto state = answer.replies.back().state;
         asio::co_spawn(co_await asio::this_coro::executor, returnClean(pool, std::move(connection), state), asio::detached);
@@ -407,8 +418,16 @@
     const auto &database = choice.pool->member().id();
     switch (reply.error) {
     case SessionError::None:
-        if (job.mayPersist() && reply.position) {
-            service.noteAcknowledged(*reply.position, Clock::now());
+        if (job.writes && job.mayPersist()) {
+            if (!m_directory.lease().mayAcknowledge(service.name(), choice.epoch, Clock::now())) {
+                // Control may have chosen the next primary without this commit.
+                result.error = SessionError::Unknown;
+                result.text = "the primary was replaced while the statement ran";
+                return Verdict::Finished;
+            }
+            if (reply.position) {
+                service.noteAcknowledged(*reply.position, Clock::now());
+            }
         }
         result.reply = std::move(reply);
         return Verdict::Finished;
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -34,10 +34,10 @@
 constexpr Duration checkLimit = 350ms; // connect, start and status: three round trips of 40 ms, and a slot of up to 200 ms
 // Checks in a row that find a primary reachable but useless before it is replaced.
 constexpr unsigned patience = 3;
-constexpr Duration withdrawSpacing = 100ms; // the request is repeated until it is confirmed
 constexpr Duration stepPause = 20ms; // between two looks at a condition
 constexpr Duration callLimit = 400ms; // for a command to a database
 constexpr Duration catchUpLimit = 600ms; // for a replica to receive what a primary had when it stepped down
+constexpr Duration closeLimit = 600ms; // for proxies to confirm that they acknowledge nothing further
 constexpr Duration roleLimit = 4s; // a promotion takes 300 to 1,000 ms after the order
 constexpr Duration retryPause = 150ms;
 // When all replicas lag by more than this, the primary serves every read alone. A replica leads with all that it has
@@ -45,6 +45,8 @@
 // 1.3 s without writes, so that a shorter lag is waited for.
 constexpr Duration lagLimit = 4s;
 constexpr Duration lagChangeSpacing = 5s; // since the last change of the service
+// A database that has been silent for this long holds nothing that the others lack: they receive within a second.
+constexpr Duration silentMemory = 60s;
 constexpr double half = 0.5;
 
 std::string reachName(const DatabaseCalls::Answer &answer)
@@ -94,12 +96,17 @@
 void PrimaryKeeper::withdrawn(const wire::PoolWithdrawn &message)
 {
     const auto found = m_services.find(message.service());
-    if (found != m_services.end() && message.epoch() + 1 >= found->second.withdrawEpoch) {
+    if (found != m_services.end()) {
         found->second.term = std::max(found->second.term, message.acknowledged().term());
-        found->second.withdrawals[message.proxy()] = {message.incarnation(), {message.acknowledged().term(), message.acknowledged().number()}};
+        found->second.withdrawal.confirm(message);
     }
 }
 
+void PrimaryKeeper::noteSilent(const PoolDirectory::Entry &entry)
+{
+    m_services[entry.member.service()].silent[entry.member.id()] = entry;
+}
+
 std::vector<wire::PoolMember> PrimaryKeeper::members(const std::string &name) const
 {
     std::vector<wire::PoolMember> members;
@@ -361,48 +368,9 @@
     service.nextCheck = Clock::now() + checkSpacing;
 }
 
-bool PrimaryKeeper::advanceWithdrawal(Service &service, const std::string &name, std::uint64_t epoch, TimePoint now)
+bool PrimaryKeeper::advanceWithdrawal(const std::string &name)
 {
-    if (service.withdrawEpoch != epoch) {
-        service.withdrawEpoch = epoch;
-        service.withdrawals.clear();
-        service.withdrawSent = {};
-    }
-    const bool send = now - service.withdrawSent >= withdrawSpacing;
-    bool complete = m_state.leases.isComplete(now);
-    for (const auto &[proxy, lease] : m_state.leases.proxies()) {
-        const auto confirmed = service.withdrawals.find(proxy);
-        if (lease.end <= now || (confirmed != service.withdrawals.end() && confirmed->second.incarnation == lease.incarnation)) {
-            continue;
-        }
-        complete = false;
-        if (send) {
-            wire::PoolEnvelope message;
-            message.mutable_withdraw()->set_service(name);
-            message.mutable_withdraw()->set_epoch(epoch - 1);
-            m_ports.sendToProxy(proxy, message);
-        }
-    }
-    if (send) {
-        service.withdrawSent = now;
-    }
-    return complete;
-}
-
-std::optional<TermPosition> PrimaryKeeper::acknowledgedByAll(const Service &service, TimePoint now) const
-{
-    if (!m_state.leases.isComplete(now)) {
-        return std::nullopt;
-    }
-    TermPosition highest;
-    for (const auto &[proxy, lease] : m_state.leases.proxies()) {
-        const auto confirmed = service.withdrawals.find(proxy);
-        if (confirmed == service.withdrawals.end() || confirmed->second.incarnation != lease.incarnation) {
-            return std::nullopt;
-        }
-        highest = std::max(highest, confirmed->second.acknowledged);
-    }
-    return highest;
+    return m_services[name].withdrawal.advance(name, m_state.leases, Clock::now(), m_ports.sendToProxy);
 }
 
 asio::awaitable<bool> PrimaryKeeper::changeOnce(const std::string &name, std::uint64_t generation, bool primaryLost)
@@ -417,7 +385,8 @@
         co_return false;
     }
     m_publish();
-    advanceWithdrawal(m_services[name], name, *epoch, Clock::now());
+    m_services[name].withdrawal.start(*epoch);
+    advanceWithdrawal(name);
     std::string candidate;
     if (primaryLost) {
         candidate = co_await chooseAfterLoss(name, previous, generation);
@@ -430,10 +399,10 @@
         if (!candidate.empty()) {
             break;
         }
-        advanceWithdrawal(m_services[name], name, *epoch, Clock::now());
+        advanceWithdrawal(name);
         co_await pause(retryPause);
     }
-    while (isCurrent(generation) && !advanceWithdrawal(m_services[name], name, *epoch, Clock::now())) {
+    while (isCurrent(generation) && !advanceWithdrawal(name)) {
         co_await pause(stepPause);
     }
     log::write(log::Level::Info, "candidate chosen",
@@ -491,7 +460,33 @@
     }
     learnTerms(name, answers);
     const bool complete = std::all_of(answers.begin(), answers.end(), [&](const auto &item) { return item.second.status && item.second.status->term <= term; });
-    co_return complete ? pick(name, previous, answers, false) : std::string();
+    if (!complete) {
+        co_return std::string();
+    }
+    co_return co_await chooseAmongStopped(name, previous, answers, generation);
+}
+
+asio::awaitable<std::string> PrimaryKeeper::chooseAmongStopped(const std::string &name, std::string previous, Answers answers, std::uint64_t generation)
+{
+    auto choice = makeChoice(name, previous, answers);
+    if (choice.needsAcknowledged()) {
+        m_services[name].withdrawal.close();
+        const auto deadline = Clock::now() + closeLimit;
+        while (isCurrent(generation) && !advanceWithdrawal(name) && Clock::now() < deadline) {
+            co_await pause(stepPause);
+        }
+        if (!isCurrent(generation)) {
+            co_return std::string();
+        }
+        const auto acknowledged = m_services[name].withdrawal.acknowledged(m_state.leases, Clock::now());
+        choice.setAcknowledged(acknowledged);
+        log::write(log::Level::Warning, "a database that may hold commits is missing",
+                   {{"service", name},
+                    {"acknowledged_known", acknowledged.has_value()},
+                    {"term", acknowledged ? acknowledged->term : 0},
+                    {"number", acknowledged ? acknowledged->position : 0}});
+    }
+    co_return choice.amongStopped();
 }
 
 asio::awaitable<std::string> PrimaryKeeper::choose(const std::string &name, std::string previous, std::uint64_t generation)
@@ -515,94 +510,57 @@
         for (const auto &[id, answer] : stepped) {
             answers[id] = answer;
         }
-        const auto deadline = Clock::now() + catchUpLimit;
-        while (isCurrent(generation)) {
-            const auto choice = pick(name, previous, answers, true);
-            if (!choice.empty() || Clock::now() >= deadline) {
-                break;
-            }
-            co_await pause(stepPause);
-            const auto again = co_await m_calls.callAll(others, Command::Status, 0, callLimit);
-            for (const auto &[id, answer] : again) {
-                answers[id] = answer;
-            }
-        }
-        const auto choice = pick(name, previous, answers, true);
-        if (!choice.empty()) {
+        co_await awaitReplica(name, previous, answers, generation);
+        const auto choice = makeChoice(name, previous, answers).afterStepDown();
+        if (!isCurrent(generation) || !choice.empty()) {
             co_return choice;
         }
     }
     // The primary may still have its log confirmed by a replica, unless none receives any more.
     const auto paused = co_await m_calls.callAll(others, Command::Pause, term, callLimit);
+    if (!isCurrent(generation)) {
+        co_return std::string();
+    }
     for (const auto &[id, answer] : paused) {
         answers[id] = answer;
     }
-    co_return pick(name, previous, answers, false);
+    co_return co_await chooseAmongStopped(name, previous, answers, generation);
 }
 
-std::string PrimaryKeeper::pick(const std::string &name, const std::string &previous, const Answers &answers, bool steppedDown) const
+asio::awaitable<void> PrimaryKeeper::awaitReplica(const std::string &name, std::string previous, Answers &answers, std::uint64_t generation)
 {
-    struct Candidate
-    {
-        std::string id;
-        TermPosition position;
-        bool draining = false;
-    };
-    std::vector<Candidate> candidates;
-    std::size_t missing = 0;
-    std::optional<TermPosition> former; ///< end of the log of the primary before, which has stepped down
-    for (const auto &member : members(name)) {
-        const auto found = answers.find(member.id());
-        const bool answered = found != answers.end() && found->second.status;
-        if (member.id() == previous) {
-            if (answered && !found->second.status->primary) {
-                former = found->second.status->received;
-                candidates.push_back({member.id(), *former, member.draining()});
-            }
-        } else if (answered && !found->second.status->primary) {
-            candidates.push_back({member.id(), found->second.status->received, member.draining()});
-        } else {
-            ++missing;
-        }
-    }
-    std::optional<TermPosition> required;
-    if (former) {
-        required = former;
-    } else if (const auto service = m_services.find(name); missing != 0 && service != m_services.end()) {
-        required = acknowledgedByAll(service->second, Clock::now());
-    }
-    if (steppedDown && !former) {
-        return {};
-    }
-    if (missing != 0 && !required) {
-        return {}; // a database that does not answer may hold commits that the others lack
-    }
-    const Candidate *best = nullptr;
-    for (const auto &candidate : candidates) {
-        if (required && candidate.position < *required) {
-            continue;
-        }
-        // The former primary has everything, but is the one to be replaced.
-        const auto rank = [&](const Candidate &one) {
-            return std::make_tuple(!one.draining, one.id != previous, one.position);
-        };
-        if (steppedDown && candidate.id == previous) {
-            continue;
-        }
-        if (best == nullptr || rank(candidate) > rank(*best)) {
-            best = &candidate;
+    auto others = members(name);
+    std::erase_if(others, [&](const auto &member) { return member.id() == previous; });
+    const auto deadline = Clock::now() + catchUpLimit;
+    while (isCurrent(generation) && makeChoice(name, previous, answers).afterStepDown().empty() && Clock::now() < deadline) {
+        co_await pause(stepPause);
+        const auto again = co_await m_calls.callAll(others, Command::Status, 0, callLimit);
+        for (const auto &[id, answer] : again) {
+            answers[id] = answer;
         }
     }
-    if (best == nullptr || steppedDown) {
-        return best == nullptr ? std::string() : best->id;
-    }
-    // Without the former primary the longest log decides alone.
-    if (!required) {
-        for (const auto &candidate : candidates) {
-            best = candidate.position > best->position ? &candidate : best;
+}
+
+PrimaryChoice PrimaryKeeper::makeChoice(const std::string &name, const std::string &previous, const Answers &answers) const
+{
+    PrimaryChoice choice(previous);
+    const auto present = members(name);
+    for (const auto &member : present) {
+        const auto found = answers.find(member.id());
+        const bool known = found != answers.end() && found->second.status && !found->second.status->primary;
+        choice.add({member.id(), member.draining(), known ? std::optional(found->second.status->received) : std::nullopt});
+    }
+    if (const auto service = m_services.find(name); service != m_services.end()) {
+        for (const auto &[id, entry] : service->second.silent) {
+            // It is back, or another database has its address, which shows that its log is gone.
+            const bool settled = std::any_of(present.begin(), present.end(),
+                                             [&](const auto &member) { return member.id() == id || member.address() == entry.member.address(); });
+            if (!settled && id != previous && Clock::now() - entry.heard < silentMemory) {
+                choice.addUnknown();
+            }
         }
     }
-    return best->id;
+    return choice;
 }
 
 asio::awaitable<bool> PrimaryKeeper::awaitRole(wire::PoolMember member, std::uint64_t generation)
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "database_calls.h"
+#include "epoch_withdrawal.h"
 #include "session_control_ports.h"
 #include "session_leases.h"
 
 #include <waxwing/coordination/pool_directory.h>
+#include <waxwing/coordination/primary_choice.h>
 #include <waxwing/coordination/term_position.h>
 #include <waxwing/state/sessions_machine.h>
 #include <waxwing/support/time.h>
@@ -50,6 +52,9 @@
     /// @brief Takes a proxy's word that it has given up an epoch.
     void withdrawn(const wire::PoolWithdrawn &message);
 
+    /// @brief Takes note that a database was removed since its heartbeats ended; it may still hold commits.
+    void noteSilent(const PoolDirectory::Entry &entry);
+
     /// @brief Starts what is due.
     /// @param collected every database has had the time to send a heartbeat
     void tick(TimePoint now, bool collected);
@@ -65,12 +70,6 @@
         bool lagging = false;
     };
 
-    struct Withdrawal
-    {
-        std::uint64_t incarnation = 0;
-        TermPosition acknowledged;
-    };
-
     struct Service
     {
         bool busy = false; ///< a check or a change runs
@@ -80,9 +79,8 @@
         TimePoint nextCheck;
         TimePoint changedAt; ///< end of the last change
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
-        std::uint64_t withdrawEpoch = 0; ///< epochs before this one are withdrawn
-        std::map<std::string, Withdrawal> withdrawals; ///< by proxy
-        TimePoint withdrawSent;
+        EpochWithdrawal withdrawal;
+        std::map<std::string, PoolDirectory::Entry> silent; ///< databases that were removed without their word
     };
 
     bool isCurrent(std::uint64_t generation) const
@@ -101,12 +99,13 @@
     boost::asio::awaitable<bool> changeOnce(const std::string &name, std::uint64_t generation, bool primaryLost);
     boost::asio::awaitable<std::optional<std::uint64_t>> startEpoch(std::string name, std::uint64_t expected);
     boost::asio::awaitable<bool> setPrimary(std::string name, std::uint64_t epoch, std::string primary);
-    bool advanceWithdrawal(Service &service, const std::string &name, std::uint64_t epoch, TimePoint now);
-    std::optional<TermPosition> acknowledgedByAll(const Service &service, TimePoint now) const;
+    bool advanceWithdrawal(const std::string &name);
     boost::asio::awaitable<std::string> chooseAfterLoss(const std::string &name, std::string previous, std::uint64_t generation);
     boost::asio::awaitable<std::string> choose(const std::string &name, std::string previous, std::uint64_t generation);
     void learnTerms(const std::string &name, const Answers &answers);
-    std::string pick(const std::string &name, const std::string &previous, const Answers &answers, bool steppedDown) const;
+    PrimaryChoice makeChoice(const std::string &name, const std::string &previous, const Answers &answers) const;
+    boost::asio::awaitable<std::string> chooseAmongStopped(const std::string &name, std::string previous, Answers answers, std::uint64_t generation);
+    boost::asio::awaitable<void> awaitReplica(const std::string &name, std::string previous, Answers &answers, std::uint64_t generation);
     boost::asio::awaitable<bool> awaitRole(wire::PoolMember member, std::uint64_t generation);
     boost::asio::awaitable<void> pause(Duration duration);
     boost::asio::awaitable<LogReply> propose(wire::SessionsCommand command);
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -1,5 +1,7 @@
 #include "session_control.h"
 
+#include "session_status.h"
+
 #include <waxwing/platform/control_calls.h>
 #include <waxwing/state/message_bytes.h>
 #include <waxwing/support/counter.h>
@@ -29,6 +31,7 @@
     : m_options(std::move(options))
     , m_machine(machine)
     , m_ports(std::move(ports))
+    , m_leases(m_options.leases)
     , m_keeper(context, PrimaryKeeper::State {m_machine, m_directory, m_leases}, m_ports, m_options.name, [this] { m_directoryChanged = true; })
 {
 }
@@ -126,10 +129,12 @@
     }
     const auto now = Clock::now();
     m_leases.expire(now);
-    for (const auto &id : m_directory.expire(now)) {
-        log::write(log::Level::Warning, "database silent, removed", {{"database", id}});
+    for (const auto &entry : m_directory.expire(now)) {
+        log::write(log::Level::Warning, "database silent, removed",
+                   {{"database", entry.member.id()}, {"service", entry.member.service()}, {"silent_ms", toMilliseconds(now - entry.heard).count()}});
+        m_keeper.noteSilent(entry);
         wire::PoolMember gone;
-        gone.set_id(id);
+        gone.set_id(entry.member.id());
         gone.set_leaving(true);
         record(gone);
         m_directoryChanged = true;
@@ -162,7 +167,7 @@
 void SessionControl::handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal)
 {
     const auto now = Clock::now();
-    m_leases.renew(renewal);
+    m_leases.renew(renewal, now);
     m_keeper.report(proxy, renewal, now);
     m_ports.log.read([this, epoch = m_epoch, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
         if (epoch == m_epoch && reply.failure == LogFailure::None) {
@@ -332,6 +337,11 @@
     });
 }
 
+boost::json::object SessionControl::status(const LogStatus &log) const
+{
+    return sessionStatus(log, m_machine, m_directory, m_leases, m_active, Clock::now());
+}
+
 void SessionControl::read(std::function<void(const std::string *document)> handler)
 {
     m_ports.log.read(
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -4,12 +4,14 @@
 #include "session_control_ports.h"
 #include "session_leases.h"
 
+#include <waxwing/coordination/log_types.h>
 #include <waxwing/coordination/pool_directory.h>
 #include <waxwing/state/pool_config.h>
 #include <waxwing/state/sessions_machine.h>
 #include <waxwing/support/time.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +31,7 @@
     {
         std::string name;
         Duration heartbeat = 1'200ms; ///< interval of the databases' heartbeats
+        SessionLeases::Options leases = {};
     };
 
     /// What became of a configuration that was sent.
@@ -68,6 +71,10 @@
     /// @param handler called once, with null if this member can't be sure which one is the newest
     void read(std::function<void(const std::string *document)> handler);
 
+    /// @brief State for operators.
+    /// @param log state of this member's log
+    boost::json::object status(const LogStatus &log) const;
+
     /// @brief Tells whether this member leads and its state is up to date.
     bool isActive() const
     {
--- a/programs/control/session_leases.cpp
+++ b/programs/control/session_leases.cpp
@@ -28,11 +28,15 @@
 {
     m_proxies.clear();
     m_completeAt = now + guard();
+    m_elsewhereUntil = m_completeAt + m_options.acknowledgementGrace;
 }
 
-SessionLeases::Proxy &SessionLeases::renew(const wire::PoolRenewal &renewal)
+SessionLeases::Proxy &SessionLeases::renew(const wire::PoolRenewal &renewal, TimePoint now)
 {
     auto &proxy = m_proxies[renewal.proxy()];
+    if (proxy.incarnation != 0 && proxy.incarnation != renewal.incarnation()) {
+        m_elsewhereUntil = std::max(m_elsewhereUntil, now); // what the former process acknowledged is not known
+    }
     // A process that has started again holds nothing of before; the lease of the former one counts on.
     proxy.incarnation = renewal.incarnation();
     proxy.configVersion = renewal.config_version();
@@ -63,7 +67,15 @@
 
 bool SessionLeases::expire(TimePoint now)
 {
-    return std::erase_if(m_proxies, [now](const auto &item) { return item.second.end <= now; }) != 0;
+    return std::erase_if(m_proxies,
+                         [&](const auto &item) {
+                             if (item.second.end > now) {
+                                 return false;
+                             }
+                             m_elsewhereUntil = std::max(m_elsewhereUntil, item.second.end + m_options.acknowledgementGrace);
+                             return true;
+                         })
+        != 0;
 }
 
 } // namespace waxwing::control
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/epoch_lease.h>
 #include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
 
@@ -22,6 +23,7 @@
         /// Three renewals of 400 ms and an election of 600 ms fit, so that a change of control's leader ends no lease.
         Duration lease = 2s;
         unsigned driftPercent = 5; ///< largest difference between the rates of two clocks
+        Duration acknowledgementGrace = EpochLease::acknowledgementGrace; ///< commits are acknowledged for this long after a lease
     };
 
     struct Proxy
@@ -41,7 +43,7 @@
     void reset(TimePoint now);
 
     /// @brief Takes note of a renewal, before it is granted.
-    Proxy &renew(const wire::PoolRenewal &renewal);
+    Proxy &renew(const wire::PoolRenewal &renewal, TimePoint now);
 
     /// @brief Takes note that a lease is granted now.
     void grant(std::string_view proxy, TimePoint now);
@@ -61,6 +63,12 @@
         return now >= m_completeAt;
     }
 
+    /// @brief Time since which only proxies that hold a lease of this leader acknowledge commits.
+    TimePoint acknowledgedElsewhereUntil() const
+    {
+        return m_elsewhereUntil;
+    }
+
     /// @brief Proxies that may hold a lease.
     std::map<std::string, Proxy, std::less<>> &proxies()
     {
@@ -86,6 +94,7 @@
     Options m_options;
     std::map<std::string, Proxy, std::less<>> m_proxies;
     TimePoint m_completeAt;
+    TimePoint m_elsewhereUntil;
 };
 
 } // namespace waxwing::control
--- a/programs/control/session_leases_test.cpp
+++ b/programs/control/session_leases_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(newLeaderWaitsForLeasesOfTheFormerOne);
     CPPUNIT_TEST(leaseOfAFormerProcessCountsOn);
     CPPUNIT_TEST(sharesFollowDemand);
+    CPPUNIT_TEST(departedProxyMayAcknowledgeForSomeTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,9 +43,9 @@
     {
         SessionLeases leases;
         leases.reset(TimePoint(0s));
-        leases.renew(renewal("p", 1));
+        leases.renew(renewal("p", 1), TimePoint(10s));
         leases.grant("p", TimePoint(10s));
-        leases.renew(renewal("p", 2));
+        leases.renew(renewal("p", 2), TimePoint(11s));
         CPPUNIT_ASSERT(!leases.expire(TimePoint(12'099ms)));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), leases.proxies().at("p").incarnation);
         CPPUNIT_ASSERT(leases.expire(TimePoint(12'100ms)));
@@ -55,9 +56,9 @@
     {
         SessionLeases leases;
         leases.reset(TimePoint(0s));
-        leases.renew(renewal("a", 1, 300));
-        leases.renew(renewal("b", 1, 100));
-        leases.renew(renewal("c", 1, 0));
+        leases.renew(renewal("a", 1, 300), TimePoint(1s));
+        leases.renew(renewal("b", 1, 100), TimePoint(1s));
+        leases.renew(renewal("c", 1, 0), TimePoint(1s));
         const auto &proxies = leases.proxies();
         const auto a = leases.share(proxies.at("a"));
         const auto b = leases.share(proxies.at("b"));
@@ -66,6 +67,20 @@
         CPPUNIT_ASSERT(c >= 40);
         CPPUNIT_ASSERT(a + b + c <= 1000);
     }
+
+    // Guards against a promotion that ignores commits acknowledged by a proxy that control no longer reaches.
+    void departedProxyMayAcknowledgeForSomeTime()
+    {
+        SessionLeases leases;
+        leases.reset(TimePoint(0s));
+        CPPUNIT_ASSERT(leases.acknowledgedElsewhereUntil() == TimePoint(2'100ms) + EpochLease::acknowledgementGrace);
+        leases.renew(renewal("p", 1), TimePoint(20s));
+        leases.grant("p", TimePoint(20s));
+        leases.renew(renewal("p", 2), TimePoint(21s));
+        CPPUNIT_ASSERT(leases.acknowledgedElsewhereUntil() == TimePoint(21s));
+        CPPUNIT_ASSERT(leases.expire(TimePoint(30s)));
+        CPPUNIT_ASSERT(leases.acknowledgedElsewhereUntil() == TimePoint(22'100ms) + EpochLease::acknowledgementGrace);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionLeasesTest);
--- a/programs/control/testing/session_control_bed.h
+++ b/programs/control/testing/session_control_bed.h
@@ -22,8 +22,8 @@
 class SessionControlBed
 {
 public:
-    SessionControlBed()
-        : control(context, {"core-1", std::chrono::milliseconds(100)}, machine, ports())
+    explicit SessionControlBed(const SessionLeases::Options &leases = SessionLeases::Options())
+        : control(context, {"core-1", std::chrono::milliseconds(100), leases}, machine, ports())
     {
     }
 
@@ -82,17 +82,21 @@
         control.handleMessage(proxy, message);
     }
 
-    /// Confirms a withdrawal.
-    void confirm(const std::string &proxy, std::uint64_t epoch, std::uint64_t term, std::uint64_t number)
+    /// Confirms a withdrawal; if it closes the epoch, with the same position as reported by the primary.
+    void confirm(const std::string &proxy, const wire::PoolWithdraw &request, std::uint64_t term, std::uint64_t number)
     {
         wire::PoolEnvelope message;
         auto &withdrawn = *message.mutable_withdrawn();
         withdrawn.set_service("s");
-        withdrawn.set_epoch(epoch);
+        withdrawn.set_epoch(request.epoch());
         withdrawn.set_proxy(proxy);
         withdrawn.set_incarnation(1);
         withdrawn.mutable_acknowledged()->set_term(term);
         withdrawn.mutable_acknowledged()->set_number(number);
+        withdrawn.set_closed(request.closes());
+        if (request.evidence_ms() != 0) {
+            *withdrawn.mutable_reported() = withdrawn.acknowledged();
+        }
         control.handleMessage(proxy, message);
     }
 
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -228,18 +228,17 @@
 
     void withdraw(const LinkPeer &from, const wire::PoolWithdraw &request)
     {
-        const auto acknowledged = m_directory.withdraw(request.service(), request.epoch());
-        log::write(
-            log::Level::Info, "epoch withdrawn",
-            {{"service", request.service()}, {"epoch", request.epoch()}, {"acknowledged_term", acknowledged.term}, {"acknowledged", acknowledged.position}});
         wire::Envelope message;
         auto &reply = *message.mutable_pool()->mutable_withdrawn();
-        reply.set_service(request.service());
-        reply.set_epoch(request.epoch());
+        reply = m_directory.withdraw(request, Clock::now());
         reply.set_proxy(m_settings.name);
         reply.set_incarnation(m_incarnation);
-        reply.mutable_acknowledged()->set_term(acknowledged.term);
-        reply.mutable_acknowledged()->set_number(acknowledged.position);
+        log::write(log::Level::Info, "epoch withdrawn",
+                   {{"service", request.service()},
+                    {"epoch", request.epoch()},
+                    {"closed", request.closes()},
+                    {"acknowledged_term", reply.acknowledged().term()},
+                    {"acknowledged", reply.acknowledged().number()}});
         m_link->send(from, message);
     }
 
