Pause replicas with the databases' own term

A member of control died between its pauses and its order; the next one paused with one more than the term of the first pause, while a promotion leads to one more than the term of the databases only. The replicas received nothing from then on, every write stalled, and control replaced the primary by itself nine times. Ruled out: lag of the replicas alone (it ends at 13 s), overload. Change: the term of an earlier pause does not count.

--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -440,7 +440,8 @@
     auto &term = m_services[name].term;
     for (const auto &[id, answer] : answers) {
         if (answer.status) {
-            term = std::max({term, answer.status->term, answer.status->pausedTerm, answer.status->received.term});
+            // Not the term of a pause: a pause with a term that no promotion reaches would never end.
+            term = std::max({term, answer.status->term, answer.status->received.term});
         }
     }
 }
--- a/programs/control/primary_keeper_test.cpp
+++ b/programs/control/primary_keeper_test.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(lostPrimaryIsReplacedByTheLongestLog);
     CPPUNIT_TEST(missingReplicaStopsThePromotion);
     CPPUNIT_TEST(acknowledgedPositionsStandInForAMissingReplica);
+    CPPUNIT_TEST(unknownAcknowledgementsStopThePromotion);
+    CPPUNIT_TEST(silentReplicaStopsThePromotion);
+    CPPUNIT_TEST(pauseDoesNotOutrunThePromotion);
     CPPUNIT_TEST(leaseThatWasNotGivenUpDelaysTheOrder);
     CPPUNIT_TEST(orderWithoutAnswerIsFollowedByAHigherToken);
     CPPUNIT_TEST(drainingPrimaryStepsDownFirst);
@@ -80,12 +83,15 @@
     // Guards against a service that stays without a primary although no acknowledged commit can be missing.
     void acknowledgedPositionsStandInForAMissingReplica()
     {
-        SessionControlBed bed;
+        SessionControlBed bed(shortLeases());
         start(bed);
         database(bed, "b").setPosition(3, 120);
+        // What proxies without a lease acknowledged is known once their time is over.
+        const auto known = Clock::now() + shortLeases().lease * 2;
+        CPPUNIT_ASSERT(bed.runUntil([&] { return Clock::now() >= known; }));
         bed.onProxyMessage = [&](const std::string &proxy, const wire::PoolEnvelope &message) {
             if (message.has_withdraw()) {
-                bed.confirm(proxy, message.withdraw().epoch(), 3, 120);
+                bed.confirm(proxy, message.withdraw(), 3, 120);
             }
         };
         lose(bed, "c");
@@ -96,6 +102,58 @@
         }));
     }
 
+    // Guards against lost commits: control has led for too short to know what proxies acknowledged under an earlier leader.
+    void unknownAcknowledgementsStopThePromotion()
+    {
+        SessionControlBed bed;
+        start(bed);
+        database(bed, "b").setPosition(3, 120);
+        bed.onProxyMessage = [&](const std::string &proxy, const wire::PoolEnvelope &message) {
+            if (message.has_withdraw()) {
+                bed.confirm(proxy, message.withdraw(), 3, 100);
+            }
+        };
+        lose(bed, "c");
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            report(bed);
+            return database(bed, "b").commands().size() > 6;
+        }));
+        CPPUNIT_ASSERT(bed.orders.empty());
+    }
+
+    // Guards against lost commits: a replica whose heartbeats were lost is forgotten although it still confirms commits.
+    void silentReplicaStopsThePromotion()
+    {
+        SessionControlBed bed;
+        start(bed);
+        const auto expired = Clock::now() + PoolDirectory::Options().expiry;
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            bed.beat(database(bed, "a"), true, false);
+            bed.beat(database(bed, "b"), false, false);
+            return Clock::now() >= expired;
+        }));
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            report(bed);
+            return has(database(bed, "b").commands(), platform::pauseText(4));
+        }));
+        CPPUNIT_ASSERT(bed.orders.empty());
+    }
+
+    // Guards against a replica that receives nothing for ever: each promotion leads to the next term only, and a pause of a
+    // term beyond it does not end (day hunt-afd8-27 of ppdc-trestle).
+    void pauseDoesNotOutrunThePromotion()
+    {
+        SessionControlBed bed;
+        start(bed);
+        database(bed, "c").setPaused(9);
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.orders.empty(); }));
+        CPPUNIT_ASSERT(has(database(bed, "c").commands(), platform::pauseText(4)));
+        CPPUNIT_ASSERT(!has(database(bed, "c").commands(), platform::pauseText(10)));
+    }
+
     // Guards against a stale read: a proxy that can't be told may read from the former primary until its lease ends.
     void leaseThatWasNotGivenUpDelaysTheOrder()
     {
@@ -148,6 +206,14 @@
     }
 
 private:
+    static SessionLeases::Options shortLeases()
+    {
+        SessionLeases::Options options;
+        options.lease = 500ms;
+        options.acknowledgementGrace = 100ms;
+        return options;
+    }
+
     /// A service of three databases with the primary a, past the time in which leases of an earlier leader may be valid.
     static void start(SessionControlBed &bed)
     {
@@ -177,7 +243,7 @@
         if (!bed.onProxyMessage) {
             bed.onProxyMessage = [&bed](const std::string &proxy, const wire::PoolEnvelope &message) {
                 if (message.has_withdraw() && proxy != "cut-off") {
-                    bed.confirm(proxy, message.withdraw().epoch(), 3, 100);
+                    bed.confirm(proxy, message.withdraw(), 3, 100);
                 }
             };
         }
