Explain a request from log files, tell members of control that vote from those that do not

`/healthz` of a member answers 200 only when it votes and has caught up; `/v1/status` and `waxwing-control status` show members, services, proxies, and how many more members may be lost.

--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -21,14 +21,16 @@
        waxwing-control watch [OPTION]... [--from VERSION] [--count N]
        waxwing-control status [OPTION]...
        waxwing-control check FILE                check a JSON file without a server
+       waxwing-control explain --request ID FILE...    what the log files tell about a request
 
   -s, --settings FILE     settings of the process (serve)
       --check-settings    check the settings and exit
   -a, --address LIST      IP:port of control processes, separated by commas (default 127.0.0.1:7500)
-  -t, --token-file FILE   file with the bearer token
+  -t, --token-file FILE   file with the bearer token; not needed for the status of a deployment that serves sessions
   -o, --output FORMAT     table (default) or json
       --from VERSION      watch changes after this version (default: from now on)
       --count N           stop after N changes
+  -r, --request ID        request to explain
       --help, --version
 
 Exit codes: 0 success, 1 failure, 2 usage error.
@@ -60,10 +62,11 @@
 int main(int argc, char **argv)
 {
     enum LongOption { Help = 256, Version, CheckSettings, From, Count };
-    const std::array<option, 10> options {{{"settings", required_argument, nullptr, 's'},
+    const std::array<option, 11> options {{{"settings", required_argument, nullptr, 's'},
                                            {"address", required_argument, nullptr, 'a'},
                                            {"token-file", required_argument, nullptr, 't'},
                                            {"output", required_argument, nullptr, 'o'},
+                                           {"request", required_argument, nullptr, 'r'},
                                            {"help", no_argument, nullptr, Help},
                                            {"version", no_argument, nullptr, Version},
                                            {"check-settings", no_argument, nullptr, CheckSettings},
@@ -74,7 +77,7 @@
     bool checkSettings = false;
     waxwing::control::OperatorCommand command;
     int selected = 0;
-    while ((selected = getopt_long(argc, argv, "s:a:t:o:", options.data(), nullptr)) != -1) {
+    while ((selected = getopt_long(argc, argv, "s:a:t:o:r:", options.data(), nullptr)) != -1) {
         switch (selected) {
         case 's':
             settingsFile = optarg;
@@ -85,6 +88,9 @@
         case 't':
             command.tokenFile = optarg;
             break;
+        case 'r':
+            command.request = optarg;
+            break;
         case 'o':
             if (std::string_view(optarg) != "json" && std::string_view(optarg) != "table") {
                 return usageError("--output must be table or json");
--- a/programs/control/operator_command.cpp
+++ b/programs/control/operator_command.cpp
@@ -1,6 +1,7 @@
 #include "operator_command.h"
 
 #include "control_settings.h"
+#include "explain_command.h"
 #include "http_target.h"
 #include "operator_client.h"
 #include "table.h"
@@ -263,6 +264,36 @@
     return 0;
 }
 
+/// Status of a deployment that serves sessions.
+void printSessionStatus(const boost::json::object &body)
+{
+    std::cout << "leader " << textOf(body, "leader") << ", term " << textOf(body, "term") << ", version " << textOf(body, "version") << ", applied index "
+              << textOf(body, "applied_index")
+              << ", losses that can be borne: " << (body.contains("losses_borne") ? textOf(body, "losses_borne") : "ask the leader") << "\n\n";
+    Table members({"MEMBER", "VOTES", "HEARD"});
+    for (const auto &element : arrayOf(body, "members")) {
+        const auto &member = element.get_object();
+        members.add({textOf(member, "address"), textOf(member, "votes"), textOf(member, "heard")});
+    }
+    members.print(std::cout, false);
+    std::cout << '\n';
+    Table services({"SERVICE", "EPOCH", "PRIMARY", "DATABASES"});
+    for (const auto &element : arrayOf(body, "services")) {
+        const auto &service = element.get_object();
+        const auto primary = textOf(service, "primary");
+        services.add({textOf(service, "service"), textOf(service, "epoch"), primary.empty() ? "(being replaced)" : primary, sizeOf(service, "databases")});
+    }
+    services.print(std::cout, false);
+    std::cout << '\n';
+    Table proxies({"PROXY", "VERSION", "DIRECTORY", "LEASE LEFT MS", "DRAINING"});
+    for (const auto &element : arrayOf(body, "proxies")) {
+        const auto &proxy = element.get_object();
+        proxies.add({textOf(proxy, "proxy"), textOf(proxy, "config_version"), textOf(proxy, "directory_version"), textOf(proxy, "lease_left_ms"),
+                     textOf(proxy, "draining")});
+    }
+    proxies.print(std::cout, false);
+}
+
 int runStatus(const OperatorCommand &command, OperatorClient &client)
 {
     const auto response = client.request("GET", "/v1/status", {}, requestTimeout);
@@ -274,6 +305,10 @@
         return 0;
     }
     const auto body = parseObject(response.body);
+    if (body.contains("members")) {
+        printSessionStatus(body);
+        return 0;
+    }
     std::cout << "leader " << textOf(body, "leader") << ", version " << textOf(body, "version") << ", applied index " << textOf(body, "applied_index")
               << "\n\n";
     Table groups({"GROUP", "CONDITIONS", "PRIMARY", "TERM", "OWNER", "ENDPOINTS"});
@@ -353,6 +388,10 @@
 {
     const auto count = command.arguments.size();
     const bool takesFile = command.name == "apply" || command.name == "check";
+    if (command.name == "explain") {
+        return command.request.empty() || count == 0 ? usageError("explain needs --request ID and log files")
+                                                     : explainRequest(command.request, command.arguments, command.json);
+    }
     const bool known = takesFile || command.name == "get" || command.name == "watch" || command.name == "status";
     if (!known) {
         return usageError("unknown command " + command.name);
@@ -363,11 +402,11 @@
     if (command.name == "check") {
         return runCheck(command);
     }
-    if (command.tokenFile.empty()) {
+    if (command.tokenFile.empty() && command.name != "status") {
         return usageError(command.name + " needs --token-file FILE");
     }
     std::string token;
-    if (const auto problem = readSecret(command.tokenFile, token); !problem.empty()) {
+    if (const auto problem = command.tokenFile.empty() ? std::string() : readSecret(command.tokenFile, token); !problem.empty()) {
         std::cerr << problem << '\n';
         return 1;
     }
--- a/programs/control/operator_command.h
+++ b/programs/control/operator_command.h
@@ -12,10 +12,11 @@
 /// @brief Operator command as given on the command line.
 struct OperatorCommand
 {
-    std::string name; ///< apply, get, watch, status or check
+    std::string name; ///< apply, get, watch, status, check or explain
     std::vector<std::string> arguments;
     std::vector<std::string> addresses {"127.0.0.1:7500"}; ///< control processes
-    std::string tokenFile;
+    std::string tokenFile; ///< may be empty for status
+    std::string request; ///< request id for explain
     bool json = false;
     std::optional<std::uint64_t> from;
     std::optional<std::uint64_t> count;
--- /dev/null
+++ b/programs/control/request_trace.cpp
@@ -0,0 +1,128 @@
+#include "request_trace.h"
+
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace waxwing::control
+{
+
+namespace
+{
+
+// What led to an outcome is logged up to this long before the request came: a lease ends after 2 s, a database is removed
+// after 8 s, but shows as lost sooner.
+constexpr std::int64_t leadMs = 3'000;
+constexpr std::int64_t trailMs = 500; // control may log the cause after the proxy, whose clock may differ
+
+std::string textOf(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(field);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::int64_t numberOf(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(field);
+    boost::json::error_code error;
+    const auto number = value != nullptr && value->is_number() ? value->to_number<std::int64_t>(error) : 0;
+    return error ? 0 : number;
+}
+
+/// @return nothing for a line that is not a log line
+std::optional<RequestTrace::Line> parseLine(std::string_view text, std::size_t &unreadable)
+{
+    const auto begin = text.find('{');
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    boost::json::error_code error;
+    auto value = boost::json::parse(text.substr(begin), error);
+    if (error || !value.is_object() || !value.get_object().contains("event")) {
+        unreadable += error ? 1 : 0;
+        return std::nullopt;
+    }
+    RequestTrace::Line line;
+    line.fields = std::move(value.get_object());
+    line.timeMs = numberOf(line.fields, "time_ms");
+    line.process = textOf(line.fields, "process");
+    line.event = textOf(line.fields, "event");
+    for (const auto *field : {"time_ms", "process", "event", "level"}) {
+        line.fields.erase(field);
+    }
+    return line;
+}
+
+} // namespace
+
+RequestTrace::RequestTrace(std::string request)
+    : m_request(std::move(request))
+{
+}
+
+void RequestTrace::collect(std::istream &log)
+{
+    const auto needle = '"' + m_request + '"';
+    for (std::string text; std::getline(log, text);) {
+        if (text.find(needle) == std::string::npos) {
+            continue;
+        }
+        auto line = parseLine(text, m_unreadable);
+        if (!line || textOf(line->fields, "request") != m_request) {
+            continue;
+        }
+        const auto from = line->timeMs - numberOf(line->fields, "held_ms") - leadMs;
+        m_from = m_lines.empty() ? from : std::min(m_from, from);
+        m_to = std::max(m_to, line->timeMs + trailMs);
+        m_processes.insert(line->process);
+        if (auto service = textOf(line->fields, "service"); !service.empty()) {
+            m_services.insert(std::move(service));
+        }
+        line->ofRequest = true;
+        m_lines.push_back(std::move(*line));
+        m_sorted = false;
+    }
+}
+
+void RequestTrace::relate(std::istream &log)
+{
+    if (m_processes.empty()) {
+        return;
+    }
+    for (std::string text; std::getline(log, text);) {
+        if (text.find("\"request\":") != std::string::npos) {
+            continue;
+        }
+        auto line = parseLine(text, m_unreadable);
+        if (line && isRelated(*line)) {
+            m_lines.push_back(std::move(*line));
+            m_sorted = false;
+        }
+    }
+}
+
+bool RequestTrace::isRelated(const Line &line) const
+{
+    if (line.timeMs < m_from || line.timeMs > m_to) {
+        return false;
+    }
+    const auto service = textOf(line.fields, "service");
+    if (!service.empty()) {
+        return m_services.contains(service);
+    }
+    // What a process of the request says of itself, and changes of control's leader.
+    return m_processes.contains(line.process) || line.event == "leading" || line.event == "no longer leading" || line.event == "configuration stored";
+}
+
+const std::vector<RequestTrace::Line> &RequestTrace::lines()
+{
+    if (!m_sorted) {
+        std::stable_sort(m_lines.begin(), m_lines.end(), [](const Line &one, const Line &other) { return one.timeMs < other.timeMs; });
+        m_sorted = true;
+    }
+    return m_lines;
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/request_trace_test.cpp
@@ -0,0 +1,80 @@
+#include "request_trace.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <sstream>
+
+using namespace waxwing::control;
+
+namespace
+{
+
+constexpr const char *proxyLog
+    = "10.0: {\"time_ms\":9000,\"level\":\"warning\",\"process\":\"p1\",\"event\":\"lease lost\",\"config_version\":3}\n"
+      "{\"time_ms\":9900,\"level\":\"info\",\"process\":\"p1\",\"event\":\"statement refused\",\"request\":\"a1\",\"service\":\"s\",\"held_ms\":400}\n"
+      "{\"time_ms\":9901,\"level\":\"info\",\"process\":\"p1\",\"event\":\"statement refused\",\"request\":\"b2\",\"service\":\"s\",\"held_ms\":0}\n"
+      "{\"time_ms\":9902,\"level\":\"info\",\"process\":\"p1\",\"event\":\"database lost\",\"service\":\"t\",\"database\":\"i-9\"}\n"
+      "{\"time_ms\":20000,\"level\":\"info\",\"process\":\"p1\",\"event\":\"lease gained\"}\n"
+      "{\"time_ms\":9903,\"event\":\n";
+constexpr const char *controlLog
+    = "{\"time_ms\":8800,\"level\":\"warning\",\"process\":\"c1\",\"event\":\"primary change started\",\"service\":\"s\",\"cause\":\"silent\"}\n"
+      "{\"time_ms\":8700,\"level\":\"info\",\"process\":\"c1\",\"event\":\"leading\",\"term\":4}\n"
+      "{\"time_ms\":8600,\"level\":\"info\",\"process\":\"c1\",\"event\":\"database changed\",\"service\":\"t\"}\n"
+      "{\"time_ms\":8500,\"level\":\"info\",\"process\":\"c1\",\"event\":\"reload requested\"}\n";
+
+std::vector<std::string> eventsOf(const std::string &request)
+{
+    RequestTrace trace(request);
+    for (const auto *text : {controlLog, proxyLog}) {
+        std::istringstream log(text);
+        trace.collect(log);
+    }
+    for (const auto *text : {controlLog, proxyLog}) {
+        std::istringstream log(text);
+        trace.relate(log);
+    }
+    std::vector<std::string> events;
+    for (const auto &line : trace.lines()) {
+        events.push_back(line.event);
+    }
+    return events;
+}
+
+} // namespace
+
+class RequestTraceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestTraceTest);
+    CPPUNIT_TEST(causesComeBeforeTheOutcome);
+    CPPUNIT_TEST(unknownRequestHasNoLines);
+    CPPUNIT_TEST(tornLineIsCounted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an explanation without the cause, or with lines of other requests, services and times.
+    void causesComeBeforeTheOutcome()
+    {
+        const std::vector<std::string> expected {"leading", "primary change started", "lease lost", "statement refused"};
+        CPPUNIT_ASSERT(expected == eventsOf("a1"));
+    }
+
+    // Guards against lines that explain a request which no process logged.
+    void unknownRequestHasNoLines()
+    {
+        CPPUNIT_ASSERT(eventsOf("c3").empty());
+    }
+
+    // Guards against a log that was cut off and looks complete.
+    void tornLineIsCounted()
+    {
+        RequestTrace trace("a1");
+        std::istringstream first(proxyLog);
+        trace.collect(first);
+        std::istringstream second(proxyLog);
+        trace.relate(second);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), trace.unreadable());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestTraceTest);
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -52,11 +52,13 @@
 constexpr Duration electionLow = 220ms;
 constexpr Duration electionHigh = 440ms;
 constexpr Duration raftLease = 195ms; // 10% shorter than the shortest timeout, for the drift between clocks
+constexpr Duration lossesSpacing = 500ms; // between two looks at the voters; an election takes less
 constexpr Duration drainLimit = 1s; // for responses in flight at the end
 constexpr std::size_t maxDocumentBytes = 4U << 20; // a configuration of 10,000 routes
 constexpr LogIndex snapshotEvery = 100; // a document of 350 routes takes 80 KB, so that the log stays below 10 MB
 constexpr unsigned okStatus = 200;
 constexpr unsigned conflictStatus = 409;
+constexpr unsigned unavailableStatus = 503;
 
 /// The parts of one member, on one thread beside those of the link, the disk and the log.
 class SessionControlProcess
@@ -236,18 +238,55 @@
             handleRead(request, reply);
             break;
         case platform::Call::Ready:
-            reply.send({.status = 200, .body = R"({"ready":true})"});
+            sendHealth(reply);
             break;
         case platform::Call::Unknown:
-            if (request.target == "/metrics") {
-                reply.send({.status = 200, .body = Metrics::instance().exposition(), .contentType = "text/plain; version=0.0.4"});
-            } else {
-                reply.send({.status = 404, .body = R"({"error":"not known"})"});
-            }
+            handleOwn(request, reply);
             break;
         }
     }
 
+    /// Requests of the product's own interface.
+    void handleOwn(const HttpRequest &request, const HttpReply &reply)
+    {
+        if (request.target == "/metrics") {
+            reply.send({.status = 200, .body = Metrics::instance().exposition(), .contentType = "text/plain; version=0.0.4"});
+        } else if (request.target == "/healthz") {
+            sendHealth(reply);
+        } else if (request.target == "/v1/status") {
+            reply.send({.status = 200, .body = boost::json::serialize(m_control.status(m_log.host().status()))});
+        } else {
+            reply.send({.status = 404, .body = R"({"error":"not known"})"});
+        }
+    }
+
+    /// A member is healthy when its loss would be a loss: it votes and has caught up. Operators wait for it before they take
+    /// the next one away.
+    void sendHealth(const HttpReply &reply) const
+    {
+        const bool serving = m_log.host().status().serving;
+        reply.send({.status = serving ? okStatus : unavailableStatus, .body = serving ? R"({"ready":true})" : R"({"ready":false})"});
+    }
+
+    /// Tells how many more voters may be lost, when that changes.
+    void noteLosses()
+    {
+        const auto now = Clock::now();
+        if (now < m_lossesDue) {
+            return;
+        }
+        m_lossesDue = now + lossesSpacing;
+        const auto losses = m_log.host().status().losses();
+        if (losses == m_losses) {
+            return;
+        }
+        m_losses = losses;
+        if (losses) {
+            Metrics::instance().gauge("waxwing_control_losses_borne").set(*losses);
+            log::write(*losses == 0 ? log::Level::Warning : log::Level::Info, "losses that control can bear", {{"voters", *losses}});
+        }
+    }
+
     void handleBeat(const std::optional<wire::PoolMember> &member, const HttpReply &reply)
     {
         if (!member) {
@@ -312,6 +351,7 @@
     void tick()
     {
         m_control.tick();
+        noteLosses();
         if (m_stopping && Clock::now() >= m_stopBy) {
             m_context.stop();
             return;
@@ -353,6 +393,8 @@
     std::vector<HttpServer> m_servers;
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
+    std::optional<std::size_t> m_losses; ///< voters that may be lost, as told last; nothing while another member leads
+    TimePoint m_lossesDue;
     bool m_stopping = false;
     TimePoint m_stopBy;
     int m_exitCode = 0;
