Wait for space on a full disk instead of ending the member

Change: a record file cuts off what a full disk took of the records; the disk's thread tries again each 100 ms and reports nothing as stored meanwhile. A failed fsync still ends the member.

--- a/packages/coordination/include/waxwing/coordination/disk_writer.h
+++ b/packages/coordination/include/waxwing/coordination/disk_writer.h
@@ -2,6 +2,10 @@
 
 #include <waxwing/coordination/raft_store.h>
 #include <waxwing/support/bounded_ring.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+#include <waxwing/support/time.h>
 
 #include <atomic>
 #include <cstdint>
@@ -69,9 +73,22 @@
 
 private:
     static constexpr std::size_t ringCapacity = 1024;
+    static constexpr Duration fullPause = 100ms; // between attempts to write to a full disk; about an election timeout
+
+    /// A full disk delays the writes instead of ending the member: nothing of them was reported as stored.
+    bool awaitSpace(const StateError &error)
+    {
+        if (!std::exchange(m_full, true)) {
+            Metrics::instance().counter("waxwing_log_disk_full_total").add();
+            log::write(log::Level::Error, "disk full, writes wait", {{"error", error.message}});
+        }
+        std::this_thread::sleep_for(fullPause);
+        return !m_stopping.load();
+    }
 
     void run()
     {
+        m_store->whenFull([this](const StateError &error) { return awaitSpace(error); });
         bool failed = false;
         while (true) {
             m_wake.acquire();
@@ -87,6 +104,9 @@
             if (result && sequence != 0) {
                 result = m_store->sync();
             }
+            if (result && sequence != 0 && std::exchange(m_full, false)) {
+                log::write(log::Level::Info, "disk has space again", {{"sequence", sequence}});
+            }
             if (!result && !failed) {
                 failed = true;
                 m_failed(result.error());
@@ -106,6 +126,7 @@
     std::deque<RaftWrite> m_overflow; ///< bounded by the limit of proposals and the replication window
     std::counting_semaphore<> m_wake {0};
     std::atomic<bool> m_stopping {false};
+    bool m_full = false; ///< the last attempt to write found no space; thread only
     std::thread m_thread;
 };
 
--- a/packages/coordination/include/waxwing/coordination/raft_store.h
+++ b/packages/coordination/include/waxwing/coordination/raft_store.h
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,6 +61,13 @@
         return m_segment->truncatedBytes();
     }
 
+    /// @brief Sets what to do when the disk is full.
+    /// @param awaitSpace returns after a pause, true to try again
+    void whenFull(std::function<bool(const StateError &error)> awaitSpace)
+    {
+        m_awaitSpace = std::move(awaitSpace);
+    }
+
     /// @brief Adds a write to the present group.
     StateResult<void> add(const RaftWrite &write)
     {
@@ -88,7 +96,7 @@
     /// @brief Makes all added writes durable.
     StateResult<void> sync()
     {
-        return m_segment->hasPending() ? m_segment->sync() : boost::outcome_v2::success();
+        return m_segment->hasPending() ? retryWhileFull([this] { return m_segment->sync(); }) : boost::outcome_v2::success();
     }
 
 private:
@@ -100,6 +108,17 @@
     {
     }
 
+    /// Repeats a step that has changed nothing if it fails for lack of space.
+    template<class Step>
+    StateResult<void> retryWhileFull(Step &&step)
+    {
+        auto result = step();
+        while (!result && result.error().code == StateErrorCode::DiskFull && m_awaitSpace && m_awaitSpace(result.error())) {
+            result = step();
+        }
+        return result;
+    }
+
     std::string path(std::string_view name) const
     {
         return m_folder + "/" + std::string(name);
@@ -230,7 +249,7 @@
     StateResult<void> storeSnapshot(const RaftWrite &write)
     {
         BOOST_OUTCOME_TRYV(sync());
-        BOOST_OUTCOME_TRYV(writeSnapshotFile(m_files, path("snapshot"), write.snapshot->encoded));
+        BOOST_OUTCOME_TRYV(retryWhileFull([&] { return writeSnapshotFile(m_files, path("snapshot"), write.snapshot->encoded); }));
         const auto number = m_firstSegment + m_segmentLast.size();
         BOOST_OUTCOME_TRYV(openSegment(number, RecordFile<Files>::Tail::MayBeTorn, [](std::string_view) {}));
         wire::RaftRecord record;
@@ -260,6 +279,7 @@
     std::uint64_t m_firstSegment = 1;
     std::deque<LogIndex> m_segmentLast; ///< highest index in each segment
     std::string m_encoded;
+    std::function<bool(const StateError &error)> m_awaitSpace;
 };
 
 } // namespace waxwing
--- a/packages/state/include/waxwing/state/record_file.h
+++ b/packages/state/include/waxwing/state/record_file.h
@@ -43,7 +43,8 @@
 
 /// @brief Append log with a length and a checksum per record.
 ///
-/// After a failed call the file accepts no more records: the state of the file is unknown until it is opened again.
+/// After a failed call the file accepts no more records: the state of the file is unknown until it is opened again. A full
+/// disk is the exception: what was written of the records is cut off, and sync() may be called again.
 template<FileSystem Files>
 class RecordFile
 {
@@ -106,6 +107,8 @@
         auto result = m_file.append(m_buffer);
         if (result) {
             result = m_file.sync();
+        } else if (result.error().code == StateErrorCode::DiskFull && m_file.truncate(m_syncedBytes)) {
+            return result;
         }
         if (!result) {
             m_failure = result.error();
