Keep callers off a leaving database that leads for its log only

The primary had just been moved off a leaving database when the new one crashed; the leaving one had the longest log, was promoted and published, and took statements 7.5 s after it had said that it leaves. Change: a leaving database that was promoted is not published; the next round steps it down for a replica that has received its log. The primary of the latest term counts as the former one, whichever was published. Proxies send nothing new to a database that has been leaving for 80% of the time that the deployment allows (`sessions.drain_limit_ms`). Also: the stop limit, drain limit and descriptors come from the deployment's settings, fractions included; transactions queue behind single statements of the same priority, since they hold connections while their callers pause.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -25,6 +25,8 @@
     struct Options
     {
         std::string caller; ///< name of this process
+        /// A database that leaves takes new statements for this long after it is known here.
+        Duration drainLimit = 7s;
         std::size_t limit = 2; ///< largest number of connections
         std::size_t share = 2; ///< connections that are kept while idle; the rest is there for a crest
         Duration idleSurplus = 1s; ///< a connection beyond the share is closed after this much idleness
@@ -40,17 +42,17 @@
     DatabasePool(const boost::asio::any_io_executor &executor, const wire::PoolMember &member, Options options);
     ~DatabasePool();
 
-    /// @brief Takes a connection; waits in the order of priority and arrival.
+    /// @brief Takes a connection; waits in the order of rank and arrival.
     /// @param session chooses an idle connection that fits
-    /// @param priority 0 is the highest
+    /// @param rank 0 comes first, see SessionJob::rank()
     /// @return null if none was free in time, or the database can't be reached
-    boost::asio::awaitable<ConnectionPointer> acquire(const SessionState &session, int priority, TimePoint deadline);
+    boost::asio::awaitable<ConnectionPointer> acquire(const SessionState &session, int rank, TimePoint deadline);
 
     /// @brief Returns a connection that acquire() gave; one that is closed is dropped.
     void release(ConnectionPointer connection);
 
     /// @brief Takes over what the directory says.
-    void update(const wire::PoolMember &member);
+    void update(const wire::PoolMember &member, TimePoint now);
 
     /// @brief Changes the number of connections.
     /// @param share kept while idle
@@ -86,8 +88,8 @@
     void noteReplyTime(Duration took, TimePoint now);
 
     /// @brief Expected time until a connection is free.
-    /// @param priority priority of the statement; those of lower ones wait behind it
-    Duration expectedWait(int priority) const;
+    /// @param rank rank of the statement; those of higher ones wait behind it
+    Duration expectedWait(int rank) const;
 
     /// @brief Expected time from sending a statement to its answer. What was measured counts less the longer it is ago.
     /// @param base time to expect without a measurement
@@ -105,6 +107,12 @@
     /// @brief Tells whether statements wait for an answer for longer than a time, without any answer meanwhile.
     bool isSilent(TimePoint now, Duration limit) const;
 
+    /// @brief Tells whether the database has been leaving for so long that it takes no new statements.
+    bool isClosing(TimePoint now) const
+    {
+        return m_member.draining() && now - m_drainingSince >= m_options.drainLimit;
+    }
+
     /// @brief Statements that run or wait.
     std::size_t load() const
     {
@@ -136,7 +144,7 @@
 private:
     struct Waiter
     {
-        int priority = 0;
+        int rank = 0;
         const SessionState *session = nullptr;
         boost::asio::steady_timer signal;
         ConnectionPointer connection;
@@ -160,7 +168,7 @@
     wire::PoolMember m_member;
     Options m_options;
     std::vector<Idle> m_idle;
-    std::list<Waiter *> m_waiting; ///< by priority, then arrival
+    std::list<Waiter *> m_waiting; ///< by rank, then arrival
     std::size_t m_count = 0; ///< open or opening
     std::size_t m_opening = 0;
     std::size_t m_busy = 0;
@@ -174,6 +182,7 @@
     TimePoint m_avoidUntil;
     TimePoint m_laggingUntil;
     unsigned m_lags = 0; ///< in a row
+    TimePoint m_drainingSince; ///< set while the member drains
     TimePoint m_openAfter; ///< no new connection before
     unsigned m_failures = 0;
     bool m_shut = false;
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -3,6 +3,7 @@
 #include <waxwing/coordination/epoch_lease.h>
 #include <waxwing/sessions/service_state.h>
 #include <waxwing/state/pool_config.h>
+#include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -27,6 +28,7 @@
         std::map<std::string, std::string> regions; ///< region by failure domain
         std::size_t reservedConnections = 2; ///< of each database, for control
         std::size_t warmConnections = 2; ///< opened to each database ahead of use; a crest needs them within milliseconds
+        Duration drainLimit = 7s; ///< a database takes new statements for this long after it said that it leaves
         std::size_t connectionLimit = 12; ///< to one database; four times its slots, since open transactions hold connections while callers pause
     };
 
--- a/packages/sessions/include/waxwing/sessions/session_job.h
+++ b/packages/sessions/include/waxwing/sessions/session_job.h
@@ -25,6 +25,13 @@
     TimePoint receivedAt; ///< freshness counts from here
     TimePoint deadline;
 
+    /// @brief Place in a queue for connections; lower ones come first. Among equal priorities, statements that give their
+    /// connection back at once come before transactions, which hold one while their callers pause.
+    int rank() const
+    {
+        return route.priority * 2 + static_cast<int>(begins && !commits);
+    }
+
     /// @brief Tells whether only the primary can run it.
     bool needsPrimary() const
     {
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -62,12 +62,13 @@
     : m_executor(executor)
     , m_member(member)
     , m_options(std::move(options))
+    , m_drainingSince(Clock::now())
 {
 }
 
 DatabasePool::~DatabasePool() = default;
 
-asio::awaitable<DatabasePool::ConnectionPointer> DatabasePool::acquire(const SessionState &session, int priority, TimePoint deadline)
+asio::awaitable<DatabasePool::ConnectionPointer> DatabasePool::acquire(const SessionState &session, int rank, TimePoint deadline)
 {
     if (m_shut) {
         co_return nullptr;
@@ -78,8 +79,8 @@
         }
     }
     const auto self = shared_from_this();
-    Waiter waiter {priority, &session, asio::steady_timer(m_executor), nullptr, false};
-    const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [priority](const Waiter *other) { return other->priority > priority; });
+    Waiter waiter {rank, &session, asio::steady_timer(m_executor), nullptr, false};
+    const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [rank](const Waiter *other) { return other->rank > rank; });
     const auto position = m_waiting.insert(place, &waiter);
     openMore();
     if (m_count == 0) {
@@ -197,8 +198,11 @@
     }
 }
 
-void DatabasePool::update(const wire::PoolMember &member)
+void DatabasePool::update(const wire::PoolMember &member, TimePoint now)
 {
+    if (member.draining() && !m_member.draining()) {
+        m_drainingSince = now;
+    }
     m_member = member;
 }
 
@@ -267,9 +271,9 @@
     m_replyTimeAt = now;
 }
 
-Duration DatabasePool::expectedWait(int priority) const
+Duration DatabasePool::expectedWait(int rank) const
 {
-    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [priority](const Waiter *waiter) { return waiter->priority <= priority; });
+    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [rank](const Waiter *waiter) { return waiter->rank <= rank; });
     if (ahead == 0 && (!m_idle.empty() || m_count < m_options.limit)) {
         return Duration::zero();
     }
--- a/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
@@ -1,4 +1,5 @@
 #include <waxwing/sessions/database_pool.h>
+#include <waxwing/sessions/session_job.h>
 
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,6 +13,8 @@
     CPPUNIT_TEST(silenceIsEvidenceOnlyWhileSomethingRuns);
     CPPUNIT_TEST(lostConnectionsAreEvidenceSooner);
     CPPUNIT_TEST(oldReplyTimeCountsLess);
+    CPPUNIT_TEST(leavingDatabaseClosesAfterItsTime);
+    CPPUNIT_TEST(transactionsQueueBehindSingleStatements);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +73,34 @@
         CPPUNIT_ASSERT(pool->expectedReply(20ms, TimePoint(11s)) < Duration(21ms));
     }
 
+    // Guards against statements on a primary that has been leaving for too long (DRAIN on day proxies-cut-off).
+    void leavingDatabaseClosesAfterItsTime()
+    {
+        const auto pool = make();
+        auto member = pool->member();
+        member.set_draining(true);
+        pool->update(member, TimePoint(1s));
+        pool->update(member, TimePoint(5s));
+        CPPUNIT_ASSERT(!pool->isClosing(TimePoint(7'999ms)));
+        CPPUNIT_ASSERT(pool->isClosing(TimePoint(8s)));
+        member.set_draining(false);
+        pool->update(member, TimePoint(9s));
+        CPPUNIT_ASSERT(!pool->isClosing(TimePoint(9s)));
+    }
+
+    // Guards against short statements that wait for transactions whose callers pause, when connections are scarce.
+    void transactionsQueueBehindSingleStatements()
+    {
+        SessionJob single;
+        single.route.priority = 1;
+        auto transaction = single;
+        transaction.begins = true;
+        auto lowerSingle = single;
+        lowerSingle.route.priority = 2;
+        CPPUNIT_ASSERT(single.rank() < transaction.rank());
+        CPPUNIT_ASSERT(transaction.rank() < lowerSingle.rank());
+    }
+
 private:
     std::shared_ptr<DatabasePool> make()
     {
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -16,6 +16,8 @@
 
 // A transaction that waits for its caller must not stop all other statements.
 constexpr std::size_t leastConnections = 2;
+// Part of the time for which a leaving database takes new statements: the notice takes a while, and a statement may wait.
+constexpr int drainPercent = 80;
 
 } // namespace
 
@@ -108,10 +110,11 @@
             pool.reset();
         }
         if (pool) {
-            pool->update(member);
+            pool->update(member, Clock::now());
         } else {
             DatabasePool::Options options;
             options.caller = m_options.proxy;
+            options.drainLimit = m_options.drainLimit / 100 * drainPercent;
             pool = std::make_shared<DatabasePool>(m_executor, member, std::move(options)); // shared: see ServiceState
         }
     }
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -177,14 +177,13 @@
 Duration StatementPath::expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
 {
     const bool far = m_directory.distance(pool.member().failure_domain()) > 1;
-    return pool.expectedWait(job.route.priority) + pool.expectedReply(far ? farReply : nearReply, now);
+    return pool.expectedWait(job.rank()) + pool.expectedReply(far ? farReply : nearReply, now);
 }
 
 bool StatementPath::isCrowded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
 {
     const auto target = job.route.latencyTarget == Duration::zero() ? job.route.statementTimeout : job.route.latencyTarget;
-    return pool.expectedWait(job.route.priority) != Duration::zero()
-        && expectedTime(job, pool, now) > std::chrono::duration_cast<Duration>(target * crowdedPart);
+    return pool.expectedWait(job.rank()) != Duration::zero() && expectedTime(job, pool, now) > std::chrono::duration_cast<Duration>(target * crowdedPart);
 }
 
 bool StatementPath::isPrimaryOutOfReach(const SessionJob &job, const ServiceState &service, Attempts &attempts) const
@@ -216,6 +215,9 @@
 {
     Choice choice;
     choice.pool = service.primary();
+    if (choice.pool && choice.pool->isClosing(Clock::now())) {
+        choice.pool = nullptr;
+    }
     choice.primary = true;
     choice.epoch = service.epoch();
     return choice;
@@ -274,7 +276,7 @@
         const auto part = std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptPart);
         limit = std::min(job.deadline, Clock::now() + part);
     }
-    auto connection = co_await pool->acquire(*job.session, job.route.priority, limit);
+    auto connection = co_await pool->acquire(*job.session, job.rank(), limit);
     if (!connection) {
         attempts.avoided.insert(pool->member().id());
         attempts.lastReason = "no-connection";
@@ -282,7 +284,7 @@
         co_return Verdict::Retry;
     }
     // The directory may have changed while the statement waited.
-    if (pool->isShut() || (choice.primary && (service.epoch() != choice.epoch || service.primary() != pool))
+    if (pool->isShut() || pool->isClosing(Clock::now()) || (choice.primary && (service.epoch() != choice.epoch || service.primary() != pool))
         || (!choice.primary && pool->member().draining())) {
         pool->release(std::move(connection));
         countRetry("directory-changed");
--- a/packages/support/include/waxwing/support/settings.h
+++ b/packages/support/include/waxwing/support/settings.h
@@ -60,9 +60,12 @@
     /// @brief Reads a whole number.
     std::int64_t integer(std::string_view key, const SettingRange &range);
 
-    /// @brief Reads a duration in milliseconds; @p key must end in `_ms`.
+    /// @brief Reads a duration in milliseconds, which may have a fraction; @p key must end in `_ms`.
     Duration milliseconds(std::string_view key, const SettingRange &range);
 
+    /// @brief Reads a duration in seconds, which may have a fraction; @p key must end in `_s`.
+    Duration seconds(std::string_view key, const SettingRange &range);
+
     /// @brief Reads a real number.
     double real(std::string_view key, double low, double high, double fallback);
 
--- a/packages/support/src/waxwing/support/settings.cpp
+++ b/packages/support/src/waxwing/support/settings.cpp
@@ -174,7 +174,14 @@
 
 Duration Settings::milliseconds(std::string_view key, const SettingRange &range)
 {
-    return std::chrono::milliseconds(integer(key, range));
+    const auto value = real(key, static_cast<double>(range.low), static_cast<double>(range.high), static_cast<double>(range.fallback));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+Duration Settings::seconds(std::string_view key, const SettingRange &range)
+{
+    const auto value = real(key, static_cast<double>(range.low), static_cast<double>(range.high), static_cast<double>(range.fallback));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
 }
 
 double Settings::real(std::string_view key, double low, double high, double fallback)
--- a/packages/support/src/waxwing/support/settings_test.cpp
+++ b/packages/support/src/waxwing/support/settings_test.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(SettingsTest);
     CPPUNIT_TEST(unknownKeyIsRefusedWithFileAndLine);
     CPPUNIT_TEST(wrongTypeAndRangeAreBothReported);
+    CPPUNIT_TEST(durationsMayHaveAFraction);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,6 +31,16 @@
         settings.integer("b", {.low = 10, .high = 20, .fallback = 10});
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), settings.errors().size());
     }
+
+    // Guards against a process that does not start because a deployment states a bound with a fraction.
+    void durationsMayHaveAFraction()
+    {
+        auto settings = Settings::parse("stop_s = 4.5\nstop_ms = 250.5\nlong_s = 3\n", "test.toml");
+        CPPUNIT_ASSERT(settings.seconds("stop_s", {.low = 1, .high = 10, .fallback = 6}) == Duration(4'500ms));
+        CPPUNIT_ASSERT(settings.milliseconds("stop_ms", {.low = 1, .high = 1'000, .fallback = 6}) == Duration(250'500us));
+        CPPUNIT_ASSERT(settings.seconds("long_s", {.low = 1, .high = 2, .fallback = 2}) == Duration(2s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), settings.errors().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -175,9 +175,7 @@
         }
         return;
     }
-    const auto all = m_state.directory.members(name);
-    const bool replaceable = std::any_of(all.begin(), all.end(), [](const auto *other) { return !other->member.draining(); });
-    if (entry->member.draining() && replaceable && collected) {
+    if (entry->member.draining() && isReplaceable(name) && collected) {
         service.busy = true;
         asio::co_spawn(m_context, change(name, "draining"), asio::detached);
         return;
@@ -191,6 +189,12 @@
     }
 }
 
+bool PrimaryKeeper::isReplaceable(const std::string &name) const
+{
+    const auto all = m_state.directory.members(name);
+    return std::any_of(all.begin(), all.end(), [](const auto *other) { return !other->member.draining(); });
+}
+
 asio::awaitable<void> PrimaryKeeper::pause(Duration duration)
 {
     asio::steady_timer timer(m_context, duration);
@@ -430,6 +434,11 @@
     if (!leads || !isCurrent(generation)) {
         co_return false;
     }
+    if (target.draining() && isReplaceable(name)) {
+        // It had the longest log, but takes no new statements: the next round hands its log on.
+        log::write(log::Level::Info, "leaving database leads for its log only", {{"service", name}, {"database", candidate}, {"epoch", *epoch}});
+        co_return false;
+    }
     const bool accepted = co_await setPrimary(name, *epoch, candidate);
     m_publish();
     co_return accepted;
@@ -498,15 +507,21 @@
         co_return std::string();
     }
     learnTerms(name, answers);
-    const bool primaryAnswers = std::any_of(answers.begin(), answers.end(), [](const auto &item) { return item.second.status && item.second.status->primary; });
     const auto term = m_services[name].term + 1;
     std::vector<wire::PoolMember> primaries;
     std::vector<wire::PoolMember> others;
+    std::uint64_t leadingTerm = 0;
     for (const auto &member : all) {
         const auto &answer = answers[member.id()];
-        (answer.status && answer.status->primary ? primaries : others).push_back(member);
+        const bool leads = answer.status && answer.status->primary;
+        (leads ? primaries : others).push_back(member);
+        // The primary of the latest term has every acknowledged commit, whichever was published last.
+        if (leads && answer.status->term >= leadingTerm) {
+            leadingTerm = answer.status->term;
+            previous = member.id();
+        }
     }
-    if (primaryAnswers) {
+    if (!primaries.empty()) {
         const auto stepped = co_await m_calls.callAll(primaries, Command::StepDown, term, callLimit);
         for (const auto &[id, answer] : stepped) {
             answers[id] = answer;
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -109,6 +109,7 @@
     boost::asio::awaitable<bool> awaitRole(wire::PoolMember member, std::uint64_t generation);
     boost::asio::awaitable<void> pause(Duration duration);
     boost::asio::awaitable<LogReply> propose(wire::SessionsCommand command);
+    bool isReplaceable(const std::string &name) const;
     std::vector<wire::PoolMember> members(const std::string &name) const;
 
     boost::asio::io_context &m_context;
--- a/programs/control/primary_keeper_test.cpp
+++ b/programs/control/primary_keeper_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace waxwing;
 using namespace waxwing::control;
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(orderWithoutAnswerIsFollowedByAHigherToken);
     CPPUNIT_TEST(drainingPrimaryStepsDownFirst);
     CPPUNIT_TEST(reachablePrimaryIsKept);
+    CPPUNIT_TEST(leavingReplicaLeadsForItsLogOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +207,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a"), bed.primary());
     }
 
+    // Guards against statements on a database that leaves, which had the longest log when the primary was lost (DRAIN on day
+    // proxies-cut-off).
+    void leavingReplicaLeadsForItsLogOnly()
+    {
+        SessionControlBed bed;
+        start(bed);
+        database(bed, "b").setPosition(3, 120);
+        bed.beat(database(bed, "b"), false, true);
+        bed.answerOrder = [&](const SessionControlBed::Order &order) {
+            bed.promote(order.database);
+            // The replica receives what the new primary has.
+            database(bed, "c").setPosition(3, 120);
+            return OrderAnswer::Accepted;
+        };
+        lose(bed, "a");
+        std::set<std::string> published;
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            published.insert(bed.primary());
+            return bed.primary() == "c";
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), bed.orders.front().database);
+        CPPUNIT_ASSERT(!published.contains("b"));
+    }
+
 private:
     static SessionLeases::Options shortLeases()
     {
--- a/programs/proxy/position_poll.cpp
+++ b/programs/proxy/position_poll.cpp
@@ -18,7 +18,7 @@
 // Ages from 1,500 ms on are asked for; with a position each 400 ms one is always young enough, a lost one included.
 constexpr Duration pollAge = 400ms;
 constexpr Duration pollLimit = 500ms; // a round trip of 40 ms and the statements that hold all connections
-constexpr int pollPriority = 0; // before statements, since they depend on it
+constexpr int pollRank = -1; // before statements, since they depend on it
 
 } // namespace
 
@@ -47,7 +47,7 @@
     const auto epoch = service->epoch();
     const SessionState session;
     const auto limit = Clock::now() + pollLimit;
-    auto connection = co_await pool->acquire(session, pollPriority, limit);
+    auto connection = co_await pool->acquire(session, pollRank, limit);
     if (connection) {
         asked.add();
         // An empty transaction takes no slot; every answer tells the position.
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -69,6 +69,7 @@
     options.regions = settings.regions;
     options.warmConnections = settings.warmConnections;
     options.connectionLimit = settings.connectionLimit;
+    options.drainLimit = settings.drainLimit;
     return options;
 }
 
--- a/programs/proxy/session_settings.cpp
+++ b/programs/proxy/session_settings.cpp
@@ -5,6 +5,14 @@
 namespace waxwing
 {
 
+namespace
+{
+
+// Descriptors that are not for callers: 200 are set aside by the platform, up to 600 are for databases and the own system.
+constexpr std::int64_t otherFiles = 800;
+
+} // namespace
+
 SessionSettings SessionSettings::load(const std::string &path)
 {
     SessionSettings result;
@@ -18,10 +26,12 @@
     result.linkPort = static_cast<std::size_t>(settings.integer("control.link_port", {1, 65'535, 7'440}));
     result.keyFile = settings.text("link.key_file", {});
     result.logLevel = settings.logLevel();
-    result.maxSessions = static_cast<std::size_t>(settings.integer("sessions.max_sessions", {1, 1'000'000, 3'500}));
+    const auto files = settings.integer("limits.files", {1'000, 10'000'000, 4'300});
+    result.maxSessions = static_cast<std::size_t>(settings.integer("sessions.max_sessions", {1, 1'000'000, files - otherFiles}));
     result.warmConnections = static_cast<std::size_t>(settings.integer("sessions.warm_connections", {0, 64, 2}));
     result.connectionLimit = static_cast<std::size_t>(settings.integer("sessions.connection_limit", {1, 1'000, 12}));
-    result.stopLimit = settings.milliseconds("sessions.stop_limit_ms", {1'000, 600'000, 6'000});
+    result.stopLimit = settings.seconds("sessions.stop_limit_s", {1, 600, 6});
+    result.drainLimit = settings.milliseconds("sessions.drain_limit_ms", {100, 3'600'000, 7'000});
     for (const auto &entry : settings.texts("sessions.regions")) {
         const auto equals = entry.find('=');
         if (equals == std::string::npos) {
--- a/programs/proxy/session_settings.h
+++ b/programs/proxy/session_settings.h
@@ -24,10 +24,11 @@
     std::size_t linkPort = 0; ///< port of the link on every control VM
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
-    std::size_t maxSessions = 3'500; ///< of 4,300 descriptors, 200 are set aside and up to 200 go to databases
+    std::size_t maxSessions = 3'500;
     std::size_t warmConnections = 2;
     std::size_t connectionLimit = 12;
     Duration stopLimit = 6s; ///< the process is killed this long after SIGTERM
+    Duration drainLimit = 7s; ///< a database takes new statements for this long after it said that it leaves
     std::vector<std::string> errors; ///< one sentence each, with file and line
 
     /// @brief Reads and checks a settings file.
