Tell waiting proxies when a member of control begins to lead

Change: a member that begins to lead refers the proxies that asked it within the last second to itself.

--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -20,6 +20,9 @@
 // A new leader knows every database after one interval of heartbeats and a quarter for their way.
 constexpr double collectionIntervals = 1.25;
 
+// Proxies ask each 200 ms while they know no leader.
+constexpr Duration waitingAge = 1s;
+
 void countIgnored(std::string_view reason)
 {
     Metrics::instance().counter("waxwing_control_heartbeats_ignored_total", "reason", reason).add();
@@ -47,9 +50,8 @@
     }
     if (!m_active) {
         if (message.has_renewal()) {
-            wire::PoolEnvelope reply;
-            reply.mutable_not_leader()->set_leader(m_ports.log.leaderHint());
-            m_ports.sendToProxy(from, reply);
+            m_waiting[from] = Clock::now();
+            referToLeader(from);
         }
         return;
     }
@@ -60,6 +62,13 @@
     }
 }
 
+void SessionControl::referToLeader(const std::string &proxy)
+{
+    wire::PoolEnvelope reply;
+    reply.mutable_not_leader()->set_leader(m_ports.log.leaderHint());
+    m_ports.sendToProxy(proxy, reply);
+}
+
 void SessionControl::updateLeadership()
 {
     const bool leads = m_ports.log.isLeader();
@@ -100,6 +109,12 @@
     for (const auto &[id, member] : m_machine.members()) {
         m_directory.beat(member, m_activeSince);
     }
+    // Proxies that asked in vain would ask again after 200 ms.
+    for (const auto &[proxy, askedAt] : std::exchange(m_waiting, {})) {
+        if (m_activeSince - askedAt < waitingAge) {
+            referToLeader(proxy);
+        }
+    }
     Metrics::instance().gauge("waxwing_control_leader").set(1);
     log::write(log::Level::Info, "leading", {{"term", m_term}, {"version", m_machine.version()}, {"services", m_machine.services().size()}});
 }
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 
@@ -83,6 +84,7 @@
 
 private:
     void updateLeadership();
+    void referToLeader(const std::string &proxy);
     void activate();
     void deactivate();
     bool isCollected(TimePoint now) const;
@@ -106,6 +108,7 @@
     bool m_activating = false;
     bool m_applied = false;
     bool m_directoryChanged = false;
+    std::map<std::string, TimePoint> m_waiting; ///< proxies that asked while this member did not lead, and when
     std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
     std::uint64_t m_term = 0;
     std::uint32_t m_directoryNumber = 0; ///< of this leadership
