Never run a deadline after its operation has ended

The timer of a connection that has expired keeps its handler in the queue; when the answer is handled first, the connection may be gone, or run its next statement, by the time the handler comes. After a suspension both are due at once. cancel() does not take a queued handler back. Change: DeadlineTimer counts its rounds and drops handlers of earlier ones; connections to databases and idle transactions use it. Ruled out: the queue of waiting statements, whose handler only reads its own frame.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -4,12 +4,12 @@
 #include <waxwing/platform/line_reader.h>
 #include <waxwing/protocol/session_request.h>
 #include <waxwing/protocol/transaction_state.h>
+#include <waxwing/sessions/deadline_timer.h>
 #include <waxwing/sessions/session_directory.h>
 #include <waxwing/sessions/statement_path.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -75,7 +75,7 @@
     std::string logUnknown(const SessionStatement &statement, const PoolRoute &route, const std::string &text, std::string answer) const;
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    DeadlineTimer m_timer;
     SessionDirectory &m_directory;
     StatementPath &m_path;
     platform::LineReader m_lines;
--- a/packages/sessions/include/waxwing/sessions/database_connection.h
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -4,11 +4,11 @@
 #include <waxwing/platform/line_reader.h>
 #include <waxwing/platform/reply_reader.h>
 #include <waxwing/protocol/pool_reply.h>
+#include <waxwing/sessions/deadline_timer.h>
 #include <waxwing/support/time.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <string>
@@ -95,7 +95,7 @@
     boost::asio::awaitable<bool> readReply(PoolReply &reply);
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    DeadlineTimer m_timer;
     platform::LineReader m_lines;
     platform::ReplyReader m_replies;
     ConnectionState m_state;
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -94,12 +94,7 @@
         }
         const auto config = m_directory.config();
         if (m_transactionState == TransactionState::Open && config && config->transactionIdle != Duration::zero()) {
-            m_timer.expires_after(config->transactionIdle);
-            m_timer.async_wait([this](const boost::system::error_code &error) {
-                if (!error) {
-                    abortTransaction("idle for too long");
-                }
-            });
+            m_timer.start(config->transactionIdle, [this] { abortTransaction("idle for too long"); });
         }
         std::array<char, readBytes> chunk {};
         auto [error, size] = co_await m_socket.async_read_some(asio::buffer(chunk), useTuple);
--- a/packages/sessions/src/waxwing/sessions/database_connection.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -54,13 +54,10 @@
 void DatabaseConnection::startTimer(TimePoint deadline)
 {
     m_timedOut = false;
-    m_timer.expires_after(deadline - Clock::now());
-    m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            m_timedOut = true;
-            boost::system::error_code ignored;
-            m_socket.close(ignored);
-        }
+    m_timer.start(deadline - Clock::now(), [this] {
+        m_timedOut = true;
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
     });
 }
 
