Confirm a promotion whose answer was lost instead of promoting again

An order without an answer was waited for for 2 s; by then it had been carried out, and the next round stepped the new primary down to promote another database, with the next lost answer. Change: a primary of the latest term that is not the one to be replaced is confirmed with the present token; the wait for an answer is 400 ms, doubled up to 2 s while none comes. A new leader goes on with an unfinished change at once where the log of a primary is known, and waits for all heartbeats only where it is not.

--- a/packages/coordination/include/waxwing/coordination/primary_choice.h
+++ b/packages/coordination/include/waxwing/coordination/primary_choice.h
@@ -46,6 +46,12 @@
         return m_missing != 0 && !m_former;
     }
 
+    /// @brief Tells whether the log of the former primary is known, so that no other database can hold more.
+    bool hasFormer() const
+    {
+        return m_former.has_value();
+    }
+
     /// @brief Chooses after the former primary stepped down: a replica that has received all that it has.
     /// @return the id, or empty if none has yet
     std::string afterStepDown() const;
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -38,6 +38,11 @@
 constexpr Duration callLimit = 400ms; // for a command to a database
 constexpr Duration catchUpLimit = 600ms; // for a replica to receive what a primary had when it stepped down
 constexpr Duration closeLimit = 600ms; // for proxies to confirm that they acknowledge nothing further
+// For the answer to an order, doubled while none comes: the platform answers within a round trip and then promotes. An order
+// whose answer was lost is repeated with a new token, so that waiting longer only leaves the service without a primary.
+constexpr Duration orderLimit = 400ms;
+constexpr Duration orderLimitHigh = 2s;
+constexpr unsigned orderLimitSteps = 3;
 constexpr Duration roleLimit = 4s; // a promotion takes 300 to 1,000 ms after the order
 constexpr Duration retryPause = 150ms;
 // When all replicas lag by more than this, the primary serves every read alone. A replica leads with all that it has
@@ -118,6 +123,7 @@
 
 void PrimaryKeeper::tick(TimePoint now, bool collected)
 {
+    m_collected = collected;
     std::set<std::string> names;
     for (const auto &[id, entry] : m_state.directory.entries()) {
         names.insert(entry.member.service());
@@ -161,10 +167,8 @@
 void PrimaryKeeper::considerPresent(const std::string &name, Service &service, const wire::EpochRecord &record, TimePoint now, bool collected)
 {
     if (record.primary().empty()) {
-        if (collected) {
-            service.busy = true;
-            asio::co_spawn(m_context, change(name, "unfinished"), asio::detached);
-        }
+        service.busy = true;
+        asio::co_spawn(m_context, change(name, "unfinished"), asio::detached);
         return;
     }
     const auto *entry = m_state.directory.find(record.primary());
@@ -416,18 +420,8 @@
         co_return false;
     }
     const wire::PoolMember target = entry->member;
-    const auto orderedAt = Clock::now();
-    const auto ordered = co_await m_ports.orderPromotion(name, candidate, *epoch);
-    log::write(log::Level::Info, "promotion ordered",
-               {{"service", name},
-                {"candidate", candidate},
-                {"epoch", *epoch},
-                {"answer",
-                 ordered == OrderAnswer::Accepted       ? "accepted"
-                     : ordered == OrderAnswer::Conflict ? "conflict"
-                                                        : "none"},
-                {"took_ms", toMilliseconds(Clock::now() - orderedAt).count()}});
-    if (ordered != OrderAnswer::Accepted || !isCurrent(generation)) {
+    const bool ordered = co_await order(name, candidate, *epoch);
+    if (!ordered || !isCurrent(generation)) {
         co_return false;
     }
     const bool leads = co_await awaitRole(target, generation);
@@ -444,6 +438,26 @@
     co_return accepted;
 }
 
+asio::awaitable<bool> PrimaryKeeper::order(std::string name, std::string candidate, std::uint64_t epoch)
+{
+    const auto orderedAt = Clock::now();
+    const auto limit = std::min(orderLimitHigh, orderLimit * (1U << std::min(m_services[name].unanswered, orderLimitSteps)));
+    const auto answer = co_await m_ports.orderPromotion(name, candidate, epoch, limit);
+    auto &unanswered = m_services[name].unanswered;
+    unanswered = answer == OrderAnswer::None ? unanswered + 1 : 0;
+    log::write(log::Level::Info, "promotion ordered",
+               {{"service", name},
+                {"candidate", candidate},
+                {"epoch", epoch},
+                {"answer",
+                 answer == OrderAnswer::Accepted       ? "accepted"
+                     : answer == OrderAnswer::Conflict ? "conflict"
+                                                       : "none"},
+                {"limit_ms", toMilliseconds(limit).count()},
+                {"took_ms", toMilliseconds(Clock::now() - orderedAt).count()}});
+    co_return answer == OrderAnswer::Accepted;
+}
+
 void PrimaryKeeper::learnTerms(const std::string &name, const Answers &answers)
 {
     auto &term = m_services[name].term;
@@ -479,6 +493,9 @@
 asio::awaitable<std::string> PrimaryKeeper::chooseAmongStopped(const std::string &name, std::string previous, Answers answers, std::uint64_t generation)
 {
     auto choice = makeChoice(name, previous, answers);
+    if (!m_collected && !choice.hasFormer()) {
+        co_return std::string(); // a database that is not known yet may hold commits
+    }
     if (choice.needsAcknowledged()) {
         m_services[name].withdrawal.close();
         const auto deadline = Clock::now() + closeLimit;
@@ -511,17 +528,27 @@
     std::vector<wire::PoolMember> primaries;
     std::vector<wire::PoolMember> others;
     std::uint64_t leadingTerm = 0;
+    wire::PoolMember leading;
     for (const auto &member : all) {
         const auto &answer = answers[member.id()];
         const bool leads = answer.status && answer.status->primary;
         (leads ? primaries : others).push_back(member);
-        // The primary of the latest term has every acknowledged commit, whichever was published last.
         if (leads && answer.status->term >= leadingTerm) {
             leadingTerm = answer.status->term;
-            previous = member.id();
+            leading = member;
         }
     }
     if (!primaries.empty()) {
+        // The primary of the latest term has every acknowledged commit, whichever was published last: an order of before was
+        // carried out, though its answer was lost. It only needs the present token.
+        const bool receiving = std::all_of(others.begin(), others.end(), [&](const auto &member) {
+            const auto &status = answers[member.id()].status;
+            return !status || status->pausedTerm <= leadingTerm;
+        });
+        if (leading.id() != previous && !leading.draining() && receiving) {
+            co_return leading.id();
+        }
+        previous = leading.id();
         const auto stepped = co_await m_calls.callAll(primaries, Command::StepDown, term, callLimit);
         for (const auto &[id, answer] : stepped) {
             answers[id] = answer;
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -78,6 +78,7 @@
         std::uint64_t term = 0; ///< highest term that a database or proxy told
         TimePoint nextCheck;
         TimePoint changedAt; ///< end of the last change
+        unsigned unanswered = 0; ///< orders in a row without an answer
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
         EpochWithdrawal withdrawal;
         std::map<std::string, PoolDirectory::Entry> silent; ///< databases that were removed without their word
@@ -106,6 +107,7 @@
     PrimaryChoice makeChoice(const std::string &name, const std::string &previous, const Answers &answers) const;
     boost::asio::awaitable<std::string> chooseAmongStopped(const std::string &name, std::string previous, Answers answers, std::uint64_t generation);
     boost::asio::awaitable<void> awaitReplica(const std::string &name, std::string previous, Answers &answers, std::uint64_t generation);
+    boost::asio::awaitable<bool> order(std::string name, std::string candidate, std::uint64_t epoch);
     boost::asio::awaitable<bool> awaitRole(wire::PoolMember member, std::uint64_t generation);
     boost::asio::awaitable<void> pause(Duration duration);
     boost::asio::awaitable<LogReply> propose(wire::SessionsCommand command);
@@ -120,6 +122,7 @@
     std::map<std::string, Service> m_services;
     std::uint64_t m_generation = 0;
     bool m_leads = false;
+    bool m_collected = false; ///< every database has had the time to send a heartbeat
 };
 
 } // namespace waxwing::control
--- a/programs/control/primary_keeper_test.cpp
+++ b/programs/control/primary_keeper_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(pauseDoesNotOutrunThePromotion);
     CPPUNIT_TEST(leaseThatWasNotGivenUpDelaysTheOrder);
     CPPUNIT_TEST(orderWithoutAnswerIsFollowedByAHigherToken);
+    CPPUNIT_TEST(promotionOfALostAnswerIsConfirmed);
     CPPUNIT_TEST(drainingPrimaryStepsDownFirst);
     CPPUNIT_TEST(reachablePrimaryIsKept);
     CPPUNIT_TEST(leavingReplicaLeadsForItsLogOnly);
@@ -184,6 +185,24 @@
         CPPUNIT_ASSERT_EQUAL(bed.orders.back().token, bed.machine.service("s")->epoch());
     }
 
+    // Guards against a second promotion, and the seconds without a primary that it costs, after an order was carried out but
+    // its answer was lost (13.4 s without a primary on day giver-dies-in-promotion).
+    void promotionOfALostAnswerIsConfirmed()
+    {
+        SessionControlBed bed;
+        start(bed);
+        bed.answerOrder = [&](const SessionControlBed::Order &order) {
+            bed.promote(order.database);
+            return bed.orders.size() < 2 ? OrderAnswer::None : OrderAnswer::Accepted;
+        };
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.primary().empty() && bed.primary() != "a"; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bed.orders.size());
+        CPPUNIT_ASSERT_EQUAL(bed.orders[0].database, bed.orders[1].database);
+        CPPUNIT_ASSERT(bed.orders[1].token > bed.orders[0].token);
+        CPPUNIT_ASSERT(!has(database(bed, bed.primary()).commands(), "STEPDOWN"));
+    }
+
     // Guards against commits that a leaving primary acknowledges after positions were compared.
     void drainingPrimaryStepsDownFirst()
     {
@@ -217,8 +236,9 @@
         bed.beat(database(bed, "b"), false, true);
         bed.answerOrder = [&](const SessionControlBed::Order &order) {
             bed.promote(order.database);
-            // The replica receives what the new primary has.
-            database(bed, "c").setPosition(3, 120);
+            if (bed.orders.size() == 1) {
+                database(bed, "c").setPosition(4, 120); // it receives what the new primary has
+            }
             return OrderAnswer::Accepted;
         };
         lose(bed, "a");
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -43,7 +43,6 @@
 {
 
 constexpr Duration tickInterval = 20ms; // bounds the delay of a push; each wake-up is paid for
-constexpr Duration orderLimit = 2s; // the platform carries a promotion out in 300 to 1,000 ms
 constexpr Duration connectLimit = 500ms;
 constexpr Duration logNotice = 50ms;
 // Every part of the service waits for an election after all members have started again. Three heartbeats and a round trip
@@ -158,8 +157,8 @@
             }
             return addresses;
         };
-        ports.orderPromotion = [this](std::string service, std::string database, std::uint64_t token) {
-            return order(std::move(service), std::move(database), token);
+        ports.orderPromotion = [this](std::string service, std::string database, std::uint64_t token, Duration limit) {
+            return order(std::move(service), std::move(database), token, limit);
         };
         return ports;
     }
@@ -173,7 +172,7 @@
         }
     }
 
-    asio::awaitable<OrderAnswer> order(std::string service, std::string database, std::uint64_t token)
+    asio::awaitable<OrderAnswer> order(std::string service, std::string database, std::uint64_t token, Duration limit)
     {
         static auto &orders = Metrics::instance().counter("waxwing_control_orders_total");
         orders.add();
@@ -189,9 +188,9 @@
             log::write(log::Level::Warning, "platform not reached", {{"error", connectError.message()}});
             co_return OrderAnswer::None;
         }
-        auto exchange = [&connection](auto handler, HttpRequest request) {
+        auto exchange = [&connection, limit](auto handler, HttpRequest request) {
             auto shared = std::make_shared<decltype(handler)>(std::move(handler)); // shared: the callback must be copyable
-            connection.exchange(request, orderLimit, [shared](HttpExchange &&result) { (*shared)(std::move(result)); });
+            connection.exchange(request, limit, [shared](HttpExchange &&result) { (*shared)(std::move(result)); });
         };
         auto request = platform::promotionOrder(service, database, m_settings.name, token);
         const auto result
--- a/programs/control/session_control_ports.h
+++ b/programs/control/session_control_ports.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <waxwing/coordination/log_port.h>
+#include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -26,8 +27,8 @@
     std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> sendToProxy;
     std::function<void(const std::string &member, const wire::PoolEnvelope &message)> sendToMember; ///< by link address
     std::function<std::vector<std::string>()> members; ///< link addresses of the members of control
-    /// Orders the platform to make a database the primary.
-    std::function<boost::asio::awaitable<OrderAnswer>(std::string service, std::string database, std::uint64_t token)> orderPromotion;
+    /// Orders the platform to make a database the primary; waits for the answer no longer than the limit.
+    std::function<boost::asio::awaitable<OrderAnswer>(std::string service, std::string database, std::uint64_t token, Duration limit)> orderPromotion;
 };
 
 } // namespace waxwing::control
--- a/programs/control/testing/session_control_bed.h
+++ b/programs/control/testing/session_control_bed.h
@@ -154,7 +154,7 @@
         ports.members = [] {
             return std::vector<std::string> {"core-1"};
         };
-        ports.orderPromotion = [this](std::string, std::string database, std::uint64_t token) -> boost::asio::awaitable<OrderAnswer> {
+        ports.orderPromotion = [this](std::string, std::string database, std::uint64_t token, Duration) -> boost::asio::awaitable<OrderAnswer> {
             orders.push_back({database, token});
             if (answerOrder) {
                 co_return answerOrder(orders.back());
@@ -170,7 +170,7 @@
     void promote(const std::string &id)
     {
         for (auto &database : databases) {
-            database.setPrimary(database.id() == id);
+            database.beginTerm(database.id() == id);
         }
     }
 };
