Record proxies that may hold a lease, so that a new leader waits for these only

An order without an answer doubled the wait for the next one (0.4 to 2 s), while the loss of an answer tells nothing about the next. Change: a proxy is recorded in the log before its first grant and removed after its lease has ended; a new leader is complete once every recorded proxy has asked it. Without records it waits as before. Waits for an answer double after each two.

--- a/packages/state/include/waxwing/state/sessions_machine.h
+++ b/packages/state/include/waxwing/state/sessions_machine.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -65,6 +66,12 @@
         return m_members;
     }
 
+    /// @brief Proxies that may hold a lease.
+    const std::set<std::string, std::less<>> &proxies() const
+    {
+        return m_proxies;
+    }
+
 private:
     bool startEpoch(std::uint64_t index, const wire::StartEpoch &command);
     bool setPrimary(std::uint64_t index, const wire::SetPrimary &command);
@@ -74,6 +81,7 @@
     std::string m_document;
     std::map<std::string, wire::EpochRecord, std::less<>> m_services;
     std::map<std::string, wire::PoolMember, std::less<>> m_members;
+    std::set<std::string, std::less<>> m_proxies;
 };
 
 } // namespace waxwing
--- a/packages/state/src/waxwing/state/sessions_machine.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine.cpp
@@ -33,6 +33,13 @@
     } else if (command.has_set_member()) {
         setMember(command.set_member().member());
         result.set_accepted(true);
+    } else if (command.has_set_proxy()) {
+        if (command.set_proxy().gone()) {
+            m_proxies.erase(command.set_proxy().proxy());
+        } else {
+            m_proxies.insert(command.set_proxy().proxy());
+        }
+        result.set_accepted(true);
     }
     result.set_version(m_version);
     if (const auto *record = this->service(service)) {
@@ -98,6 +105,9 @@
     for (const auto &[id, member] : m_members) {
         *message.add_members() = member;
     }
+    for (const auto &proxy : m_proxies) {
+        message.add_proxies(proxy);
+    }
     return encodeMessage(message);
 }
 
@@ -118,6 +128,7 @@
     for (const auto &member : message.members()) {
         m_members[member.id()] = member;
     }
+    m_proxies = {message.proxies().begin(), message.proxies().end()};
     return true;
 }
 
--- a/packages/state/src/waxwing/state/sessions_machine_test.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine_test.cpp
@@ -90,6 +90,9 @@
         wire::SessionsCommand member;
         member.mutable_set_member()->mutable_member()->set_id("d");
         machine.applyCommand(4, member);
+        wire::SessionsCommand proxy;
+        proxy.mutable_set_proxy()->set_proxy("p1");
+        machine.applyCommand(5, proxy);
         SessionsMachine copy;
         CPPUNIT_ASSERT(copy.restore(machine.snapshot()));
         CPPUNIT_ASSERT_EQUAL(std::string("a"), copy.document());
@@ -98,8 +101,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string("p"), copy.service("s")->previous());
         CPPUNIT_ASSERT(copy.members().contains("d"));
         member.mutable_set_member()->mutable_member()->set_leaving(true);
-        copy.applyCommand(5, member);
+        copy.applyCommand(6, member);
         CPPUNIT_ASSERT(copy.members().empty());
+        CPPUNIT_ASSERT(copy.proxies().contains("p1"));
+        proxy.mutable_set_proxy()->set_gone(true);
+        copy.applyCommand(7, proxy);
+        CPPUNIT_ASSERT(copy.proxies().empty());
     }
 };
 
--- a/programs/control/epoch_withdrawal_test.cpp
+++ b/programs/control/epoch_withdrawal_test.cpp
@@ -26,7 +26,7 @@
 {
     Fixture()
     {
-        leases.reset(TimePoint(0s));
+        leases.reset(TimePoint(0s), {});
         for (const auto *proxy : {"p", "q"}) {
             lease(proxy, 1, TimePoint(settled));
         }
@@ -128,7 +128,7 @@
     {
         Fixture fixture;
         fixture.lease("p", 1, TimePoint(settled + 2s));
-        CPPUNIT_ASSERT(fixture.leases.expire(TimePoint(settled + 2'100ms)));
+        CPPUNIT_ASSERT(!fixture.leases.expire(TimePoint(settled + 2'100ms)).empty());
         fixture.withdrawal.close();
         fixture.advance(TimePoint(settled + 2'100ms));
         CPPUNIT_ASSERT_EQUAL(0U, fixture.last.evidence_ms());
@@ -143,7 +143,7 @@
         close(fixture);
         fixture.confirm("p", 5, 5);
         fixture.lease("p", 1, TimePoint(settled + 2s));
-        CPPUNIT_ASSERT(fixture.leases.expire(TimePoint(settled + 2'100ms)));
+        CPPUNIT_ASSERT(!fixture.leases.expire(TimePoint(settled + 2'100ms)).empty());
         CPPUNIT_ASSERT(!fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled + 2'100ms)));
         fixture.advance(TimePoint(settled + 2'100ms));
         CPPUNIT_ASSERT(!fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled + 2'100ms)));
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -38,7 +38,7 @@
 constexpr Duration callLimit = 400ms; // for a command to a database
 constexpr Duration catchUpLimit = 600ms; // for a replica to receive what a primary had when it stepped down
 constexpr Duration closeLimit = 600ms; // for proxies to confirm that they acknowledge nothing further
-// For the answer to an order, doubled while none comes: the platform answers within a round trip and then promotes. An order
+// For the answer to an order, doubled after each two that got none: the platform answers within a round trip and then promotes. An order
 // whose answer was lost is repeated with a new token, so that waiting longer only leaves the service without a primary.
 constexpr Duration orderLimit = 400ms;
 constexpr Duration orderLimitHigh = 2s;
@@ -441,7 +441,7 @@
 asio::awaitable<bool> PrimaryKeeper::order(std::string name, std::string candidate, std::uint64_t epoch)
 {
     const auto orderedAt = Clock::now();
-    const auto limit = std::min(orderLimitHigh, orderLimit * (1U << std::min(m_services[name].unanswered, orderLimitSteps)));
+    const auto limit = std::min(orderLimitHigh, orderLimit * (1U << std::min(m_services[name].unanswered / 2, orderLimitSteps)));
     const auto answer = co_await m_ports.orderPromotion(name, candidate, epoch, limit);
     auto &unanswered = m_services[name].unanswered;
     unanswered = answer == OrderAnswer::None ? unanswered + 1 : 0;
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -101,7 +101,8 @@
     m_activeSince = Clock::now();
     m_directoryNumber = 0;
     m_directory.clear();
-    m_leases.reset(m_activeSince);
+    m_leases.reset(m_activeSince, m_machine.proxies());
+    m_departing.clear();
     m_keeper.reset(true);
     applyDocument();
     m_applied = true;
@@ -143,7 +144,11 @@
         return;
     }
     const auto now = Clock::now();
-    m_leases.expire(now);
+    for (const auto &proxy : m_leases.expire(now)) {
+        log::write(log::Level::Info, "lease of a proxy ended", {{"proxy", proxy}});
+        m_departing.insert(proxy);
+        recordProxy(proxy, true, [](LogReply &&) {});
+    }
     for (const auto &entry : m_directory.expire(now)) {
         log::write(log::Level::Warning, "database silent, removed",
                    {{"database", entry.member.id()}, {"service", entry.member.service()}, {"silent_ms", toMilliseconds(now - entry.heard).count()}});
@@ -184,13 +189,32 @@
     const auto now = Clock::now();
     m_leases.renew(renewal, now);
     m_keeper.report(proxy, renewal, now);
-    m_ports.log.read([this, epoch = m_epoch, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
+    auto proven = [this, epoch = m_epoch, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
         if (epoch == m_epoch && reply.failure == LogFailure::None) {
             grant(proxy, incarnation, sequence);
         }
+    };
+    // A later leader must know of the lease. The record of an end that is under way may come after this renewal.
+    if (m_machine.proxies().contains(proxy) && !m_departing.contains(proxy)) {
+        m_ports.log.read(std::move(proven));
+        return;
+    }
+    recordProxy(proxy, false, [this, proxy, proven = std::move(proven)](LogReply &&reply) {
+        if (reply.failure == LogFailure::None) {
+            m_departing.erase(proxy);
+        }
+        proven(std::move(reply));
     });
 }
 
+void SessionControl::recordProxy(const std::string &proxy, bool gone, LogPort::Handler handler)
+{
+    wire::SessionsCommand command;
+    command.mutable_set_proxy()->set_proxy(proxy);
+    command.mutable_set_proxy()->set_gone(gone);
+    m_ports.log.propose(encodeMessage(command), std::move(handler));
+}
+
 void SessionControl::grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence)
 {
     const auto found = m_leases.proxies().find(proxy);
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -95,6 +95,7 @@
     void push();
     void takeBeat(const wire::PoolMember &member);
     void record(const wire::PoolMember &member);
+    void recordProxy(const std::string &proxy, bool gone, LogPort::Handler handler);
     void applyDocument();
 
     Options m_options;
@@ -108,6 +109,7 @@
     bool m_activating = false;
     bool m_applied = false;
     bool m_directoryChanged = false;
+    std::set<std::string> m_departing; ///< proxies whose end was proposed in this leadership and that were not recorded since
     std::map<std::string, TimePoint> m_waiting; ///< proxies that asked while this member did not lead, and when
     std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
     std::uint64_t m_term = 0;
--- a/programs/control/session_leases.cpp
+++ b/programs/control/session_leases.cpp
@@ -1,6 +1,7 @@
 #include "session_leases.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwing::control
 {
@@ -24,9 +25,11 @@
 {
 }
 
-void SessionLeases::reset(TimePoint now)
+void SessionLeases::reset(TimePoint now, std::set<std::string, std::less<>> recorded)
 {
     m_proxies.clear();
+    m_known = !recorded.empty();
+    m_expected = std::move(recorded);
     m_completeAt = now + guard();
     m_elsewhereUntil = m_completeAt + m_options.acknowledgementGrace;
 }
@@ -34,6 +37,10 @@
 SessionLeases::Proxy &SessionLeases::renew(const wire::PoolRenewal &renewal, TimePoint now)
 {
     auto &proxy = m_proxies[renewal.proxy()];
+    if (proxy.end == TimePoint()) {
+        proxy.end = now + guard(); // until it is granted; recording the proxy comes first
+    }
+    m_expected.erase(renewal.proxy());
     if (proxy.incarnation != 0 && proxy.incarnation != renewal.incarnation()) {
         m_elsewhereUntil = std::max(m_elsewhereUntil, now); // what the former process acknowledged is not known
     }
@@ -65,17 +72,22 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, permille * weight / (total + floor * m_proxies.size())));
 }
 
-bool SessionLeases::expire(TimePoint now)
+std::vector<std::string> SessionLeases::expire(TimePoint now)
 {
-    return std::erase_if(m_proxies,
-                         [&](const auto &item) {
-                             if (item.second.end > now) {
-                                 return false;
-                             }
-                             m_elsewhereUntil = std::max(m_elsewhereUntil, item.second.end + m_options.acknowledgementGrace);
-                             return true;
-                         })
-        != 0;
+    std::vector<std::string> expired;
+    std::erase_if(m_proxies, [&](const auto &item) {
+        if (item.second.end > now) {
+            return false;
+        }
+        m_elsewhereUntil = std::max(m_elsewhereUntil, item.second.end + m_options.acknowledgementGrace);
+        expired.push_back(item.first);
+        return true;
+    });
+    if (now >= m_completeAt) {
+        expired.insert(expired.end(), m_expected.begin(), m_expected.end());
+        m_expected.clear();
+    }
+    return expired;
 }
 
 } // namespace waxwing::control
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,10 +40,11 @@
     SessionLeases();
     explicit SessionLeases(const Options &options);
 
-    /// @brief Starts a leadership: nothing is known of leases that earlier leaders granted.
-    void reset(TimePoint now);
+    /// @brief Starts a leadership.
+    /// @param recorded proxies that may hold a lease of an earlier leader; if empty, nothing is known of such leases
+    void reset(TimePoint now, std::set<std::string, std::less<>> recorded);
 
-    /// @brief Takes note of a renewal, before it is granted.
+    /// @brief Takes note of a renewal, before it is granted. A new proxy counts as one that may hold a lease from now on.
     Proxy &renew(const wire::PoolRenewal &renewal, TimePoint now);
 
     /// @brief Takes note that a lease is granted now.
@@ -54,13 +56,14 @@
     std::uint32_t share(const Proxy &proxy) const;
 
     /// @brief Forgets proxies whose leases have ended.
-    /// @return true if there were any
-    bool expire(TimePoint now);
+    /// @return their names
+    std::vector<std::string> expire(TimePoint now);
 
-    /// @brief Tells whether every lease of earlier leaders has ended.
+    /// @brief Tells whether proxies() lists every proxy that may hold a lease: those of earlier leaders have asked this one,
+    /// or their leases have ended.
     bool isComplete(TimePoint now) const
     {
-        return now >= m_completeAt;
+        return now >= m_completeAt || (m_known && m_expected.empty());
     }
 
     /// @brief Time since which only proxies that hold a lease of this leader acknowledge commits.
@@ -93,6 +96,8 @@
 
     Options m_options;
     std::map<std::string, Proxy, std::less<>> m_proxies;
+    std::set<std::string, std::less<>> m_expected; ///< may hold a lease of an earlier leader and have not asked this one
+    bool m_known = false; ///< earlier leaders recorded their proxies
     TimePoint m_completeAt;
     TimePoint m_elsewhereUntil;
 };
--- a/programs/control/session_leases_test.cpp
+++ b/programs/control/session_leases_test.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(leaseOfAFormerProcessCountsOn);
     CPPUNIT_TEST(sharesFollowDemand);
     CPPUNIT_TEST(departedProxyMayAcknowledgeForSomeTime);
+    CPPUNIT_TEST(newLeaderNeedsNoWaitOnceAllRecordedProxiesAsked);
+    CPPUNIT_TEST(recordedProxyThatNeverAsksExpires);
+    CPPUNIT_TEST(unrecordedProxiesAreWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,7 +36,7 @@
     void newLeaderWaitsForLeasesOfTheFormerOne()
     {
         SessionLeases leases;
-        leases.reset(TimePoint(10s));
+        leases.reset(TimePoint(10s), {});
         CPPUNIT_ASSERT(!leases.isComplete(TimePoint(12'099ms)));
         CPPUNIT_ASSERT(leases.isComplete(TimePoint(12'100ms)));
     }
@@ -42,20 +45,20 @@
     void leaseOfAFormerProcessCountsOn()
     {
         SessionLeases leases;
-        leases.reset(TimePoint(0s));
+        leases.reset(TimePoint(0s), {});
         leases.renew(renewal("p", 1), TimePoint(10s));
         leases.grant("p", TimePoint(10s));
         leases.renew(renewal("p", 2), TimePoint(11s));
-        CPPUNIT_ASSERT(!leases.expire(TimePoint(12'099ms)));
+        CPPUNIT_ASSERT(leases.expire(TimePoint(12'099ms)).empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), leases.proxies().at("p").incarnation);
-        CPPUNIT_ASSERT(leases.expire(TimePoint(12'100ms)));
+        CPPUNIT_ASSERT(!leases.expire(TimePoint(12'100ms)).empty());
     }
 
     // Guards against the only proxy of a domain that starves, and against shares that add up to more than there is.
     void sharesFollowDemand()
     {
         SessionLeases leases;
-        leases.reset(TimePoint(0s));
+        leases.reset(TimePoint(0s), {});
         leases.renew(renewal("a", 1, 300), TimePoint(1s));
         leases.renew(renewal("b", 1, 100), TimePoint(1s));
         leases.renew(renewal("c", 1, 0), TimePoint(1s));
@@ -72,15 +75,45 @@
     void departedProxyMayAcknowledgeForSomeTime()
     {
         SessionLeases leases;
-        leases.reset(TimePoint(0s));
+        leases.reset(TimePoint(0s), {});
         CPPUNIT_ASSERT(leases.acknowledgedElsewhereUntil() == TimePoint(2'100ms) + EpochLease::acknowledgementGrace);
         leases.renew(renewal("p", 1), TimePoint(20s));
         leases.grant("p", TimePoint(20s));
         leases.renew(renewal("p", 2), TimePoint(21s));
         CPPUNIT_ASSERT(leases.acknowledgedElsewhereUntil() == TimePoint(21s));
-        CPPUNIT_ASSERT(leases.expire(TimePoint(30s)));
+        CPPUNIT_ASSERT(!leases.expire(TimePoint(30s)).empty());
         CPPUNIT_ASSERT(leases.acknowledgedElsewhereUntil() == TimePoint(22'100ms) + EpochLease::acknowledgementGrace);
     }
+
+    // Guards against 2 s without a primary after control's leader was lost in the middle of a change (giver-dies-in-promotion).
+    void newLeaderNeedsNoWaitOnceAllRecordedProxiesAsked()
+    {
+        SessionLeases leases;
+        leases.reset(TimePoint(10s), {"p", "q"});
+        leases.renew(renewal("p", 1), TimePoint(10s));
+        CPPUNIT_ASSERT(!leases.isComplete(TimePoint(10s)));
+        leases.renew(renewal("q", 1), TimePoint(10s));
+        CPPUNIT_ASSERT(leases.isComplete(TimePoint(10s)));
+    }
+
+    // Guards against proxies that have gone and are waited for by every later leader.
+    void recordedProxyThatNeverAsksExpires()
+    {
+        SessionLeases leases;
+        leases.reset(TimePoint(10s), {"p"});
+        CPPUNIT_ASSERT(leases.expire(TimePoint(12'099ms)).empty());
+        CPPUNIT_ASSERT(leases.expire(TimePoint(12'100ms)) == std::vector<std::string>({"p"}));
+        CPPUNIT_ASSERT(leases.expire(TimePoint(12'100ms)).empty());
+    }
+
+    // Guards against a promotion before the end of leases that a leader of an earlier version of the program granted.
+    void unrecordedProxiesAreWaitedFor()
+    {
+        SessionLeases leases;
+        leases.reset(TimePoint(10s), {});
+        leases.renew(renewal("p", 1), TimePoint(10s));
+        CPPUNIT_ASSERT(!leases.isComplete(TimePoint(12'099ms)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionLeasesTest);
