Reach proxies that are cut off from control's leader through its other members

All proxies were cut off from the leader for 7 s, two of them reached the other members, which referred them to the leader. Without leases and reports, the primary that was cut off from its replicas was replaced only when its heartbeats had been missing for 8 s. Ruled out: an election (the leader kept its quorum). Change: a proxy names the leader that did not answer; a member that follows the same leader passes renewals and withdrawals on, and the leader's messages back. The proxy tries the leader directly each second.

--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -35,6 +35,7 @@
     , m_machine(machine)
     , m_ports(std::move(ports))
     , m_leases(m_options.leases)
+    , m_sendDirectly(std::exchange(m_ports.sendToProxy, [this](const std::string &proxy, const wire::PoolEnvelope &message) { sendToProxy(proxy, message); }))
     , m_keeper(context, PrimaryKeeper::State {m_machine, m_directory, m_leases}, m_ports, m_options.name, [this] { m_directoryChanged = true; })
 {
 }
@@ -46,22 +47,69 @@
         if (m_active) {
             takeBeat(message.beat().member());
         }
-        return;
-    }
-    if (!m_active) {
-        if (message.has_renewal()) {
-            m_waiting[from] = Clock::now();
-            referToLeader(from);
-        }
-        return;
+    } else if (message.has_relay()) {
+        handleRelay(from, message.relay());
+    } else if (m_active) {
+        m_relays.erase(from);
+        handleProxy(from, message);
+    } else {
+        forwardProxy(from, message);
     }
+}
+
+void SessionControl::handleProxy(const std::string &proxy, const wire::PoolEnvelope &message)
+{
     if (message.has_renewal()) {
-        handleRenewal(from, message.renewal());
+        handleRenewal(proxy, message.renewal());
     } else if (message.has_withdrawn()) {
         m_keeper.withdrawn(message.withdrawn());
     }
 }
 
+void SessionControl::forwardProxy(const std::string &proxy, const wire::PoolEnvelope &message)
+{
+    const auto leader = m_ports.log.leaderHint();
+    const bool cutOff = message.has_withdrawn() || (message.has_renewal() && message.renewal().unreachable_leader() == leader);
+    if (!leader.empty() && cutOff) {
+        wire::PoolEnvelope relay;
+        relay.mutable_relay()->set_proxy(proxy);
+        *relay.mutable_relay()->mutable_content() = message;
+        m_ports.sendToMember(leader, relay);
+    } else if (message.has_renewal()) {
+        m_waiting[proxy] = Clock::now();
+        referToLeader(proxy);
+    }
+}
+
+void SessionControl::handleRelay(const std::string &from, const wire::PoolRelay &relay)
+{
+    const auto &content = relay.content();
+    if (!content.has_renewal() && !content.has_withdrawn()) {
+        m_sendDirectly(relay.proxy(), content); // from the leader
+    } else if (m_active) {
+        if (m_relays.insert_or_assign(relay.proxy(), from).second) {
+            log::write(log::Level::Info, "proxy reached through another member", {{"proxy", relay.proxy()}, {"member", from}});
+        }
+        handleProxy(relay.proxy(), content);
+    }
+}
+
+void SessionControl::sendToProxy(const std::string &proxy, const wire::PoolEnvelope &message)
+{
+    const auto member = m_relays.find(proxy);
+    if (!m_active || member == m_relays.end()) {
+        m_sendDirectly(proxy, message);
+        return;
+    }
+    wire::PoolEnvelope relay;
+    relay.mutable_relay()->set_proxy(proxy);
+    *relay.mutable_relay()->mutable_content() = message;
+    if (message.has_grant()) {
+        relay.mutable_relay()->mutable_content()->mutable_grant()->set_relayed(true);
+    }
+    m_ports.sendToMember(member->second, relay);
+}
+
 void SessionControl::referToLeader(const std::string &proxy)
 {
     wire::PoolEnvelope reply;
@@ -103,6 +151,7 @@
     m_directory.clear();
     m_leases.reset(m_activeSince, m_machine.proxies());
     m_departing.clear();
+    m_relays.clear();
     m_keeper.reset(true);
     applyDocument();
     m_applied = true;
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -83,6 +83,10 @@
     }
 
 private:
+    void handleProxy(const std::string &proxy, const wire::PoolEnvelope &message);
+    void forwardProxy(const std::string &proxy, const wire::PoolEnvelope &message);
+    void handleRelay(const std::string &from, const wire::PoolRelay &relay);
+    void sendToProxy(const std::string &proxy, const wire::PoolEnvelope &message);
     void updateLeadership();
     void referToLeader(const std::string &proxy);
     void activate();
@@ -103,6 +107,8 @@
     SessionControlPorts m_ports;
     PoolDirectory m_directory;
     SessionLeases m_leases;
+    std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> m_sendDirectly;
+    std::map<std::string, std::string> m_relays; ///< members through which proxies are reached that this leader does not reach
     PrimaryKeeper m_keeper;
     PoolConfig m_config; ///< document of the machine, decoded
     bool m_active = false;
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(proxyIsRecordedBeforeItGetsALease);
     CPPUNIT_TEST(waitingProxiesAreToldOfTheNewLeader);
     CPPUNIT_TEST(statusListsServicesAndProxies);
+    CPPUNIT_TEST(cutOffProxyIsReachedThroughAnotherMember);
+    CPPUNIT_TEST(memberRelaysOnlyToTheLeaderThatDidNotAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +63,59 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a"), std::string(status.at("services").as_array().front().as_object().at("primary").as_string()));
         CPPUNIT_ASSERT_EQUAL(std::string("p1"), std::string(status.at("proxies").as_array().front().as_object().at("proxy").as_string()));
     }
+
+    // Guards against a service without a primary and proxies without a lease because they do not reach the leader, while
+    // they reach the other members (day trouble-3 of bainha-sul, --seed 5).
+    void cutOffProxyIsReachedThroughAnotherMember()
+    {
+        SessionControlBed bed;
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.control.isActive(); }));
+        bool direct = false;
+        bed.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            direct = direct || message.has_grant();
+        };
+        wire::PoolEnvelope message;
+        message.mutable_relay()->set_proxy("p1");
+        auto &renewal = *message.mutable_relay()->mutable_content()->mutable_renewal();
+        renewal.set_proxy("p1");
+        renewal.set_sequence(7);
+        renewal.set_incarnation(1);
+        bed.control.handleMessage("core-2", message);
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.memberMessages.empty(); }));
+        const auto &[member, reply] = bed.memberMessages.back();
+        CPPUNIT_ASSERT_EQUAL(std::string("core-2"), member);
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), reply.relay().proxy());
+        CPPUNIT_ASSERT(reply.relay().content().grant().relayed());
+        CPPUNIT_ASSERT(!direct);
+        bed.renew("p1", false);
+        CPPUNIT_ASSERT(bed.runUntil([&] { return direct; }));
+    }
+
+    // Guards against messages that go on to a leader which was replaced, and against relays where a referral is enough.
+    void memberRelaysOnlyToTheLeaderThatDidNotAnswer()
+    {
+        SessionControlBed bed;
+        bed.leads = false;
+        std::size_t referrals = 0;
+        bed.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            referrals += message.has_not_leader() ? 1 : 0;
+        };
+        wire::PoolEnvelope message;
+        message.mutable_renewal()->set_proxy("p1");
+        message.mutable_renewal()->set_unreachable_leader("core-1");
+        bed.control.handleMessage("p1", message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), referrals);
+        CPPUNIT_ASSERT(bed.memberMessages.empty());
+        message.mutable_renewal()->set_unreachable_leader("core-2");
+        bed.control.handleMessage("p1", message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), referrals);
+        CPPUNIT_ASSERT_EQUAL(std::string("core-2"), bed.memberMessages.back().first);
+        message.Clear();
+        message.mutable_relay()->set_proxy("p1");
+        message.mutable_relay()->mutable_content()->mutable_not_leader();
+        bed.control.handleMessage("core-2", message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), referrals);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
--- a/programs/control/testing/session_control_bed.h
+++ b/programs/control/testing/session_control_bed.h
@@ -121,6 +121,7 @@
     std::vector<Order> orders; ///< in the order in which they came
     std::function<OrderAnswer(const Order &order)> answerOrder; ///< promotes the database if empty
     std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> onProxyMessage;
+    std::vector<std::pair<std::string, wire::PoolEnvelope>> memberMessages; ///< to other members of control, by link address
     SessionControl control;
 
 private:
@@ -149,7 +150,8 @@
                 onProxyMessage(proxy, message);
             }
         };
-        ports.sendToMember = [](const std::string &, const wire::PoolEnvelope &) {
+        ports.sendToMember = [this](const std::string &member, const wire::PoolEnvelope &message) {
+            memberMessages.emplace_back(member, message);
         };
         ports.members = [] {
             return std::vector<std::string> {"core-1"};
--- a/programs/proxy/control_client.cpp
+++ b/programs/proxy/control_client.cpp
@@ -47,6 +47,10 @@
     const bool isUnanswered = m_unansweredSince && now - *m_unansweredSince >= m_options.searchAfter;
     if (isUnanswered && !m_leader.empty()) {
         Metrics::instance().counter("waxwing_control_searches_total").add();
+        if (!m_relayed) {
+            m_unreachable = m_leader;
+        }
+        m_relayed = false;
         m_leader.clear();
         renew(now);
         return;
@@ -76,6 +80,10 @@
         m_sent.pop_front();
     }
     send(message);
+    if (m_relayed && (!m_lastDirect || now - *m_lastDirect >= m_options.directInterval)) {
+        m_lastDirect = now;
+        m_sender(peerAt(m_unreachable), message);
+    }
 }
 
 bool ControlClient::send(const wire::Envelope &message)
@@ -90,11 +98,16 @@
     return isSent;
 }
 
-std::optional<TimePoint> ControlClient::onGrant(const LinkPeer &from, std::uint64_t sequence)
+std::optional<TimePoint> ControlClient::onGrant(const LinkPeer &from, std::uint64_t sequence, bool relayed)
 {
     if (sequence == 0) {
         return std::nullopt;
     }
+    if (!relayed && m_relayed && from.kind == LinkPeer::Kind::Dialed && from.id == m_unreachable) {
+        m_leader = from.id; // reached again, even if the relayed answer came first
+        m_relayed = false;
+        m_unreachable.clear();
+    }
     const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&](const Sent &entry) { return entry.sequence == sequence; });
     if (sent == m_sent.end()) {
         return std::nullopt;
@@ -104,6 +117,10 @@
     m_unansweredSince = m_sent.empty() ? std::nullopt : std::optional(m_sent.front().at);
     if (from.kind == LinkPeer::Kind::Dialed && isKnown(from.id)) {
         m_leader = from.id;
+        m_relayed = relayed;
+        if (!relayed) {
+            m_unreachable.clear();
+        }
     }
     return sentAt;
 }
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -162,6 +162,7 @@
         renewal.set_directory_version(m_directory.directoryVersion());
         renewal.set_draining(m_stopping);
         renewal.set_demand(measureDemand(now));
+        renewal.set_unreachable_leader(m_control.unreachableLeader());
         for (const auto &[name, service] : m_directory.services()) {
             const auto primary = service->primary();
             if (!primary) {
@@ -213,7 +214,7 @@
         }
         const auto &body = message.pool();
         if (body.has_grant()) {
-            const auto sentAt = m_control.onGrant(from, body.grant().sequence());
+            const auto sentAt = m_control.onGrant(from, body.grant().sequence(), body.grant().relayed());
             for (const auto &address : body.grant().control()) {
                 m_control.learn(address);
             }
