Let the primary itself show that it leads where a proxy has no lease

Leases ended after 2 s, and with them every read of a primary and every proof of an age, on all services. Ruled out: relays through other members, which no proxy reached during the cut either; longer leases, which would delay each promotion beside a proxy that died. Change: a read of a primary without a lease runs in a transaction that may write. A database refuses any statement of such a transaction once it has lost the lead, and it loses it at the moment of a promotion. Positions for proofs of age come from such transactions too, so that replicas go on serving. With a lease nothing changes. The test readUnderAWithdrawnEpochWaitsForTheNextPrimary let the test change the roles while the read waited; the roles now change before the read, which must still wait for the next primary. SessionPathTest::primaryShowsThatItLeadsWithoutALease.

--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -41,6 +41,8 @@
         std::optional<TermPosition> after; ///< position that the database must have reached
         bool primary = false;
         std::uint64_t epoch = 0;
+        /// Without a lease the primary itself must show that it leads: a read runs in a transaction that may write.
+        bool verifies = false;
         bool crowded = false; ///< without a pool: the queues are too long
     };
 
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -85,12 +85,13 @@
 
 /// First exchange of an attempt: the statement, or the begin of its transaction. The statement does not follow the begin
 /// before that was answered, since it would run outside of a transaction if the begin is refused.
-Exchange composeFirst(const SessionJob &job, ConnectionState &state, const std::optional<TermPosition> &after)
+/// @param verifies a read is run in a transaction that may write, which a database refuses once it no longer leads
+Exchange composeFirst(const SessionJob &job, ConnectionState &state, const std::optional<TermPosition> &after, bool verifies)
 {
     Exchange exchange;
     addPreparation(exchange, job, state);
-    if (job.begins) {
-        const auto begin = platform::beginText(job.readOnly);
+    if (job.begins || verifies) {
+        const auto begin = platform::beginText(job.readOnly && !verifies);
         exchange.add(platform::encodeOwnStatement(after ? platform::afterText(*after, begin) : begin));
     } else if (after) {
         exchange.add(platform::encodeStatementAfter(job.id, *after, job.text));
@@ -231,7 +232,8 @@
     if (job.needsPrimary()) {
         const bool needsLease = !job.writes && !(job.begins && !job.readOnly);
         const bool mayAcknowledge = m_directory.lease().mayAcknowledge(service.name(), service.epoch(), now);
-        if (primary.pool && ((needsLease && !leased) || (!needsLease && !mayAcknowledge) || attempts.avoided.contains(primary.pool->member().id()))) {
+        primary.verifies = needsLease && !leased;
+        if (primary.pool && ((!needsLease && !mayAcknowledge) || attempts.avoided.contains(primary.pool->member().id()))) {
             primary.pool = nullptr;
         } else if (primary.pool && isCrowded(job, *primary.pool, now)) {
             primary.pool = nullptr;
@@ -245,7 +247,8 @@
     bool crowded = false;
     for (const auto &[id, pool] : service.pools()) {
         const bool isPrimary = pool == primary.pool;
-        if (pool->member().draining() || attempts.avoided.contains(id) || (isPrimary && !leased) || (!isPrimary && !required)) {
+        const bool trusted = isPrimary && leased;
+        if (pool->member().draining() || attempts.avoided.contains(id) || (!trusted && !required)) {
             continue;
         }
         if (isCrowded(job, *pool, now)) {
@@ -257,11 +260,12 @@
         cost += !isPrimary && pool->isLagging(now) ? laggingCost : Duration::zero();
         if (!best.pool || cost < bestCost) {
             bestCost = cost;
-            best = isPrimary ? primary : Choice {pool, required, false, service.epoch()};
+            best = trusted ? primary : Choice {pool, required, false, service.epoch()};
         }
     }
-    if (!best.pool && leased && !crowded && primary.pool && !attempts.avoided.contains(primary.pool->member().id())) {
-        return primary; // it drains, but no other database can run the statement
+    primary.verifies = !leased;
+    if (!best.pool && !crowded && primary.pool && !attempts.avoided.contains(primary.pool->member().id())) {
+        return primary; // it drains, or its position is not known, but no other database can run the statement
     }
     best.crowded = !best.pool && crowded;
     return best;
@@ -290,18 +294,19 @@
         countRetry("directory-changed");
         co_return Verdict::Retry;
     }
-    const auto exchange = composeFirst(job, connection->state(), choice.after);
+    const auto exchange = composeFirst(job, connection->state(), choice.after, choice.verifies);
     const auto sentAt = Clock::now();
     attempts.offered = true;
     auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes, exchange.commands, limit);
-    const bool begun = job.begins && answer.status == DatabaseConnection::RunStatus::Complete && decisiveReply(answer.replies).error == SessionError::None;
+    const bool begun = (job.begins || choice.verifies) && answer.status == DatabaseConnection::RunStatus::Complete
+        && decisiveReply(answer.replies).error == SessionError::None;
     if (begun) {
         const auto statement = platform::encodeStatement(job.id, job.text);
         answer = co_await exchangeOnce(job, service, *pool, *connection, statement, 1, limit);
     }
     if (answer.status != DatabaseConnection::RunStatus::Complete) {
         pool->release(std::move(connection));
-        if (begun) {
+        if (begun && job.begins) {
             co_return abortBegun(result, "the connection to the database was lost; nothing is kept");
         }
         co_return judgeSilence(job, choice, attempts, answer.status, result);
@@ -313,7 +318,9 @@
     auto &reply = decisiveReply(answer.replies);
     const bool succeeded = reply.error == SessionError::None;
     const bool leased = m_directory.lease().covers(service.name(), choice.epoch, answeredAt) && service.epoch() == choice.epoch;
-    if (choice.primary && leased && answer.replies.back().position) {
+    // A successful write, or a transaction that may write, shows by itself that the database led.
+    const bool ledThen = leased || choice.verifies || job.writes;
+    if (choice.primary && succeeded && ledThen && answer.replies.back().position) {
         service.history().add(*answer.replies.back().position, sentAt);
     }
     if (reply.error == SessionError::UnknownStatement) {
@@ -321,7 +328,7 @@
     }
     const bool readsPrimary = choice.primary && !job.writes && !(job.begins && !job.readOnly);
     const bool staysOpen = job.begins && !job.commits && succeeded;
-    const bool unleased = succeeded && readsPrimary && !leased;
+    const bool unleased = succeeded && readsPrimary && !leased && !choice.verifies;
     if (staysOpen && !unleased && answer.replies.back().state == TransactionState::Open) {
         result.connection = std::move(connection);
         result.pool = pool;
@@ -331,7 +338,7 @@
         asio::co_spawn(co_await asio::this_coro::executor, returnClean(pool, std::move(connection), state), asio::detached);
     }
     if (unleased) {
-        if (begun) {
+        if (begun && job.begins) {
             co_return abortBegun(result, "the primary may have been replaced; nothing is kept");
         }
         attempts.lastReason = "lease-lost";
--- a/programs/proxy/position_poll.cpp
+++ b/programs/proxy/position_poll.cpp
@@ -33,7 +33,7 @@
     for (const auto &[name, service] : m_directory.services()) {
         const auto newest = service->history().newest();
         const bool due = !newest || now - *newest >= pollAge;
-        if (due && service->primary() && m_directory.lease().covers(name, service->epoch(), now) && m_asking.insert(name).second) {
+        if (due && service->primary() && m_asking.insert(name).second) {
             boost::asio::co_spawn(m_context, ask(name), boost::asio::detached);
         }
     }
@@ -50,7 +50,8 @@
     auto connection = co_await pool->acquire(session, pollRank, limit);
     if (connection) {
         asked.add();
-        // An empty transaction takes no slot; every answer tells the position.
+        // An empty transaction takes no slot; every answer tells the position. One that may write is refused by a database that
+        // no longer leads, so that no lease is needed.
         std::string bytes = platform::encodeOwnStatement(platform::beginText(false)) + platform::encodeOwnStatement(platform::rollbackText());
         const auto sentAt = Clock::now();
         pool->noteSent(sentAt);
@@ -63,7 +64,7 @@
             pool->noteSilence(now);
         }
         const bool clean = complete && answer.replies.front().error == SessionError::None && answer.replies.back().state == TransactionState::Idle;
-        if (clean && answer.replies.front().position && service->epoch() == epoch && m_directory.lease().covers(name, epoch, now)) {
+        if (clean && answer.replies.front().position && service->epoch() == epoch) {
             service->history().add(*answer.replies.front().position, sentAt);
         } else if (complete && !clean) {
             connection->close();
