--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -86,6 +86,8 @@
         }
         if (!view.primary().empty()) {
             m_lease.grantEpoch(view.service(), view.epoch());
+        } else {
+            m_lease.withdraw(view.service(), view.epoch() - 1); // the primary is being replaced
         }
         applyMembers(*service, view);
         if (service->epoch() != view.epoch()) {
