--- a/packages/sessions/include/waxwing/sessions/database_connection.h
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -83,10 +83,10 @@
     /// @brief When the connection was handed out last; kept by its pool.
     TimePoint handedOutAt;
 
-    /// @brief End of the database's log as the last answer told it.
-    const std::optional<TermPosition> &position() const
+    /// @brief State of the transaction as the last answer told it.
+    TransactionState transaction() const
     {
-        return m_position;
+        return m_transaction;
     }
 
 private:
@@ -99,7 +99,7 @@
     platform::LineReader m_lines;
     platform::ReplyReader m_replies;
     ConnectionState m_state;
-    std::optional<TermPosition> m_position;
+    TransactionState m_transaction = TransactionState::Idle;
     bool m_open = false;
     bool m_timedOut = false;
 };
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -59,6 +59,7 @@
         std::set<std::string> avoided; ///< databases that could not run it
         unsigned count = 0;
         bool offered = false; ///< a database was asked
+        bool mayBeKept = false; ///< the last attempt may have run something that is kept
         std::string_view lastReason = "no-database";
     };
 
--- a/packages/sessions/src/waxwing/sessions/database_connection.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -134,9 +134,7 @@
             }
             if (progress == platform::ReplyReader::Progress::Complete) {
                 reply = m_replies.take();
-                if (reply.position) {
-                    m_position = reply.position;
-                }
+                m_transaction = reply.state;
                 co_return true;
             }
         }
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -1,5 +1,6 @@
 #include <waxwing/sessions/database_pool.h>
 #include <waxwing/support/counter.h>
+#include <waxwing/support/invariant.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
@@ -120,6 +121,9 @@
 void DatabasePool::release(ConnectionPointer connection)
 {
     --m_busy;
+    if (connection->isOpen() && !WAXWING_INVARIANT(connection->transaction() == TransactionState::Idle, "pooled-connection-in-transaction")) {
+        connection->close();
+    }
     if (connection->handedOutAt != TimePoint()) {
         m_holdTime = average(m_holdTime, Clock::now() - connection->handedOutAt);
     }
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -1,6 +1,7 @@
 #include <waxwing/platform/control_calls.h>
 #include <waxwing/sessions/session_directory.h>
 #include <waxwing/support/counter.h>
+#include <waxwing/support/invariant.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
@@ -69,6 +70,9 @@
     }
     log::write(log::Level::Info, "configuration in force",
                {{"version", grant.config_version()}, {"before", configVersion()}, {"routes", decoded.config.routes.size()}});
+    if (!WAXWING_INVARIANT(decoded.config.version == grant.config_version(), "configuration-version-as-announced")) {
+        return;
+    }
     m_config = std::make_shared<const PoolConfig>(std::move(decoded.config)); // shared: see config()
     updateLimits();
     for (const auto &[name, service] : m_services) {
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -2,6 +2,7 @@
 #include <waxwing/sessions/statement_log.h>
 #include <waxwing/sessions/statement_path.h>
 #include <waxwing/support/counter.h>
+#include <waxwing/support/invariant.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 #include <waxwing/support/quantiles.h>
@@ -108,6 +109,17 @@
     return failed == replies.end() ? replies.back() : *failed;
 }
 
+/// Tells whether the last command of an exchange may have run; some answers promise that it did not.
+bool mayHaveRun(const DatabaseConnection::RunResult &answer)
+{
+    if (answer.status == DatabaseConnection::RunStatus::NotSent) {
+        return false;
+    }
+    const bool answered = answer.status == DatabaseConnection::RunStatus::Complete;
+    const auto error = answered ? answer.replies.back().error : SessionError::None;
+    return error != SessionError::Busy && error != SessionError::UnknownStatement && error != SessionError::Lagging && error != SessionError::ReadOnly;
+}
+
 void countRetry(std::string_view reason)
 {
     Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
@@ -164,6 +176,12 @@
             }
             co_return result;
         }
+        // What may be kept is never sent a second time, whatever became of its answer.
+        if (!WAXWING_INVARIANT(!attempts.mayBeKept, "persistent-statement-sent-once")) {
+            result.error = SessionError::Unknown;
+            result.text = "sent before, without a clear answer";
+            co_return result;
+        }
         ++attempts.count;
         if (verdict == Verdict::RetryLater) {
             pause.expires_after(busyPause);
@@ -298,6 +316,7 @@
     const auto sentAt = Clock::now();
     attempts.offered = true;
     auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes, exchange.commands, limit);
+    attempts.mayBeKept = job.mayPersist() && mayHaveRun(answer);
     const bool begun = (job.begins || choice.verifies) && answer.status == DatabaseConnection::RunStatus::Complete
         && decisiveReply(answer.replies).error == SessionError::None;
     if (begun) {
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include <waxwing/state/message_bytes.h>
 #include <waxwing/support/counter.h>
+#include <waxwing/support/invariant.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
@@ -440,6 +441,10 @@
 
 asio::awaitable<bool> PrimaryKeeper::order(std::string name, std::string candidate, std::uint64_t epoch)
 {
+    if (!WAXWING_INVARIANT(epoch > m_services[name].lastToken, "fencing-token-increases")) {
+        co_return false;
+    }
+    m_services[name].lastToken = epoch;
     const auto orderedAt = Clock::now();
     const auto limit = std::min(orderLimitHigh, orderLimit * (1U << std::min(m_services[name].unanswered / 2, orderLimitSteps)));
     const auto answer = co_await m_ports.orderPromotion(name, candidate, epoch, limit);
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -78,6 +78,7 @@
         std::uint64_t term = 0; ///< highest term that a database or proxy told
         TimePoint nextCheck;
         TimePoint changedAt; ///< end of the last change
+        std::uint64_t lastToken = 0; ///< fencing token of the last order
         unsigned unanswered = 0; ///< orders in a row without an answer
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
         EpochWithdrawal withdrawal;
