Record the term of each published primary, pause replicas above it

Replicas that had received nothing since the last promotion knew the term before it; a new leader of control that did not reach the primary paused them with a term that did not exceed the primary's, and they went on receiving: commits acknowledged after the comparison were lost. Change: the record of a primary holds its term, and a pause takes at least the next one. A replica whose answer does not show the pause counts as missing. PrimaryKeeperTest::pauseIsAboveTheTermOfThePublishedPrimary.

--- a/packages/state/src/waxwing/state/sessions_machine.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine.cpp
@@ -1,6 +1,8 @@
 #include <waxwing/state/message_bytes.h>
 #include <waxwing/state/sessions_machine.h>
 
+#include <algorithm>
+
 namespace waxwing
 {
 
@@ -74,12 +76,14 @@
         record.set_service(command.service());
         record.set_epoch(index);
         record.set_primary(command.primary());
+        record.set_term(command.term());
         return true;
     }
     if (found->second.epoch() != command.epoch() || !found->second.primary().empty()) {
         return false;
     }
     found->second.set_primary(command.primary());
+    found->second.set_term(std::max(found->second.term(), command.term()));
     return true;
 }
 
--- a/packages/state/src/waxwing/state/sessions_machine_test.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine_test.cpp
@@ -85,7 +85,9 @@
     {
         SessionsMachine machine;
         machine.applyCommand(1, setDocument(7, "a"));
-        machine.applyCommand(2, setPrimary(0, "p"));
+        auto first = setPrimary(0, "p");
+        first.mutable_set_primary()->set_term(4);
+        machine.applyCommand(2, first);
         machine.applyCommand(3, startEpoch(2));
         wire::SessionsCommand member;
         member.mutable_set_member()->mutable_member()->set_id("d");
@@ -99,6 +101,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), copy.version());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), copy.service("s")->epoch());
         CPPUNIT_ASSERT_EQUAL(std::string("p"), copy.service("s")->previous());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), copy.service("s")->term());
         CPPUNIT_ASSERT(copy.members().contains("d"));
         member.mutable_set_member()->mutable_member()->set_leaving(true);
         copy.applyCommand(6, member);
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -55,6 +55,12 @@
 constexpr Duration silentMemory = 60s;
 constexpr double half = 0.5;
 
+/// Tells whether a database took a pause, so that it receives nothing before a term.
+bool isStopped(const DatabaseCalls::Answer &answer, std::uint64_t term)
+{
+    return answer.status && !answer.status->primary && answer.status->pausedTerm >= term;
+}
+
 std::string reachName(const DatabaseCalls::Answer &answer)
 {
     switch (answer.reach) {
@@ -238,6 +244,7 @@
     command.mutable_set_primary()->set_service(name);
     command.mutable_set_primary()->set_epoch(epoch);
     command.mutable_set_primary()->set_primary(primary);
+    command.mutable_set_primary()->set_term(m_services[name].term);
     const auto reply = co_await propose(std::move(command));
     wire::SessionsResult result;
     co_return reply.failure == LogFailure::None &&decodeMessage(reply.result, result) && result.accepted();
@@ -389,6 +396,9 @@
         co_return true;
     }
     const auto previous = record->primary().empty() ? record->previous() : record->primary();
+    // Replicas that received nothing since the last promotion know an earlier term only; a pause of that term plus one would
+    // not keep the present primary's commits away.
+    m_services[name].term = std::max(m_services[name].term, record->term());
     const auto epoch = co_await startEpoch(name, record->epoch());
     if (!epoch || !isCurrent(generation)) {
         co_return false;
@@ -488,7 +498,8 @@
         co_return std::string();
     }
     learnTerms(name, answers);
-    const bool complete = std::all_of(answers.begin(), answers.end(), [&](const auto &item) { return item.second.status && item.second.status->term <= term; });
+    const bool complete = std::all_of(answers.begin(), answers.end(),
+                                      [&](const auto &item) { return isStopped(item.second, term + 1) && item.second.status->term <= term; });
     if (!complete) {
         co_return std::string();
     }
@@ -570,7 +581,7 @@
         co_return std::string();
     }
     for (const auto &[id, answer] : paused) {
-        answers[id] = answer;
+        answers[id] = isStopped(answer, term) ? answer : DatabaseCalls::Answer(); // one that receives may hold more by now
     }
     co_return co_await chooseAmongStopped(name, previous, answers, generation);
 }
--- a/programs/control/primary_keeper_test.cpp
+++ b/programs/control/primary_keeper_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(unknownAcknowledgementsStopThePromotion);
     CPPUNIT_TEST(silentReplicaStopsThePromotion);
     CPPUNIT_TEST(pauseDoesNotOutrunThePromotion);
+    CPPUNIT_TEST(pauseIsAboveTheTermOfThePublishedPrimary);
     CPPUNIT_TEST(leaseThatWasNotGivenUpDelaysTheOrder);
     CPPUNIT_TEST(orderWithoutAnswerIsFollowedByAHigherToken);
     CPPUNIT_TEST(promotionOfALostAnswerIsConfirmed);
@@ -157,6 +158,29 @@
         CPPUNIT_ASSERT(!has(database(bed, "c").commands(), platform::pauseText(10)));
     }
 
+    // Guards against lost commits: replicas that lag know an earlier term than the primary that they can still hear, and a new
+    // leader knows none (seeds 9649, 45056 and 84275 of the promotion model).
+    void pauseIsAboveTheTermOfThePublishedPrimary()
+    {
+        SessionControlBed bed;
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.control.isActive(); }));
+        bed.add("a", true).setPosition(7, 100);
+        bed.add("b", false);
+        bed.add("c", false);
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.primary() == "a"; }));
+        bed.leads = false;
+        CPPUNIT_ASSERT(bed.runUntil([&] { return !bed.control.isActive(); }));
+        bed.leads = true;
+        CPPUNIT_ASSERT(bed.runUntil([&] { return bed.control.isActive(); }));
+        lose(bed, "a");
+        CPPUNIT_ASSERT(bed.runUntil([&] {
+            report(bed);
+            return !bed.orders.empty();
+        }));
+        CPPUNIT_ASSERT(has(database(bed, "b").commands(), platform::pauseText(8)));
+        CPPUNIT_ASSERT(!has(database(bed, "b").commands(), platform::pauseText(4)));
+    }
+
     // Guards against a stale read: a proxy that can't be told may read from the former primary until its lease ends.
     void leaseThatWasNotGivenUpDelaysTheOrder()
     {
--- a/programs/control/testing/promotion_model.cpp
+++ b/programs/control/testing/promotion_model.cpp
@@ -362,6 +362,7 @@
     }
     if (m_leading == *m_change.candidate) {
         m_record.primary = *m_change.candidate;
+        m_record.term = std::max(m_record.term, m_databases[m_leading].term);
         m_change = Change();
         m_change.since = m_now;
         ++m_changes;
@@ -370,7 +371,7 @@
 
 std::optional<std::size_t> PromotionModel::choose()
 {
-    std::uint64_t term = 0;
+    auto term = m_record.term;
     for (const auto &database : m_databases) {
         if (database.up && database.control) {
             term = std::max(term, database.term);
--- a/programs/control/testing/promotion_model.h
+++ b/programs/control/testing/promotion_model.h
@@ -87,6 +87,7 @@
         std::uint64_t epoch = 1;
         std::size_t primary = 0;
         std::size_t previous = 0;
+        std::uint64_t term = 1; ///< highest in which a published primary led
         std::set<std::string, std::less<>> proxies;
     };
 
