--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -498,8 +498,8 @@
         co_return std::string();
     }
     learnTerms(name, answers);
-    const bool complete = std::all_of(answers.begin(), answers.end(),
-                                      [&](const auto &item) { return isStopped(item.second, term + 1) && item.second.status->term <= term; });
+    const bool complete
+        = std::all_of(answers.begin(), answers.end(), [&](const auto &item) { return isStopped(item.second, term + 1) && item.second.status->term <= term; });
     if (!complete) {
         co_return std::string();
     }
