--- a/programs/control/primary_change.cpp
+++ b/programs/control/primary_change.cpp
@@ -344,11 +344,12 @@
         choice.add({member.id(), member.draining(), known ? std::optional(found->second.status->received) : std::nullopt});
     }
     if (const auto service = m_services.find(name); service != m_services.end()) {
-        for (const auto &[id, entry] : service->second.silent) {
+        for (const auto &item : service->second.silent) {
+            const auto &lost = item.second.member;
             // It is back, or another database has its address, which shows that its log is gone.
             const bool settled = std::any_of(present.begin(), present.end(),
-                                             [&](const auto &member) { return member.id() == id || member.address() == entry.member.address(); });
-            if (!settled && id != previous && Clock::now() - entry.heard < silentMemory) {
+                                             [&lost](const auto &member) { return member.id() == lost.id() || member.address() == lost.address(); });
+            if (!settled && lost.id() != previous && Clock::now() - item.second.heard < silentMemory) {
                 choice.addUnknown();
             }
         }
