--- a/programs/control/epoch_withdrawal_test.cpp
+++ b/programs/control/epoch_withdrawal_test.cpp
@@ -118,9 +118,9 @@
         fixture.confirm("p", 5, 4);
         CPPUNIT_ASSERT(!fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled)));
         fixture.confirm("q", 7, {});
-        CPPUNIT_ASSERT(fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled)) == TermPosition {3, 7});
+        CPPUNIT_ASSERT((fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled)) == TermPosition {3, 7}));
         fixture.confirm("q", 7, 8);
-        CPPUNIT_ASSERT(fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled)) == TermPosition {3, 8});
+        CPPUNIT_ASSERT((fixture.withdrawal.acknowledged(fixture.leases, TimePoint(settled)) == TermPosition {3, 8}));
     }
 
     // Guards against lost commits: a proxy without a lease goes on acknowledging for some time and can't be asked.
