--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -41,6 +41,12 @@
     /// @brief Rolls an open transaction back, so that its next statement is refused; used before a planned stop.
     void abortTransaction(std::string_view reason);
 
+    /// @brief Tells whether a request of the caller waits for its answer.
+    bool isHandling() const
+    {
+        return m_handling;
+    }
+
 private:
     /// The present transaction.
     struct Transaction
--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -184,6 +184,7 @@
     unsigned m_lags = 0; ///< in a row
     TimePoint m_drainingSince; ///< set while the member drains
     TimePoint m_openAfter; ///< no new connection before
+    TimePoint m_nextFullLog;
     unsigned m_failures = 0;
     bool m_shut = false;
 };
--- a/packages/sessions/include/waxwing/sessions/session_server.h
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -48,6 +48,9 @@
         return m_path.statements();
     }
 
+    /// @brief Sessions that wait for an answer of this proxy.
+    std::size_t handling() const;
+
     /// @brief Number of sessions.
     std::size_t sessions() const
     {
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -32,6 +32,7 @@
 constexpr unsigned lagSteps = 5;
 // Two connections that were lost or refused, and no answer for this long, are evidence by themselves.
 constexpr Duration lostLimit = 60ms;
+constexpr Duration fullLogSpacing = 5s; // a full database is asked again each 250 ms
 // A database that did not answer a statement is avoided for this long, if there is another one.
 constexpr Duration avoidance = 500ms;
 
@@ -180,6 +181,11 @@
     Metrics::instance().counter("waxwing_pool_connect_failures_total", "reason", openResultName(result)).add();
     if (result == DatabaseConnection::OpenResult::Full) {
         m_openAfter = now + m_options.fullPause;
+        if (now >= m_nextFullLog) {
+            m_nextFullLog = now + fullLogSpacing;
+            log::write(log::Level::Warning, "database full",
+                       {{"database", m_member.id()}, {"service", m_member.service()}, {"open", m_count}, {"share", m_options.share}, {"limit", m_options.limit}});
+        }
     } else {
         ++m_failures;
         const auto pause = std::min(m_options.failurePauseHigh, m_options.failurePause * (1U << std::min(m_failures - 1, 3U)));
--- a/packages/sessions/src/waxwing/sessions/session_server.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwing
@@ -109,6 +110,11 @@
     return m_sessions.size();
 }
 
+std::size_t SessionServer::handling() const
+{
+    return static_cast<std::size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const ClientSession *session) { return session->isHandling(); }));
+}
+
 void SessionServer::abortTransactions(std::string_view reason)
 {
     for (auto *session : m_sessions) {
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -2,7 +2,9 @@
 
 #include "primary_keeper_limits.h"
 
+#include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -35,6 +37,7 @@
 // 1.3 s without writes, so that a shorter lag is waited for.
 constexpr Duration lagLimit = 4s;
 constexpr Duration lagChangeSpacing = 5s; // since the last change of the service
+constexpr Duration unconfirmedLogSpacing = 1s; // a service without a primary is tried each 150 ms
 constexpr double half = 0.5;
 
 std::string reachName(const DatabaseCalls::Answer &answer)
@@ -198,6 +201,8 @@
         const bool accepted = co_await setPrimary(name, 0, member.id());
         log::write(log::Level::Info, "first primary", {{"service", name}, {"primary", member.id()}, {"accepted", accepted}});
         m_publish();
+    } else if (isCurrent(generation)) {
+        noteUnconfirmed(name, member.id(), reachName(answer));
     }
     if (generation == m_generation) {
         m_services[name].busy = false;
@@ -205,6 +210,18 @@
     }
 }
 
+void PrimaryKeeper::noteUnconfirmed(const std::string &name, const std::string &database, const std::string &reach)
+{
+    Metrics::instance().counter("waxwing_control_primaries_unconfirmed_total", "reach", reach).add();
+    const auto now = Clock::now();
+    auto &service = m_services[name];
+    if (now < service.nextUnconfirmedLog) {
+        return;
+    }
+    service.nextUnconfirmedLog = now + unconfirmedLogSpacing;
+    log::write(log::Level::Warning, "primary not confirmed", {{"service", name}, {"database", database}, {"reach", reach}});
+}
+
 std::size_t PrimaryKeeper::countReports(const Service &service, bool Report::*kind, TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(service.reports.begin(), service.reports.end(), [&](const auto &item) {
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -79,6 +79,7 @@
         TimePoint nextCheck;
         TimePoint changedAt; ///< end of the last change
         std::uint64_t lastToken = 0; ///< fencing token of the last order
+        TimePoint nextUnconfirmedLog;
         unsigned unanswered = 0; ///< orders in a row without an answer
         std::map<std::string, Report> reports; ///< by proxy, for the present epoch
         EpochWithdrawal withdrawal;
@@ -93,6 +94,7 @@
     void considerFirst(const std::string &name, Service &service);
     void considerPresent(const std::string &name, Service &service, const wire::EpochRecord &record, TimePoint now, bool collected);
     boost::asio::awaitable<void> adopt(std::string name, wire::PoolMember member);
+    void noteUnconfirmed(const std::string &name, const std::string &database, const std::string &reach);
     boost::asio::awaitable<void> check(std::string name, wire::PoolMember primary);
     std::string judge(Service &service, const DatabaseCalls::Answer &answer) const;
     boost::asio::awaitable<bool> doReplicasLag(std::string name, std::string primary);
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -322,6 +322,10 @@
             m_lastCallers = now;
             log::write(log::Level::Info, "stopped accepting", {{"sessions_left", left}, {"after_ms", toMilliseconds(since).count()}});
         }
+        if (last && !m_cutNoted && left != 0) {
+            m_cutNoted = true;
+            log::write(log::Level::Warning, "sessions cut by the stop", {{"sessions", left}, {"waiting", m_server.handling()}});
+        }
         return m_lastCallers && now - *m_lastCallers >= logNotice && (left == 0 || last);
     }
 
@@ -346,6 +350,7 @@
     bool m_handedOver = false; ///< idle sessions were closed since the lease was lost
     bool m_leased = false;
     bool m_stopping = false;
+    bool m_cutNoted = false; ///< the log tells of sessions that the stop cuts
 };
 
 } // namespace
