Pass statements to proxies that hold connections

Change: where control names holders for a service, the other proxies open no connections and pass their statements over the link to the nearest holder, which runs them on its own pools under its own lease; a transaction stays at its holder. A statement that provably was not sent goes to the next holder; a write whose answer does not come is unknown. Nothing changes while control names no holders, which it does not yet.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -6,7 +6,8 @@
 #include <waxwing/protocol/transaction_state.h>
 #include <waxwing/sessions/deadline_timer.h>
 #include <waxwing/sessions/session_directory.h>
-#include <waxwing/sessions/statement_path.h>
+#include <waxwing/sessions/session_transaction.h>
+#include <waxwing/sessions/statement_backend.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,8 +27,8 @@
 public:
     /// @param socket accepted connection
     /// @param directory outlives the session
-    /// @param path outlives the session
-    ClientSession(boost::asio::ip::tcp::socket socket, SessionDirectory &directory, StatementPath &path);
+    /// @param backend outlives the session
+    ClientSession(boost::asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend);
     ClientSession(const ClientSession &) = delete;
     ClientSession &operator=(const ClientSession &) = delete;
 
@@ -54,9 +55,7 @@
         PoolRoute route; ///< as it was when the transaction began
         bool readOnly = false;
         bool writes = false; ///< a statement that writes was sent
-        std::uint64_t epoch = 0; ///< of the service, when the transaction began
-        DatabasePool::ConnectionPointer connection; ///< null before the first statement
-        std::shared_ptr<DatabasePool> pool; // shared: see DatabasePool
+        SessionTransaction begun; ///< by its first statement
         std::string failure; ///< why it failed; for the caller's next statement
     };
 
@@ -75,15 +74,15 @@
     boost::asio::awaitable<std::string> beginWith(SessionStatement statement, bool commits);
     std::optional<SessionJob> makeJob(const SessionStatement &statement, const PoolRoute &route) const;
     const PoolRoute *route() const;
-    std::string failTransaction(SessionError error, std::string_view text, TransactionState connectionState);
-    void dropTransaction(TransactionState connectionState);
-    void noteCommit(const std::string &service, const PoolReply &reply);
+    std::string failTransaction(SessionError error, std::string_view text);
+    void dropTransaction();
+    void noteCommit(const std::string &service, const StatementResult &result);
     std::string logUnknown(const SessionStatement &statement, const PoolRoute &route, const std::string &text, std::string answer) const;
 
     boost::asio::ip::tcp::socket m_socket;
     DeadlineTimer m_timer;
     SessionDirectory &m_directory;
-    StatementPath &m_path;
+    StatementBackend &m_backend;
     platform::LineReader m_lines;
     SessionState m_state;
     std::string m_database; ///< empty before the start
--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -124,6 +124,11 @@
         return m_member;
     }
 
+    const boost::asio::any_io_executor &executor() const
+    {
+        return m_executor;
+    }
+
     bool isShut() const
     {
         return m_shut;
--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -2,6 +2,7 @@
 
 #include <waxwing/coordination/position_history.h>
 #include <waxwing/sessions/database_pool.h>
+#include <waxwing/sessions/statement_holder.h>
 #include <waxwing/support/time.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -13,6 +14,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace waxwing
 {
@@ -66,6 +69,29 @@
         return m_history;
     }
 
+    /// @brief Takes over which proxies hold connections to the databases.
+    /// @param holders empty while every proxy holds its share
+    /// @param proxy name of this proxy
+    void setHolders(std::vector<StatementHolder> holders, std::string_view proxy);
+
+    /// @brief Proxies that run the statements of those that hold no connections; empty while every proxy holds its share.
+    const std::vector<StatementHolder> &holders() const
+    {
+        return m_holders;
+    }
+
+    /// @brief Connections to each database that this proxy may hold as one of the holders.
+    std::size_t heldConnections() const
+    {
+        return m_heldConnections;
+    }
+
+    /// @brief Tells whether this proxy runs statements on connections of its own.
+    bool isServedHere() const
+    {
+        return m_holders.empty() || m_heldConnections != 0;
+    }
+
     /// @brief Takes note that a caller was told about a commit.
     void noteAcknowledged(const TermPosition &position, TimePoint now);
 
@@ -102,6 +128,8 @@
     std::uint64_t m_epoch = 0;
     std::string m_primary;
     std::map<std::string, PoolPointer, std::less<>> m_pools;
+    std::vector<StatementHolder> m_holders;
+    std::size_t m_heldConnections = 0;
     PositionHistory m_history;
     TermPosition m_acknowledged;
     std::size_t m_writes = 0;
--- a/packages/sessions/include/waxwing/sessions/session_server.h
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <waxwing/sessions/client_session.h>
+#include <waxwing/sessions/forwarded_statements.h>
 #include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/statement_backend.h>
+#include <waxwing/sessions/statement_forwarder.h>
 #include <waxwing/sessions/statement_path.h>
 #include <waxwing/transport/transport_error.h>
 
@@ -10,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
@@ -21,8 +25,17 @@
 class SessionServer
 {
 public:
+    /// Links to the other proxies; without them every statement runs on connections of this one.
+    struct Links
+    {
+        std::uint64_t incarnation = 0; ///< of this process
+        StatementForwarder::Send forward;
+        ForwardedStatements::Send answer;
+    };
+
     /// @param maxSessions further callers wait in the queue of the listening socket
     SessionServer(boost::asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions);
+    SessionServer(boost::asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions, Links links);
 
     /// @brief Opens the listening socket.
     /// @param address IP:port
@@ -48,6 +61,18 @@
         return m_path.statements();
     }
 
+    /// @brief Statements that are passed to other proxies.
+    StatementForwarder &forwarder()
+    {
+        return m_forwarder;
+    }
+
+    /// @brief Statements that other proxies pass to this one.
+    ForwardedStatements &forwarded()
+    {
+        return m_forwarded;
+    }
+
     /// @brief Sessions that wait for an answer of this proxy.
     std::size_t handling() const;
 
@@ -64,6 +89,9 @@
     boost::asio::io_context &m_context;
     SessionDirectory &m_directory;
     StatementPath m_path;
+    StatementForwarder m_forwarder;
+    ForwardedStatements m_forwarded;
+    StatementBackend m_backend;
     std::size_t m_maxSessions;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<ClientSession *> m_sessions; ///< each lives in its coroutine
--- a/packages/sessions/include/waxwing/sessions/statement_result.h
+++ b/packages/sessions/include/waxwing/sessions/statement_result.h
@@ -1,19 +1,26 @@
 #pragma once
 
 #include <waxwing/protocol/pool_reply.h>
-#include <waxwing/sessions/database_pool.h>
+#include <waxwing/support/time.h>
 
-#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace waxwing
 {
 
+class OpenTransaction;
+
 /// @brief Outcome of a statement.
 struct StatementResult
 {
+    StatementResult();
+    ~StatementResult();
+    StatementResult(StatementResult &&) noexcept;
+    StatementResult &operator=(StatementResult &&) noexcept;
+
     SessionError error = SessionError::None;
     std::string text; ///< reason for the caller, with an error
     PoolReply reply; ///< without an error
@@ -22,9 +29,8 @@
     std::string_view retryReason; ///< of the attempt before the last one
     Duration queued {}; ///< from the caller's bytes to the sending of the last attempt
     Duration ran {}; ///< from there to the answer
-    std::unique_ptr<DatabaseConnection> connection; ///< with the open transaction, if the statement began one
-    std::uint64_t epoch = 0; ///< in which the transaction began
-    std::shared_ptr<DatabasePool> pool; ///< owner of the connection; shared, see DatabasePool
+    std::optional<TermPosition> committed; ///< place of the commit in the log, if the statement made one
+    std::unique_ptr<OpenTransaction> transaction; ///< if the statement began one that goes on
 };
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -36,16 +36,14 @@
 // Callers give a start up after 2 s.
 constexpr Duration startPatience = 1500ms;
 constexpr Duration startPause = 25ms;
-// Pause before a commit is offered again to a database without a free slot; about one statement.
-constexpr Duration busyPause = 10ms;
 
 } // namespace
 
-ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementPath &path)
+ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_directory(directory)
-    , m_path(path)
+    , m_backend(backend)
 {
     tuneSocket(m_socket, callerUnacknowledged, callerKeepAliveIdle);
 }
@@ -73,7 +71,7 @@
     }
     m_ended = true;
     if (m_transactionState == TransactionState::Open) {
-        dropTransaction(TransactionState::Open);
+        dropTransaction();
     }
     boost::system::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -248,33 +246,28 @@
 
 std::string ClientSession::rollback()
 {
-    dropTransaction(TransactionState::Open);
+    dropTransaction();
     m_transactionState = TransactionState::Idle;
     return platform::encodeAccepted(m_transactionState);
 }
 
-void ClientSession::dropTransaction(TransactionState connectionState)
+void ClientSession::dropTransaction()
 {
-    if (m_transaction.connection) {
-        asio::co_spawn(m_socket.get_executor(), StatementPath::returnClean(std::move(m_transaction.pool), std::move(m_transaction.connection), connectionState),
-                       asio::detached);
-    }
-    m_transaction.connection = nullptr;
-    m_transaction.pool = nullptr;
+    m_backend.drop(m_transaction.begun);
 }
 
-std::string ClientSession::failTransaction(SessionError error, std::string_view text, TransactionState connectionState)
+std::string ClientSession::failTransaction(SessionError error, std::string_view text)
 {
     countOutcome(error);
     log::write(log::Level::Info, "transaction failed",
                {{"request", m_requestId},
                 {"service", m_transaction.route.service},
-                {"database", m_transaction.pool ? m_transaction.pool->member().id() : std::string()},
+                {"database", m_transaction.begun.database},
                 {"error", static_cast<int>(error)},
                 {"text", text},
                 {"held_ms", toMilliseconds(Clock::now() - m_receivedAt).count()},
                 {"directory_version", m_directory.directoryVersion()}});
-    dropTransaction(connectionState);
+    dropTransaction();
     m_transactionState = TransactionState::Failed;
     return platform::encodeError(error, text, m_transactionState);
 }
@@ -284,7 +277,7 @@
     if (m_handling || m_transactionState != TransactionState::Open) {
         return;
     }
-    dropTransaction(TransactionState::Open);
+    dropTransaction();
     m_transactionState = TransactionState::Failed;
     m_transaction.failure = "rolled back: " + std::string(reason);
 }
@@ -322,11 +315,11 @@
     return job;
 }
 
-void ClientSession::noteCommit(const std::string &service, const PoolReply &reply)
+void ClientSession::noteCommit(const std::string &service, const StatementResult &result)
 {
-    if (reply.position) {
+    if (result.committed) {
         auto &position = m_state.positions[service];
-        position = std::max(position, *reply.position);
+        position = std::max(position, *result.committed);
     }
 }
 
@@ -354,12 +347,11 @@
     if (!job) {
         co_return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
     }
-    const auto result = co_await m_path.run(*job);
+    SessionTransaction unused;
+    const auto result = co_await m_backend.run(*job, unused);
     countOutcome(result.error);
+    noteCommit(job->route.service, result);
     if (result.error == SessionError::None) {
-        if (job->writes) {
-            noteCommit(job->route.service, result.reply);
-        }
         co_return platform::encodeResult(result.reply, m_transactionState);
     }
     auto answer = platform::encodeError(result.error, result.text, m_transactionState);
@@ -370,12 +362,12 @@
 {
     auto job = makeJob(statement, m_transaction.route);
     if (!job) {
-        co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement", TransactionState::Open);
+        co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement");
     }
     job->begins = true;
     job->readOnly = m_transaction.readOnly;
     job->commits = commits;
-    auto result = co_await m_path.run(*job);
+    const auto result = co_await m_backend.run(*job, m_transaction.begun);
     if (commits) {
         m_transactionState = TransactionState::Idle;
         countOutcome(result.error);
@@ -383,139 +375,53 @@
                                                      : platform::encodeError(result.error, result.text, m_transactionState);
     }
     if (result.error != SessionError::None) {
-        co_return failTransaction(result.error, result.text, TransactionState::Open);
+        co_return failTransaction(result.error, result.text);
     }
     countOutcome(result.error);
-    m_transaction.connection = std::move(result.connection);
-    m_transaction.pool = std::move(result.pool);
     m_transaction.writes = job->writes;
-    m_transaction.epoch = result.epoch;
-    if (!m_transaction.connection) {
-        co_return failTransaction(SessionError::Aborted, "the database ended the transaction", TransactionState::Idle);
+    if (!m_transaction.begun.isBegun()) {
+        co_return failTransaction(SessionError::Aborted, "the database ended the transaction");
     }
     co_return platform::encodeResult(result.reply, m_transactionState);
 }
 
 asio::awaitable<std::string> ClientSession::runInTransaction(SessionStatement statement)
 {
-    if (!m_transaction.connection) {
+    if (!m_transaction.begun.isBegun()) {
         std::string answer = co_await beginWith(std::move(statement), false);
         co_return answer;
     }
     const auto job = makeJob(statement, m_transaction.route);
     if (!job) {
-        co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement", TransactionState::Open);
+        co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement");
     }
-    auto &connection = *m_transaction.connection;
     m_transaction.writes = m_transaction.writes || job->writes;
-    while (true) {
-        std::string bytes;
-        std::size_t commands = 1;
-        const auto *prepared = job->prepared ? &*job->prepared : nullptr;
-        const auto preparation = connection.state().compare(m_state, prepared);
-        // Values only grow or change within a session, so that nothing has to be discarded on its own connection.
-        for (const auto &[name, value] : preparation.values) {
-            bytes += platform::encodeOwnStatement(platform::setText(name, value));
-            ++commands;
-        }
-        if (preparation.prepare) {
-            bytes += platform::encodeOwnStatement(platform::prepareText(ConnectionState::sharedName(*prepared), prepared->writes, prepared->shape));
-            ++commands;
-        }
-        connection.state().apply(preparation, prepared);
-        bytes += platform::encodeStatement(statement.id, job->text);
-        const auto sentAt = Clock::now();
-        m_transaction.pool->noteSent(sentAt);
-        auto answer = co_await connection.run(std::move(bytes), commands, job->deadline);
-        if (answer.status != DatabaseConnection::RunStatus::Complete) {
-            m_transaction.pool->noteSilence(Clock::now());
-            co_return failTransaction(SessionError::Aborted, "the connection to the database was lost; nothing is kept", TransactionState::Idle);
-        }
-        m_transaction.pool->noteReply(Clock::now());
-        auto &reply = answer.replies.back();
-        if (reply.error == SessionError::None) {
-            countOutcome(reply.error);
-            noteDone(*job, {.database = m_transaction.pool->member().id(), .queued = sentAt - m_receivedAt, .ran = Clock::now() - sentAt});
-            co_return platform::encodeResult(reply, m_transactionState);
-        }
-        if (reply.error == SessionError::Busy && reply.state == TransactionState::Open && Clock::now() + busyPause < job->deadline) {
-            asio::steady_timer pause(co_await asio::this_coro::executor, busyPause);
-            co_await pause.async_wait(useTuple);
-            continue;
-        }
-        co_return failTransaction(reply.error, reply.errorText, reply.state);
+    const auto result = co_await m_backend.runIn(m_transaction.begun, *job);
+    if (result.error != SessionError::None) {
+        co_return failTransaction(result.error, result.text);
     }
+    countOutcome(result.error);
+    noteDone(*job, {.database = result.database, .queued = result.queued, .ran = result.ran});
+    co_return platform::encodeResult(result.reply, m_transactionState);
 }
 
 asio::awaitable<std::string> ClientSession::commit(SessionStatement statement)
 {
-    if (!m_transaction.connection) {
+    if (!m_transaction.begun.isBegun()) {
         std::string answer = co_await beginWith(std::move(statement), true);
         co_return answer;
     }
-    const auto route = m_transaction.route;
-    const auto deadline = m_receivedAt + route.statementTimeout - std::min(answerMargin, route.statementTimeout / 4);
-    auto *service = m_directory.service(route.service);
-    while (true) {
-        const bool counted = service != nullptr && m_transaction.writes;
-        m_transaction.pool->noteSent(Clock::now());
-        if (counted) {
-            service->noteWriteSent(Clock::now());
-        }
-        std::string bytes = platform::encodeStatement(statement.id, statement.text);
-        auto answer = co_await m_transaction.connection->run(std::move(bytes), 1, deadline);
-        const auto now = Clock::now();
-        const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
-        if (counted) {
-            service->noteWriteEnded(complete, now);
-        }
-        if (!complete) {
-            m_transaction.pool->noteSilence(now);
-            dropTransaction(TransactionState::Idle);
-            m_transactionState = TransactionState::Idle;
-            // Without a write nothing can be kept, whatever became of the commit.
-            const bool certain = !m_transaction.writes || answer.status == DatabaseConnection::RunStatus::NotSent;
-            const auto error = certain ? SessionError::Aborted : SessionError::Unknown;
-            countOutcome(error);
-            auto text = platform::encodeError(error, "the connection to the database was lost", m_transactionState);
-            co_return certain ? std::move(text) : logUnknown(statement, route, "commit without an answer", std::move(text));
-        }
-        m_transaction.pool->noteReply(now);
-        auto &reply = answer.replies.back();
-        if (reply.error == SessionError::Busy && reply.state == TransactionState::Open && now + busyPause < deadline) {
-            asio::steady_timer pause(co_await asio::this_coro::executor, busyPause);
-            co_await pause.async_wait(useTuple);
-            continue;
-        }
-        if (reply.error == SessionError::None && m_transaction.writes && !m_directory.lease().mayAcknowledge(route.service, m_transaction.epoch, now)) {
-            // Control may have chosen the next primary without this commit.
-            dropTransaction(reply.state);
-            m_transactionState = TransactionState::Idle;
-            countOutcome(SessionError::Unknown);
-            constexpr std::string_view reason = "the primary was replaced while the commit ran";
-            auto text = platform::encodeError(SessionError::Unknown, reason, m_transactionState);
-            co_return logUnknown(statement, route, std::string(reason), std::move(text));
-        }
-        if (reply.error == SessionError::None && m_transaction.writes) {
-            noteCommit(route.service, reply);
-            if (service != nullptr && reply.position) {
-                service->noteAcknowledged(*reply.position, now);
-            }
-        }
-        if (reply.error != SessionError::None) {
-            log::write(log::Level::Info, "commit refused",
-                       {{"request", m_requestId},
-                        {"service", route.service},
-                        {"database", m_transaction.pool->member().id()},
-                        {"error", static_cast<int>(reply.error)},
-                        {"held_ms", toMilliseconds(now - m_receivedAt).count()}});
-        }
-        dropTransaction(reply.state);
-        m_transactionState = TransactionState::Idle;
-        countOutcome(reply.error);
-        co_return reply.error == SessionError::None ? platform::encodeResult(reply, m_transactionState)
-                                                    : platform::encodeError(reply.error, reply.errorText, m_transactionState);
+    auto job = makeJob(statement, m_transaction.route);
+    job->writes = m_transaction.writes;
+    const auto result = co_await m_backend.commit(m_transaction.begun, *job);
+    noteCommit(job->route.service, result);
+    m_transactionState = TransactionState::Idle;
+    countOutcome(result.error);
+    if (result.error == SessionError::None) {
+        co_return platform::encodeResult(result.reply, m_transactionState);
     }
+    auto answer = platform::encodeError(result.error, result.text, m_transactionState);
+    co_return result.error == SessionError::Unknown ? logUnknown(statement, job->route, result.text, std::move(answer)) : std::move(answer);
 }
 
 } // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -0,0 +1,185 @@
+#include <waxwing/sessions/forward_codec.h>
+#include <waxwing/sessions/forwarded_statements.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// Idle limit of transactions whose configuration sets none: a proxy that died leaves its transactions open for this long.
+constexpr Duration defaultIdleLimit = 10s;
+
+void countForwarded(std::string_view outcome)
+{
+    Metrics::instance().counter("waxwing_session_forwarded_total", "outcome", outcome).add();
+}
+
+} // namespace
+
+ForwardedStatements::ForwardedStatements(asio::io_context &context, SessionDirectory &directory, StatementPath &path, Send send)
+    : m_context(context)
+    , m_directory(directory)
+    , m_path(path)
+    , m_send(std::move(send))
+{
+}
+
+void ForwardedStatements::receive(const std::string &proxy, const wire::PoolForward &message)
+{
+    forgetEarlier(proxy, message.incarnation());
+    const Key key {proxy, message.incarnation(), message.transaction()};
+    switch (message.kind()) {
+    case wire::PoolForward::SINGLE:
+    case wire::PoolForward::BEGIN:
+        if (!isServed(message)) {
+            countForwarded("declined");
+            wire::PoolForwardAnswer content;
+            content.set_result(wire::PoolForwardAnswer::DECLINED);
+            answer(proxy, message, std::move(content));
+            return;
+        }
+        asio::co_spawn(m_context, runFirst(proxy, message), asio::detached);
+        return;
+    case wire::PoolForward::CONTINUE:
+    case wire::PoolForward::COMMIT: {
+        const auto found = m_transactions.find(key);
+        if (found == m_transactions.end() || found->second.busy || found->second.dropped) {
+            countForwarded("no-transaction");
+            wire::PoolForwardAnswer content;
+            content.set_result(wire::PoolForwardAnswer::NO_TRANSACTION);
+            answer(proxy, message, std::move(content));
+            return;
+        }
+        found->second.busy = true;
+        asio::co_spawn(m_context, runNext(proxy, message), asio::detached);
+        return;
+    }
+    case wire::PoolForward::DROP:
+        drop(key);
+        return;
+    default:
+        countForwarded("unreadable");
+    }
+}
+
+bool ForwardedStatements::isServed(const wire::PoolForward &message) const
+{
+    const auto *service = m_directory.service(message.service());
+    return !m_stopping && service != nullptr && service->isServedHere();
+}
+
+void ForwardedStatements::forgetEarlier(const std::string &proxy, std::uint64_t incarnation)
+{
+    auto &newest = m_incarnations[proxy];
+    if (newest == incarnation) {
+        return;
+    }
+    newest = incarnation;
+    std::vector<Key> earlier;
+    for (const auto &[key, transaction] : m_transactions) {
+        if (key.proxy == proxy && key.incarnation != incarnation) {
+            earlier.push_back(key);
+        }
+    }
+    for (const auto &key : earlier) {
+        drop(key);
+    }
+}
+
+void ForwardedStatements::drop(const Key &key)
+{
+    const auto found = m_transactions.find(key);
+    if (found == m_transactions.end()) {
+        return;
+    }
+    if (found->second.busy) {
+        found->second.dropped = true;
+    } else {
+        m_transactions.erase(found);
+    }
+}
+
+void ForwardedStatements::answer(const std::string &proxy, const wire::PoolForward &message, wire::PoolForwardAnswer content)
+{
+    content.set_correlation(message.correlation());
+    m_send(proxy, content);
+}
+
+asio::awaitable<void> ForwardedStatements::runFirst(std::string proxy, wire::PoolForward message)
+{
+    const Key key {proxy, message.incarnation(), message.transaction()};
+    const bool begins = message.kind() == wire::PoolForward::BEGIN;
+    if (begins) {
+        m_transactions[key].idleLimit = message.idle_ms() == 0 ? defaultIdleLimit : Duration(std::chrono::milliseconds(message.idle_ms()));
+    }
+    ++m_running;
+    const auto session = decodeForwardSession(message);
+    const auto job = decodeForwardJob(message, session, Clock::now());
+    auto result = co_await m_path.run(job);
+    --m_running;
+    auto content = encodeForwardAnswer(result);
+    if (begins) {
+        auto &transaction = m_transactions[key];
+        transaction.busy = false;
+        transaction.idleSince = Clock::now();
+        transaction.open = std::move(result.transaction);
+        content.set_open(transaction.open != nullptr && !transaction.dropped);
+        if (!content.open()) {
+            m_transactions.erase(key);
+        }
+    }
+    countForwarded(result.error == SessionError::None ? "done" : "not-done");
+    answer(proxy, message, std::move(content));
+}
+
+asio::awaitable<void> ForwardedStatements::runNext(std::string proxy, wire::PoolForward message)
+{
+    const Key key {proxy, message.incarnation(), message.transaction()};
+    const bool commits = message.kind() == wire::PoolForward::COMMIT;
+    ++m_running;
+    const auto session = decodeForwardSession(message);
+    const auto job = decodeForwardJob(message, session, Clock::now());
+    auto &transaction = m_transactions[key];
+    StatementResult result;
+    if (commits) {
+        result = co_await transaction.open->commit(job, m_directory);
+    } else {
+        result = co_await transaction.open->run(job);
+    }
+    --m_running;
+    transaction.busy = false;
+    transaction.idleSince = Clock::now();
+    auto content = encodeForwardAnswer(result);
+    content.set_open(!commits && result.error == SessionError::None && !transaction.dropped);
+    if (!content.open()) {
+        m_transactions.erase(key);
+    }
+    countForwarded(result.error == SessionError::None ? "done" : "not-done");
+    answer(proxy, message, std::move(content));
+}
+
+void ForwardedStatements::tick(TimePoint now)
+{
+    std::erase_if(m_transactions, [now](const auto &item) {
+        const auto &transaction = item.second;
+        return !transaction.busy && now - transaction.idleSince >= transaction.idleLimit;
+    });
+}
+
+void ForwardedStatements::abortTransactions()
+{
+    std::erase_if(m_transactions, [](const auto &item) { return !item.second.busy; });
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -0,0 +1,171 @@
+#include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/open_transaction.h>
+#include <waxwing/sessions/statement_path.h>
+#include <waxwing/support/log.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+// Pause before a statement is offered again to a database without a free slot; about one statement.
+constexpr Duration busyPause = 10ms;
+constexpr std::string_view lostText = "the connection to the database was lost; nothing is kept";
+
+bool mayTryAgain(const PoolReply &reply, TimePoint deadline)
+{
+    return reply.error == SessionError::Busy && reply.state == TransactionState::Open && Clock::now() + busyPause < deadline;
+}
+
+} // namespace
+
+OpenTransaction::OpenTransaction(std::shared_ptr<DatabasePool> pool, DatabasePool::ConnectionPointer connection, std::uint64_t epoch, bool writes)
+    : m_pool(std::move(pool))
+    , m_connection(std::move(connection))
+    , m_epoch(epoch)
+    , m_writes(writes)
+{
+}
+
+OpenTransaction::~OpenTransaction()
+{
+    end(TransactionState::Open);
+}
+
+void OpenTransaction::end(TransactionState state)
+{
+    if (m_connection) {
+        asio::co_spawn(m_pool->executor(), StatementPath::returnClean(m_pool, std::move(m_connection), state), asio::detached);
+    }
+}
+
+StatementResult OpenTransaction::result(TimePoint sentAt, const SessionJob &job) const
+{
+    StatementResult result;
+    result.database = database();
+    result.queued = sentAt - job.receivedAt;
+    result.ran = Clock::now() - sentAt;
+    return result;
+}
+
+asio::awaitable<StatementResult> OpenTransaction::run(const SessionJob &job)
+{
+    m_writes = m_writes || job.writes;
+    const auto *prepared = job.prepared ? &*job.prepared : nullptr;
+    while (true) {
+        std::string bytes;
+        std::size_t commands = 1;
+        const auto preparation = m_connection->state().compare(*job.session, prepared);
+        // Values only grow or change within a session, so that nothing has to be discarded on its own connection.
+        for (const auto &[name, value] : preparation.values) {
+            bytes += platform::encodeOwnStatement(platform::setText(name, value));
+            ++commands;
+        }
+        if (preparation.prepare) {
+            bytes += platform::encodeOwnStatement(platform::prepareText(ConnectionState::sharedName(*prepared), prepared->writes, prepared->shape));
+            ++commands;
+        }
+        m_connection->state().apply(preparation, prepared);
+        bytes += platform::encodeStatement(job.id, job.text);
+        const auto sentAt = Clock::now();
+        m_pool->noteSent(sentAt);
+        auto answer = co_await m_connection->run(std::move(bytes), commands, job.deadline);
+        auto outcome = result(sentAt, job);
+        if (answer.status != DatabaseConnection::RunStatus::Complete) {
+            m_pool->noteSilence(Clock::now());
+            outcome.error = SessionError::Aborted;
+            outcome.text = lostText;
+            end(TransactionState::Idle);
+            co_return outcome;
+        }
+        m_pool->noteReply(Clock::now());
+        auto &reply = answer.replies.back();
+        if (mayTryAgain(reply, job.deadline)) {
+            asio::steady_timer pause(co_await asio::this_coro::executor, busyPause);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
+        outcome.error = reply.error;
+        outcome.text = reply.errorText;
+        if (reply.error != SessionError::None) {
+            end(reply.state);
+        }
+        outcome.reply = std::move(reply);
+        co_return outcome;
+    }
+}
+
+asio::awaitable<StatementResult> OpenTransaction::commit(const SessionJob &job, SessionDirectory &directory)
+{
+    auto *service = directory.service(job.route.service);
+    const bool counted = service != nullptr && m_writes;
+    while (true) {
+        const auto sentAt = Clock::now();
+        m_pool->noteSent(sentAt);
+        if (counted) {
+            service->noteWriteSent(sentAt);
+        }
+        std::string bytes = platform::encodeStatement(job.id, job.text);
+        auto answer = co_await m_connection->run(std::move(bytes), 1, job.deadline);
+        const auto now = Clock::now();
+        const bool complete = answer.status == DatabaseConnection::RunStatus::Complete;
+        if (counted) {
+            service->noteWriteEnded(complete, now);
+        }
+        auto outcome = result(sentAt, job);
+        if (!complete) {
+            m_pool->noteSilence(now);
+            // Without a write nothing can be kept, whatever became of the commit.
+            const bool certain = !m_writes || answer.status == DatabaseConnection::RunStatus::NotSent;
+            outcome.error = certain ? SessionError::Aborted : SessionError::Unknown;
+            outcome.text = certain ? "the connection to the database was lost" : "commit without an answer";
+            end(TransactionState::Idle);
+            co_return outcome;
+        }
+        m_pool->noteReply(now);
+        auto &reply = answer.replies.back();
+        if (mayTryAgain(reply, job.deadline)) {
+            asio::steady_timer pause(co_await asio::this_coro::executor, busyPause);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
+        end(reply.state);
+        outcome.error = reply.error;
+        outcome.text = reply.errorText;
+        if (reply.error != SessionError::None) {
+            log::write(log::Level::Info, "commit refused",
+                       {{"request", job.id},
+                        {"service", job.route.service},
+                        {"database", outcome.database},
+                        {"error", static_cast<int>(reply.error)},
+                        {"held_ms", toMilliseconds(now - job.receivedAt).count()}});
+        } else if (m_writes && !directory.lease().mayAcknowledge(job.route.service, m_epoch, now)) {
+            // Control may have chosen the next primary without this commit.
+            outcome.error = SessionError::Unknown;
+            outcome.text = "the primary was replaced while the commit ran";
+        } else if (m_writes && reply.position) {
+            outcome.committed = *reply.position;
+            if (service != nullptr) {
+                service->noteAcknowledged(*reply.position, now);
+            }
+        }
+        outcome.reply = std::move(reply);
+        co_return outcome;
+    }
+}
+
+} // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/service_state.cpp
+++ b/packages/sessions/src/waxwing/sessions/service_state.cpp
@@ -44,6 +44,13 @@
     return found == m_pools.end() ? nullptr : found->second;
 }
 
+void ServiceState::setHolders(std::vector<StatementHolder> holders, std::string_view proxy)
+{
+    m_holders = std::move(holders);
+    const auto own = std::find_if(m_holders.begin(), m_holders.end(), [proxy](const StatementHolder &holder) { return holder.proxy == proxy; });
+    m_heldConnections = own == m_holders.end() ? 0 : own->connections;
+}
+
 void ServiceState::noteAcknowledged(const TermPosition &position, TimePoint now)
 {
     m_acknowledged = std::max(m_acknowledged, position);
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -20,6 +20,15 @@
 // Part of the time for which a leaving database takes new statements: the notice takes a while, and a statement may wait.
 constexpr int drainPercent = 80;
 
+std::vector<StatementHolder> decodeHolders(const wire::PoolServiceView &view)
+{
+    std::vector<StatementHolder> holders;
+    for (const auto &holder : view.holders()) {
+        holders.push_back({holder.proxy(), holder.link(), holder.failure_domain(), holder.connections()});
+    }
+    return holders;
+}
+
 } // namespace
 
 SessionDirectory::SessionDirectory(const boost::asio::any_io_executor &executor, Options options)
@@ -98,6 +107,7 @@
             log::write(log::Level::Info, "primary changed",
                        {{"service", view.service()}, {"epoch", view.epoch()}, {"primary", view.primary()}, {"directory_version", m_directoryVersion}});
         }
+        service->setHolders(decodeHolders(view), m_options.proxy);
         service->setPrimary(view.epoch(), view.primary());
         service->notify();
     }
@@ -146,6 +156,10 @@
                 share = std::max<std::size_t>(leastConnections, limit / 2);
             }
         }
+        if (!service->holders().empty()) {
+            limit = service->heldConnections();
+            share = limit;
+        }
         for (const auto &[id, pool] : service->pools()) {
             pool->setLimits(share, limit);
             pool->warm(pool->member().draining() ? 0 : std::min(share, m_options.warmConnections));
--- a/packages/sessions/src/waxwing/sessions/session_server.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -28,9 +28,17 @@
 } // namespace
 
 SessionServer::SessionServer(asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions)
+    : SessionServer(context, directory, maxSessions, Links())
+{
+}
+
+SessionServer::SessionServer(asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions, Links links)
     : m_context(context)
     , m_directory(directory)
     , m_path(directory)
+    , m_forwarder(context.get_executor(), links.incarnation, std::move(links.forward))
+    , m_forwarded(context, directory, m_path, std::move(links.answer))
+    , m_backend(directory, m_path, m_forwarder)
     , m_maxSessions(maxSessions)
     , m_acceptor(context)
 {
@@ -90,7 +98,7 @@
 
 asio::awaitable<void> SessionServer::serve(asio::ip::tcp::socket socket)
 {
-    ClientSession session(std::move(socket), m_directory, m_path);
+    ClientSession session(std::move(socket), m_directory, m_backend);
     m_sessions.insert(&session);
     co_await session.serve();
     m_sessions.erase(&session);
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -0,0 +1,212 @@
+#include <waxwing/sessions/forward_codec.h>
+#include <waxwing/sessions/statement_backend.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// A read that got no answer for this part of its time is passed to another holder; silence is rare and long statements are not.
+constexpr double readAttemptPart = 0.6;
+// Links to holders that were named just now are connected within a round trip between regions.
+constexpr Duration connectPatience = 250ms;
+constexpr Duration connectPause = 25ms;
+// A new holder is named by control within a lease that ended and a push.
+constexpr Duration retryAfter = 300ms;
+
+} // namespace
+
+StatementBackend::StatementBackend(SessionDirectory &directory, StatementPath &path, StatementForwarder &forwarder)
+    : m_directory(directory)
+    , m_path(path)
+    , m_forwarder(forwarder)
+{
+}
+
+asio::awaitable<StatementResult> StatementBackend::run(const SessionJob &job, SessionTransaction &transaction)
+{
+    auto *service = m_directory.service(job.route.service);
+    StatementResult result;
+    if (service != nullptr && !service->isServedHere()) {
+        result = co_await forward(job, *service, transaction);
+        co_return result;
+    }
+    result = co_await m_path.run(job);
+    if (result.transaction) {
+        transaction.open = std::move(result.transaction);
+        transaction.database = result.database;
+    }
+    co_return result;
+}
+
+asio::awaitable<StatementResult> StatementBackend::forward(const SessionJob &job, ServiceState &service, SessionTransaction &transaction)
+{
+    const auto distance = [this](std::string_view domain) {
+        return m_directory.distance(domain);
+    };
+    std::set<std::string> tried;
+    std::string_view reason = "no-holder";
+    auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
+    message.set_idle_ms(idleMilliseconds());
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    while (Clock::now() < job.deadline) {
+        const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
+        if (nearest == nullptr) {
+            if (Clock::now() - job.receivedAt >= connectPatience) {
+                break;
+            }
+            tried.clear();
+            pause.expires_after(connectPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        const StatementHolder holder = *nearest;
+        const auto number = job.begins ? m_forwarder.nextTransaction() : 0;
+        message.set_transaction(number);
+        auto limit = job.deadline;
+        if (!job.mayPersist() && !job.begins) {
+            limit = std::min(limit, Clock::now() + std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptPart));
+        }
+        const auto answer = co_await m_forwarder.exchange(holder, message, limit, job.deadline);
+        if (answer.status == StatementForwarder::Status::Silent) {
+            if (job.mayPersist() || job.begins) {
+                co_return judgeSilence(job, holder, number);
+            }
+            reason = "holder-silent";
+        } else if (answer.status == StatementForwarder::Status::Answered && answer.content.result() == wire::PoolForwardAnswer::ANSWERED) {
+            bool readable = false;
+            auto result = decodeForwardAnswer(answer.content, readable);
+            if (!readable) {
+                co_return judgeSilence(job, holder, number);
+            }
+            if (answer.content.open()) {
+                transaction.open = ForwardedTransaction {holder, number};
+                transaction.database = result.database;
+            }
+            co_return result;
+        } else {
+            reason = answer.status == StatementForwarder::Status::Answered ? "holder-declined" : "holder-not-connected";
+        }
+        tried.insert(holder.proxy);
+        Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
+    }
+    co_return refuse(job, reason, tried.size());
+}
+
+StatementResult StatementBackend::judgeSilence(const SessionJob &job, const StatementHolder &holder, std::uint64_t number)
+{
+    StatementResult result;
+    if (job.mayPersist()) {
+        result.error = SessionError::Unknown;
+        result.text = "no answer in time";
+        return result;
+    }
+    // The first statement may have run in this transaction and must not run in a second one of the same operation.
+    m_forwarder.drop(holder, number);
+    result.error = SessionError::Aborted;
+    result.text = "no answer in time; nothing is kept";
+    return result;
+}
+
+StatementResult StatementBackend::refuse(const SessionJob &job, std::string_view reason, std::size_t tried) const
+{
+    StatementResult result;
+    result.error = SessionError::Busy;
+    result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(reason);
+    Metrics::instance().counter("waxwing_session_refusals_total", "reason", reason).add();
+    const auto now = Clock::now();
+    log::write(log::Level::Info, "statement not passed on",
+               {{"request", job.id},
+                {"service", job.route.service},
+                {"reason", reason},
+                {"tried", tried},
+                {"held_ms", toMilliseconds(now - job.receivedAt).count()},
+                {"directory_version", m_directory.directoryVersion()}});
+    return result;
+}
+
+std::uint32_t StatementBackend::idleMilliseconds() const
+{
+    const auto config = m_directory.config();
+    return config ? static_cast<std::uint32_t>(toMilliseconds(config->transactionIdle).count()) : 0;
+}
+
+asio::awaitable<StatementResult> StatementBackend::runIn(SessionTransaction &transaction, const SessionJob &job)
+{
+    StatementResult result;
+    if (auto *local = std::get_if<std::unique_ptr<OpenTransaction>>(&transaction.open)) {
+        result = co_await (*local)->run(job);
+    } else if (const auto *forwarded = std::get_if<ForwardedTransaction>(&transaction.open)) {
+        result = co_await continueAtHolder(*forwarded, job, wire::PoolForward::CONTINUE);
+    } else {
+        result.error = SessionError::Aborted;
+        result.text = "no transaction is open";
+    }
+    if (result.error != SessionError::None) {
+        transaction.open = std::monostate();
+    }
+    co_return result;
+}
+
+asio::awaitable<StatementResult> StatementBackend::commit(SessionTransaction &transaction, const SessionJob &job)
+{
+    StatementResult result;
+    if (auto *local = std::get_if<std::unique_ptr<OpenTransaction>>(&transaction.open)) {
+        result = co_await (*local)->commit(job, m_directory);
+    } else if (const auto *forwarded = std::get_if<ForwardedTransaction>(&transaction.open)) {
+        result = co_await continueAtHolder(*forwarded, job, wire::PoolForward::COMMIT);
+    } else {
+        result.error = SessionError::Aborted;
+        result.text = "no transaction is open";
+    }
+    transaction.open = std::monostate();
+    co_return result;
+}
+
+asio::awaitable<StatementResult> StatementBackend::continueAtHolder(ForwardedTransaction open, const SessionJob &job, wire::PoolForward::Kind kind)
+{
+    auto message = encodeForward(job, kind);
+    message.set_transaction(open.number);
+    const auto answer = co_await m_forwarder.exchange(open.holder, std::move(message), job.deadline, job.deadline);
+    const bool answered = answer.status == StatementForwarder::Status::Answered;
+    if (answered && answer.content.result() == wire::PoolForwardAnswer::ANSWERED) {
+        bool readable = false;
+        auto result = decodeForwardAnswer(answer.content, readable);
+        if (readable) {
+            co_return result;
+        }
+    }
+    StatementResult result;
+    const bool mayBeKept = kind == wire::PoolForward::COMMIT && job.writes && !(answered && answer.content.result() != wire::PoolForwardAnswer::ANSWERED)
+        && answer.status != StatementForwarder::Status::NotSent;
+    result.error = mayBeKept ? SessionError::Unknown : SessionError::Aborted;
+    result.text = mayBeKept ? "commit without an answer" : "the transaction was lost; nothing is kept";
+    if (!mayBeKept) {
+        m_forwarder.drop(open.holder, open.number);
+    }
+    co_return result;
+}
+
+void StatementBackend::drop(SessionTransaction &transaction)
+{
+    if (const auto *forwarded = std::get_if<ForwardedTransaction>(&transaction.open)) {
+        m_forwarder.drop(forwarded->holder, forwarded->number);
+    }
+    transaction.open = std::monostate();
+}
+
+} // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -1,4 +1,5 @@
 #include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/open_transaction.h>
 #include <waxwing/sessions/statement_log.h>
 #include <waxwing/sessions/statement_path.h>
 #include <waxwing/support/counter.h>
@@ -349,9 +350,7 @@
     const bool staysOpen = job.begins && !job.commits && succeeded;
     const bool unleased = succeeded && readsPrimary && !leased && !choice.verifies;
     if (staysOpen && !unleased && answer.replies.back().state == TransactionState::Open) {
-        result.connection = std::move(connection);
-        result.pool = pool;
-        result.epoch = choice.epoch;
+        result.transaction = std::make_unique<OpenTransaction>(pool, std::move(connection), choice.epoch, job.writes);
     } else {
         const auto state = answer.replies.back().state;
         asio::co_spawn(co_await asio::this_coro::executor, returnClean(pool, std::move(connection), state), asio::detached);
@@ -455,6 +454,7 @@
             }
             if (reply.position) {
                 service.noteAcknowledged(*reply.position, Clock::now());
+                result.committed = *reply.position;
             }
         }
         result.reply = std::move(reply);
--- a/programs/proxy/position_poll.cpp
+++ b/programs/proxy/position_poll.cpp
@@ -33,7 +33,7 @@
     for (const auto &[name, service] : m_directory.services()) {
         const auto newest = service->history().newest();
         const bool due = !newest || now - *newest >= pollAge;
-        if (due && service->primary() && m_asking.insert(name).second) {
+        if (due && service->isServedHere() && service->primary() && m_asking.insert(name).second) {
             boost::asio::co_spawn(m_context, ask(name), boost::asio::detached);
         }
     }
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -23,10 +23,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -50,6 +52,8 @@
 // The thread of the log writes the last lines in this time. Ending the log waits for threads of its library, which took
 // longer than the stop limit on these machines.
 constexpr Duration logNotice = 50ms;
+// Holders to which links are kept: the nearest, and one to go on with when it fails.
+constexpr std::size_t linkedHolders = 2;
 constexpr Duration exitMargin = 700ms; // left of the stop limit for the end of the process
 
 std::vector<std::string> linkAddresses(const SessionSettings &settings)
@@ -81,7 +85,7 @@
         : m_settings(settings)
         , m_incarnation(randomIdentifier())
         , m_directory(m_context.get_executor(), directoryOptions(settings))
-        , m_server(m_context, m_directory, settings.maxSessions)
+        , m_server(m_context, m_directory, settings.maxSessions, links())
         , m_poll(m_context, m_directory)
         , m_control(
               {.addresses = linkAddresses(settings)}, [this](const LinkPeer &to, const wire::Envelope &message) { return m_link && m_link->send(to, message); },
@@ -95,13 +99,20 @@
     {
         MessageLinkOptions options;
         options.name = m_settings.name;
+        options.listen = m_settings.linkListen;
         // ZeroMQ 4.3.4 aborts the process when its heartbeat is due on a connection whose input has stopped and failed
         // (`!_io_error`), which happens after a suspension; the kernel's limits find silent peers instead.
         options.heartbeat = Duration::zero();
         options.key = std::move(key);
-        auto link = MessageLink::start(m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); });
+        auto link = MessageLink::start(
+            m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); },
+            [this](const LinkPeer &, wire::Envelope &&message) {
+                if (message.has_pool() && message.pool().has_forward()) {
+                    m_server.forwarder().noteNotSent(message.pool().forward());
+                }
+            });
         if (!link) {
-            return "can't start the link: " + link.error().message();
+            return "can't start the link on " + m_settings.linkListen + ": " + link.error().message();
         }
         m_link.emplace(std::move(link.value()));
         if (const auto listening = m_server.listen(m_settings.callerListen); !listening) {
@@ -131,6 +142,53 @@
     }
 
 private:
+    SessionServer::Links links()
+    {
+        SessionServer::Links links;
+        links.incarnation = m_incarnation;
+        links.forward = [this](const std::string &link, const wire::PoolForward &content) {
+            wire::Envelope message;
+            *message.mutable_pool()->mutable_forward() = content;
+            return m_link && m_link->send({LinkPeer::Kind::Dialed, link}, message);
+        };
+        links.answer = [this](const std::string &proxy, const wire::PoolForwardAnswer &content) {
+            wire::Envelope message;
+            *message.mutable_pool()->mutable_forward_answer() = content;
+            if (m_link) {
+                m_link->send({LinkPeer::Kind::Accepted, proxy}, message);
+            }
+        };
+        return links;
+    }
+
+    /// Connects to the holders of the nearest failure domains ahead of the first statement, and closes other links.
+    void connectHolders()
+    {
+        if (m_directory.directoryVersion() == m_linkedVersion) {
+            return;
+        }
+        m_linkedVersion = m_directory.directoryVersion();
+        std::set<std::string> wanted;
+        for (const auto &[name, service] : m_directory.services()) {
+            if (service->isServedHere()) {
+                continue;
+            }
+            auto holders = service->holders();
+            std::stable_sort(holders.begin(), holders.end(), [this](const StatementHolder &one, const StatementHolder &other) {
+                return m_directory.distance(one.failureDomain) < m_directory.distance(other.failureDomain);
+            });
+            for (std::size_t i = 0; i < std::min(holders.size(), linkedHolders); ++i) {
+                wanted.insert(holders[i].link);
+            }
+        }
+        for (const auto &link : wanted) {
+            if (!m_holderLinks.contains(link)) {
+                m_link->dial(link);
+            }
+        }
+        m_holderLinks.merge(wanted);
+    }
+
     HttpResponse answer(const HttpRequest &request) const
     {
         HttpResponse response;
@@ -162,6 +220,7 @@
         renewal.set_directory_version(m_directory.directoryVersion());
         renewal.set_draining(m_stopping);
         renewal.set_demand(measureDemand(now));
+        renewal.set_link(m_settings.linkListen);
         renewal.set_unreachable_leader(m_control.unreachableLeader());
         for (const auto &[name, service] : m_directory.services()) {
             const auto primary = service->primary();
@@ -223,6 +282,10 @@
             }
         } else if (body.has_withdraw()) {
             withdraw(from, body.withdraw());
+        } else if (body.has_forward()) {
+            m_server.forwarded().receive(from.id, body.forward());
+        } else if (body.has_forward_answer()) {
+            m_server.forwarder().receive(body.forward_answer());
         } else if (body.has_not_leader()) {
             m_control.onNotLeader(from, body.not_leader().leader());
         }
@@ -255,6 +318,8 @@
         m_control.tick(now);
         m_poll.tick(now);
         m_directory.tick(now);
+        m_server.forwarded().tick(now);
+        connectHolders();
         if (m_stopping && advanceStop(now)) {
             std::_Exit(0);
         }
@@ -298,6 +363,8 @@
             } else if (!m_stopping) {
                 log::write(log::Level::Info, "stopping", {{"sessions", m_server.sessions()}});
                 m_stopping = true;
+                m_server.forwarded().stop();
+                m_control.hurry(); // control names other holders
                 m_stopSince = Clock::now();
             }
             awaitSignal();
@@ -313,8 +380,9 @@
         }
         if (since >= m_settings.stopLimit / 2) {
             m_server.abortTransactions("the proxy stops");
+            m_server.forwarded().abortTransactions();
         }
-        const auto left = m_server.closeIdle();
+        const auto left = m_server.closeIdle() + m_server.forwarded().unfinished();
         const bool last = since >= m_settings.stopLimit - exitMargin;
         if (!m_lastCallers && (left == 0 || last)) {
             // From here on no caller can arrive whose request the end of the process would cut.
@@ -340,6 +408,8 @@
     std::vector<HttpServer> m_http;
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
+    std::uint64_t m_linkedVersion = 0; ///< of the directory whose holders are connected
+    std::set<std::string> m_holderLinks; ///< links that were dialed
     TimePoint m_lastReport;
     TimePoint m_demandAt = Clock::now();
     std::uint64_t m_demandStatements = 0;
--- a/programs/proxy/session_settings.cpp
+++ b/programs/proxy/session_settings.cpp
@@ -24,6 +24,7 @@
     result.metricsListen = settings.text("sessions.metrics", {});
     result.seeds = settings.texts("control.seeds");
     result.linkPort = static_cast<std::size_t>(settings.integer("control.link_port", {1, 65'535, 7'440}));
+    result.linkListen = settings.text("sessions.link", {});
     result.keyFile = settings.text("link.key_file", {});
     result.logLevel = settings.logLevel();
     const auto files = settings.integer("limits.files", {1'000, 10'000'000, 4'300});
--- a/programs/proxy/session_settings.h
+++ b/programs/proxy/session_settings.h
@@ -22,6 +22,7 @@
     std::string metricsListen; ///< IP:port for metrics; none when empty
     std::vector<std::string> seeds; ///< IP:port of control processes
     std::size_t linkPort = 0; ///< port of the link on every control VM
+    std::string linkListen; ///< IP:port on which other proxies reach this one; it holds no connections for them when empty
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
     std::size_t maxSessions = 3'500;
