Let control name the proxies that hold connections

Cause: each proxy took two connections to a database whatever its share, so that 74 proxies took all 49, the two of control included, and control confirmed no primary. Where an equal share is below two, control names a few proxies of each failure domain, six connections or more each, and the others hold none; the sum stays within what databases take. Hysteresis keeps the two ways apart. A new leader leaves the holders as they are until it knows the proxies.

--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -74,6 +74,18 @@
     /// @param proxy name of this proxy
     void setHolders(std::vector<StatementHolder> holders, std::string_view proxy);
 
+    /// @brief Holds no connections until the holders are known.
+    void awaitHolders()
+    {
+        m_awaitsHolders = true;
+    }
+
+    /// @brief Tells whether every proxy holds its share of the connections.
+    bool isShared() const
+    {
+        return m_holders.empty() && !m_awaitsHolders;
+    }
+
     /// @brief Proxies that run the statements of those that hold no connections; empty while every proxy holds its share.
     const std::vector<StatementHolder> &holders() const
     {
@@ -89,7 +101,7 @@
     /// @brief Tells whether this proxy runs statements on connections of its own.
     bool isServedHere() const
     {
-        return m_holders.empty() || m_heldConnections != 0;
+        return isShared() || m_heldConnections != 0;
     }
 
     /// @brief Takes note that a caller was told about a commit.
@@ -130,6 +142,7 @@
     std::map<std::string, PoolPointer, std::less<>> m_pools;
     std::vector<StatementHolder> m_holders;
     std::size_t m_heldConnections = 0;
+    bool m_awaitsHolders = false;
     PositionHistory m_history;
     TermPosition m_acknowledged;
     std::size_t m_writes = 0;
--- a/packages/sessions/src/waxwing/sessions/service_state.cpp
+++ b/packages/sessions/src/waxwing/sessions/service_state.cpp
@@ -47,6 +47,7 @@
 void ServiceState::setHolders(std::vector<StatementHolder> holders, std::string_view proxy)
 {
     m_holders = std::move(holders);
+    m_awaitsHolders = false;
     const auto own = std::find_if(m_holders.begin(), m_holders.end(), [proxy](const StatementHolder &holder) { return holder.proxy == proxy; });
     m_heldConnections = own == m_holders.end() ? 0 : own->connections;
 }
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -107,7 +107,11 @@
             log::write(log::Level::Info, "primary changed",
                        {{"service", view.service()}, {"epoch", view.epoch()}, {"primary", view.primary()}, {"directory_version", m_directoryVersion}});
         }
-        service->setHolders(decodeHolders(view), m_options.proxy);
+        if (!grant.holders_pending()) {
+            service->setHolders(decodeHolders(view), m_options.proxy);
+        } else if (service->isServedHere() && service->holders().empty()) {
+            service->awaitHolders();
+        }
         service->setPrimary(view.epoch(), view.primary());
         service->notify();
     }
@@ -156,7 +160,7 @@
                 share = std::max<std::size_t>(leastConnections, limit / 2);
             }
         }
-        if (!service->holders().empty()) {
+        if (!service->isShared()) {
             limit = service->heldConnections();
             share = limit;
         }
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -8,6 +8,7 @@
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwing::control
@@ -152,6 +153,8 @@
     m_leases.reset(m_activeSince, m_machine.proxies());
     m_departing.clear();
     m_relays.clear();
+    m_holders.clear();
+    m_holdersPending = false;
     m_keeper.reset(true);
     applyDocument();
     m_applied = true;
@@ -212,6 +215,7 @@
         applyDocument();
         m_directoryChanged = true;
     }
+    updateHolders(now);
     m_keeper.tick(now, isCollected(now));
     const bool known = isCollected(now) || !m_machine.members().empty();
     if (known && std::exchange(m_directoryChanged, false)) {
@@ -220,6 +224,36 @@
     push();
 }
 
+void SessionControl::updateHolders(TimePoint now)
+{
+    std::vector<ConnectionHolders::Proxy> proxies;
+    for (const auto &[name, proxy] : m_leases.proxies()) {
+        proxies.push_back({name, proxy.link, proxy.failureDomain, proxy.draining});
+    }
+    std::map<std::string, std::size_t, std::less<>> limits;
+    for (const auto &[name, service] : m_config.services) {
+        limits[name] = service.maxConnections;
+    }
+    // The proxies of an earlier leader come within one interval of renewals; the holders that it named go on until then.
+    const auto expected = std::max(proxies.size(), m_machine.proxies().size());
+    const bool pending = !m_leases.isComplete(now) && m_holders.needsHolders(expected, limits);
+    if (std::exchange(m_holdersPending, pending) != pending) {
+        m_directoryChanged = true;
+    }
+    if (!pending && m_holders.update(proxies, limits)) {
+        m_directoryChanged = true;
+        for (const auto &[name, limit] : limits) {
+            const auto holders = m_holders.holders(name);
+            log::write(log::Level::Info, "holders changed",
+                       {{"service", name},
+                        {"proxies", proxies.size()},
+                        {"limit", limit},
+                        {"holders", holders.size()},
+                        {"connections", holders.empty() ? 0 : holders.front().connections}});
+        }
+    }
+}
+
 void SessionControl::applyDocument()
 {
     if (m_machine.version() == m_config.version) {
@@ -306,6 +340,7 @@
 void SessionControl::fillDirectory(wire::PoolGrant &grant) const
 {
     grant.set_has_directory(true);
+    grant.set_holders_pending(m_holdersPending);
     for (const auto &address : m_ports.members()) {
         grant.add_control(address);
     }
@@ -325,6 +360,15 @@
         }
         *view->add_members() = entry.member;
     }
+    for (auto &[name, view] : views) {
+        for (const auto &holder : m_holders.holders(name)) {
+            auto &entry = *view->add_holders();
+            entry.set_proxy(holder.proxy);
+            entry.set_link(holder.link);
+            entry.set_failure_domain(holder.failureDomain);
+            entry.set_connections(static_cast<std::uint32_t>(holder.connections));
+        }
+    }
 }
 
 void SessionControl::push()
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_holders.h"
 #include "primary_keeper.h"
 #include "session_control_ports.h"
 #include "session_leases.h"
@@ -95,6 +96,7 @@
     void handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal);
     void grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence);
     void fill(SessionLeases::Proxy &proxy, wire::PoolGrant &grant);
+    void updateHolders(TimePoint now);
     void fillDirectory(wire::PoolGrant &grant) const;
     void push();
     void takeBeat(const wire::PoolMember &member);
@@ -107,6 +109,7 @@
     SessionControlPorts m_ports;
     PoolDirectory m_directory;
     SessionLeases m_leases;
+    ConnectionHolders m_holders;
     std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> m_sendDirectly;
     std::map<std::string, std::string> m_relays; ///< members through which proxies are reached that this leader does not reach
     PrimaryKeeper m_keeper;
@@ -115,6 +118,7 @@
     bool m_activating = false;
     bool m_applied = false;
     bool m_directoryChanged = false;
+    bool m_holdersPending = false; ///< the proxies are not known well enough to name holders
     std::set<std::string> m_departing; ///< proxies whose end was proposed in this leadership and that were not recorded since
     std::map<std::string, TimePoint> m_waiting; ///< proxies that asked while this member did not lead, and when
     std::uint64_t m_epoch = 0; ///< distinguishes answers to requests of an earlier leadership
--- a/programs/control/session_leases.cpp
+++ b/programs/control/session_leases.cpp
@@ -48,6 +48,8 @@
     proxy.incarnation = renewal.incarnation();
     proxy.configVersion = renewal.config_version();
     proxy.directoryVersion = renewal.directory_version();
+    proxy.link = renewal.link();
+    proxy.failureDomain = renewal.failure_domain();
     proxy.draining = renewal.draining();
     proxy.demand = renewal.demand();
     return proxy;
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -32,6 +32,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t configVersion = 0; ///< in force there, or on its way
         std::uint64_t directoryVersion = 0; ///< in force there, or on its way
+        std::string link; ///< IP:port for other proxies; empty if it takes no statements of others
+        std::string failureDomain;
         bool draining = false;
         std::uint32_t demand = 0; ///< sessions and statements a second
         TimePoint end; ///< its lease has ended at this time on every clock
