Move the planned stop into a class of its own

The steps of a planned stop were part of the process and could not be tested. No change of behaviour; the moved events are listed as written by sessions.

--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -183,8 +183,9 @@
         m_openAfter = now + m_options.fullPause;
         if (now >= m_nextFullLog) {
             m_nextFullLog = now + fullLogSpacing;
-            log::write(log::Level::Warning, "database full",
-                       {{"database", m_member.id()}, {"service", m_member.service()}, {"open", m_count}, {"share", m_options.share}, {"limit", m_options.limit}});
+            log::write(
+                log::Level::Warning, "database full",
+                {{"database", m_member.id()}, {"service", m_member.service()}, {"open", m_count}, {"share", m_options.share}, {"limit", m_options.limit}});
         }
     } else {
         ++m_failures;
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -5,6 +5,7 @@
 #include "session_settings.h"
 
 #include <waxwing/platform/control_calls.h>
+#include <waxwing/sessions/planned_stop.h>
 #include <waxwing/sessions/session_directory.h>
 #include <waxwing/sessions/session_server.h>
 #include <waxwing/support/counter.h>
@@ -45,12 +46,9 @@
 constexpr double demandSeconds = 0.35; // a little less than the time between renewals
 constexpr double demandWeight = 0.5; // demand doubles within some seconds, which an average of two or three values follows
 constexpr Duration reportSpacing = 150ms; // between renewals ahead of time that repeat the same evidence
-// The load balancer asks once a second and takes a process out after two misses.
-constexpr Duration balancerNotice = 2300ms;
 // The thread of the log writes the last lines in this time. Ending the log waits for threads of its library, which took
 // longer than the stop limit on these machines.
 constexpr Duration logNotice = 50ms;
-constexpr Duration exitMargin = 700ms; // left of the stop limit for the end of the process
 
 std::vector<std::string> linkAddresses(const SessionSettings &settings)
 {
@@ -82,6 +80,7 @@
         , m_incarnation(randomIdentifier())
         , m_directory(m_context.get_executor(), directoryOptions(settings))
         , m_server(m_context, m_directory, settings.maxSessions)
+        , m_stop(m_server, settings.stopLimit)
         , m_poll(m_context, m_directory)
         , m_control(
               {.addresses = linkAddresses(settings)}, [this](const LinkPeer &to, const wire::Envelope &message) { return m_link && m_link->send(to, message); },
@@ -136,7 +135,7 @@
         HttpResponse response;
         std::string unused;
         if (platform::classify(request, unused) == platform::Call::Ready) {
-            const bool ready = !m_stopping && m_directory.isReady(Clock::now());
+            const bool ready = !m_stop.isBegun() && m_directory.isReady(Clock::now());
             response.status = ready ? 200 : 503;
             response.body = ready ? R"({"ready":true})" : R"({"ready":false})";
         } else if (request.target == "/metrics") {
@@ -160,7 +159,7 @@
         renewal.set_failure_domain(m_settings.failureDomain);
         renewal.set_config_version(m_directory.configVersion());
         renewal.set_directory_version(m_directory.directoryVersion());
-        renewal.set_draining(m_stopping);
+        renewal.set_draining(m_stop.isBegun());
         renewal.set_demand(measureDemand(now));
         renewal.set_unreachable_leader(m_control.unreachableLeader());
         for (const auto &[name, service] : m_directory.services()) {
@@ -255,7 +254,7 @@
         m_control.tick(now);
         m_poll.tick(now);
         m_directory.tick(now);
-        if (m_stopping && advanceStop(now)) {
+        if (m_stop.advance(now)) {
             std::_Exit(0);
         }
         m_timer.expires_after(tickInterval);
@@ -278,7 +277,7 @@
         } else if (!m_unleasedSince) {
             m_unleasedSince = now;
             m_handedOver = false;
-        } else if (!m_handedOver && now - *m_unleasedSince >= balancerNotice) {
+        } else if (!m_handedOver && now - *m_unleasedSince >= PlannedStop::balancerNotice) {
             // By now the load balancer sends callers elsewhere, so that idle sessions are served sooner after a new start.
             m_handedOver = true;
             log::write(log::Level::Info, "idle sessions closed without a lease", {{"left", m_server.closeIdle()}});
@@ -295,46 +294,20 @@
             if (signal == SIGHUP) {
                 // Nothing that a running process uses may change but the seeds, which matter to a start only.
                 log::write(log::Level::Info, "reload requested", {{"effect", "none"}});
-            } else if (!m_stopping) {
-                log::write(log::Level::Info, "stopping", {{"sessions", m_server.sessions()}});
-                m_stopping = true;
-                m_stopSince = Clock::now();
+            } else if (!m_stop.isBegun()) {
+                m_stop.begin(Clock::now());
             }
             awaitSignal();
         });
     }
 
-    /// Goes on with a planned stop; true when the process may end.
-    bool advanceStop(TimePoint now)
-    {
-        const auto since = now - m_stopSince;
-        if (since < balancerNotice) {
-            return false; // new callers still arrive
-        }
-        if (since >= m_settings.stopLimit / 2) {
-            m_server.abortTransactions("the proxy stops");
-        }
-        const auto left = m_server.closeIdle();
-        const bool last = since >= m_settings.stopLimit - exitMargin;
-        if (!m_lastCallers && (left == 0 || last)) {
-            // From here on no caller can arrive whose request the end of the process would cut.
-            m_server.stopAccepting();
-            m_lastCallers = now;
-            log::write(log::Level::Info, "stopped accepting", {{"sessions_left", left}, {"after_ms", toMilliseconds(since).count()}});
-        }
-        if (last && !m_cutNoted && left != 0) {
-            m_cutNoted = true;
-            log::write(log::Level::Warning, "sessions cut by the stop", {{"sessions", left}, {"waiting", m_server.handling()}});
-        }
-        return m_lastCallers && now - *m_lastCallers >= logNotice && (left == 0 || last);
-    }
-
     const SessionSettings &m_settings;
     std::uint64_t m_incarnation;
     boost::asio::io_context m_context {1};
     std::optional<MessageLink> m_link;
     SessionDirectory m_directory;
     SessionServer m_server;
+    PlannedStop m_stop;
     PositionPoll m_poll;
     ControlClient m_control;
     std::vector<HttpServer> m_http;
@@ -344,13 +317,9 @@
     TimePoint m_demandAt = Clock::now();
     std::uint64_t m_demandStatements = 0;
     double m_statementRate = 0; ///< a second, moving average
-    TimePoint m_stopSince;
     std::optional<TimePoint> m_unleasedSince;
-    std::optional<TimePoint> m_lastCallers; ///< when a planned stop closed the listening socket
     bool m_handedOver = false; ///< idle sessions were closed since the lease was lost
     bool m_leased = false;
-    bool m_stopping = false;
-    bool m_cutNoted = false; ///< the log tells of sessions that the stop cuts
 };
 
 } // namespace
