Answer every caller before a planned stop ends the process

A stop waited for idle sessions and ended the process at a fixed time: statements that waited for a primary or a connection, starts that waited for the configuration, and callers in the queue of the listening socket saw their connections end without an answer although nothing had run.

Once the load balancer has taken the process out, statements that can't be sent at once are refused with a promise and a time to come back, which ends the waits for a primary, a connection or a configuration. A session closes with its last answer when nothing of it is open; one that was just accepted has 500 ms for its start, which is refused. What a database still runs is awaited until 200 ms before the end of the process, then its connection is closed and the caller told. Callers that the kernel has accepted are taken from its queue before the listening socket closes.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -68,6 +68,7 @@
     boost::asio::awaitable<std::string> handleFailed(const SessionStatement &statement);
     std::string keep(const SessionStatement &statement);
     std::string begin(bool readOnly);
+    std::string refuseStart();
     std::string rollback();
     boost::asio::awaitable<std::string> commit(SessionStatement statement);
     boost::asio::awaitable<std::string> runSingle(SessionStatement statement);
@@ -90,6 +91,7 @@
     std::string m_requestId; ///< of the present or last statement
     TransactionState m_transactionState = TransactionState::Idle;
     Transaction m_transaction;
+    TimePoint m_acceptedAt = Clock::now();
     TimePoint m_receivedAt; ///< last bytes of the caller
     bool m_handling = false;
     bool m_ended = false;
--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,12 @@
     /// @param count number that should be open
     void warm(std::size_t count);
 
+    /// @brief Ends the waits for a connection; those statements get none.
+    void endWaits();
+
+    /// @brief Closes the connections that are in use, so that what they run ends at once.
+    void interrupt();
+
     /// @brief Closes all idle connections and refuses everything from now on.
     void shut();
 
@@ -161,7 +168,6 @@
     ConnectionPointer hand(ConnectionPointer connection);
     void openMore();
     boost::asio::awaitable<void> openOne();
-    void failWaiters();
     void noteOpenFailure(DatabaseConnection::OpenResult result, TimePoint now);
 
     boost::asio::any_io_executor m_executor;
@@ -172,6 +178,7 @@
     std::size_t m_count = 0; ///< open or opening
     std::size_t m_opening = 0;
     std::size_t m_busy = 0;
+    std::set<DatabaseConnection *> m_lent; ///< handed out by acquire()
     std::size_t m_warm = 0;
     std::size_t m_running = 0; ///< exchanges that wait for an answer
     TimePoint m_runningSince; ///< since then at least one exchange has been waiting
--- a/packages/sessions/include/waxwing/sessions/planned_stop.h
+++ b/packages/sessions/include/waxwing/sessions/planned_stop.h
@@ -37,6 +37,7 @@
     Duration m_limit;
     std::optional<TimePoint> m_begunAt;
     std::optional<TimePoint> m_lastCallers; ///< when the listening socket was closed
+    bool m_refuses = false; ///< statements are refused unless they can be sent at once
     bool m_cutNoted = false; ///< the log tells of sessions that the stop cuts
 };
 
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -41,6 +41,12 @@
     /// @brief Closes connections that are not needed any more, and opens missing ones.
     void tick(TimePoint now);
 
+    /// @brief Ends all waits for a primary or a connection.
+    void endWaits();
+
+    /// @brief Closes the connections to databases that are in use, so that what they run ends at once.
+    void interrupt();
+
     /// @brief Gives up an epoch, and closes it if that is asked for.
     /// @return confirmation with what this proxy acknowledged; without the process's own fields
     wire::PoolWithdrawn withdraw(const wire::PoolWithdraw &request, TimePoint now);
--- a/packages/sessions/include/waxwing/sessions/session_server.h
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -32,9 +32,21 @@
     /// @brief Port that the server listens on.
     unsigned short port() const;
 
-    /// @brief Stops accepting callers.
+    /// @brief Stops accepting callers, after those that the kernel has accepted already.
     void stopAccepting();
 
+    /// @brief Refuses what can't be sent to a database at once, and closes each session as soon as nothing of it is open.
+    void refuseWaits()
+    {
+        m_path.stop();
+    }
+
+    /// @brief Ends what databases still run, so that its callers get their answers before the process ends.
+    void interrupt()
+    {
+        m_directory.interrupt();
+    }
+
     /// @brief Closes the sessions that have nothing open or outstanding.
     /// @return number of sessions that are left
     std::size_t closeIdle();
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -23,6 +23,15 @@
     /// @brief Runs a single statement, or begins a transaction with its first statement.
     boost::asio::awaitable<StatementResult> run(const SessionJob &job);
 
+    /// @brief Refuses from now on what can't be sent at once, including what waits already.
+    void stop();
+
+    /// @brief Tells whether stop() was called.
+    bool isStopping() const
+    {
+        return m_stopping;
+    }
+
     /// @brief Statements that were taken so far.
     std::uint64_t statements() const
     {
@@ -80,6 +89,7 @@
 
     SessionDirectory &m_directory;
     std::uint64_t m_statements = 0;
+    bool m_stopping = false;
 };
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -36,6 +36,10 @@
 // Callers give a start up after 2 s.
 constexpr Duration startPatience = 1500ms;
 constexpr Duration startPause = 25ms;
+// A caller sends its start with the connection, and at most two regions lie between, 40 ms there and back.
+constexpr Duration startNotice = 500ms;
+// A proxy that stops is out of the load balancer, so that the next connection reaches another one.
+constexpr Duration otherProxyPause = 20ms;
 // Pause before a commit is offered again to a database without a free slot; about one statement.
 constexpr Duration busyPause = 10ms;
 
@@ -67,7 +71,7 @@
         std::string answer = co_await handle(std::move(request));
         const bool sent = co_await send(std::move(answer));
         m_handling = false;
-        if (!sent) {
+        if (!sent || (m_path.isStopping() && closeIfIdle())) {
             break;
         }
     }
@@ -132,10 +136,13 @@
     m_database = std::move(database);
     // A process that has just started has the configuration a moment later, which is sooner than the caller's next attempt.
     asio::steady_timer pause(m_socket.get_executor());
-    while (!m_directory.config() && Clock::now() < m_receivedAt + startPatience) {
+    while (!m_path.isStopping() && !m_directory.config() && Clock::now() < m_receivedAt + startPatience) {
         pause.expires_after(startPause);
         co_await pause.async_wait(useTuple);
     }
+    if (m_path.isStopping()) {
+        co_return refuseStart();
+    }
     if (!m_directory.config()) {
         m_ended = true;
         countOutcome(SessionError::Busy);
@@ -149,6 +156,14 @@
     co_return platform::encodeReady(m_transactionState);
 }
 
+std::string ClientSession::refuseStart()
+{
+    m_ended = true;
+    countOutcome(SessionError::Busy);
+    return platform::encodeStartRefusal(SessionError::Busy,
+                                        "not run, the proxy stops, retry after " + std::to_string(toMilliseconds(otherProxyPause).count()) + " ms");
+}
+
 const PoolRoute *ClientSession::route() const
 {
     const auto &config = m_directory.config();
@@ -239,6 +254,11 @@
     if (known == nullptr) {
         return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
     }
+    if (m_path.isStopping()) {
+        countOutcome(SessionError::Busy);
+        return platform::encodeError(SessionError::Busy, "not run, retry after " + std::to_string(toMilliseconds(otherProxyPause).count()) + " ms: stopping",
+                                     m_transactionState);
+    }
     m_transaction = {};
     m_transaction.route = *known;
     m_transaction.readOnly = readOnly;
@@ -292,7 +312,8 @@
 bool ClientSession::closeIfIdle()
 {
     boost::system::error_code ignored;
-    if (m_handling || m_transactionState != TransactionState::Idle || !m_lines.isEmpty() || m_socket.available(ignored) != 0) {
+    const bool awaitsStart = m_database.empty() && Clock::now() - m_acceptedAt < startNotice;
+    if (awaitsStart || m_handling || m_transactionState != TransactionState::Idle || !m_lines.isEmpty() || m_socket.available(ignored) != 0) {
         return false;
     }
     m_ended = true;
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -115,6 +115,7 @@
 DatabasePool::ConnectionPointer DatabasePool::hand(ConnectionPointer connection)
 {
     ++m_busy;
+    m_lent.insert(connection.get());
     connection->handedOutAt = Clock::now();
     return connection;
 }
@@ -122,6 +123,7 @@
 void DatabasePool::release(ConnectionPointer connection)
 {
     --m_busy;
+    m_lent.erase(connection.get());
     if (connection->isOpen() && !WAXWING_INVARIANT(connection->transaction() == TransactionState::Idle, "pooled-connection-in-transaction")) {
         connection->close();
     }
@@ -197,11 +199,11 @@
         }
     }
     if (m_count == 0) {
-        failWaiters();
+        endWaits();
     }
 }
 
-void DatabasePool::failWaiters()
+void DatabasePool::endWaits()
 {
     for (auto *waiter : std::exchange(m_waiting, {})) {
         waiter->failed = true;
@@ -209,6 +211,13 @@
     }
 }
 
+void DatabasePool::interrupt()
+{
+    for (auto *connection : m_lent) {
+        connection->close();
+    }
+}
+
 void DatabasePool::update(const wire::PoolMember &member, TimePoint now)
 {
     if (member.draining() && !m_member.draining()) {
@@ -259,7 +268,7 @@
     m_shut = true;
     m_count -= m_idle.size();
     m_idle.clear();
-    failWaiters();
+    endWaits();
 }
 
 void DatabasePool::noteSent(TimePoint now)
--- a/packages/sessions/src/waxwing/sessions/planned_stop.cpp
+++ b/packages/sessions/src/waxwing/sessions/planned_stop.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration logNotice = 50ms; // the thread of the log writes the last lines in this time
 constexpr Duration exitMargin = 700ms; // left of the stop limit for the end of the process
+constexpr Duration answerMargin = 200ms; // before that, for the answers to statements that are given up
 
 } // namespace
 
@@ -34,9 +35,16 @@
     if (since < balancerNotice) {
         return false; // new callers still arrive
     }
+    if (!m_refuses) {
+        m_refuses = true;
+        m_server.refuseWaits();
+    }
     if (since >= m_limit / 2) {
         m_server.abortTransactions("the proxy stops");
     }
+    if (since >= m_limit - exitMargin - answerMargin) {
+        m_server.interrupt();
+    }
     const auto left = m_server.closeIdle();
     const bool last = since >= m_limit - exitMargin;
     if (!m_lastCallers && (left == 0 || last)) {
@@ -49,6 +57,7 @@
         m_cutNoted = true;
         log::write(log::Level::Warning, "sessions cut by the stop", {{"sessions", left}, {"waiting", m_server.handling()}});
     }
+    // Callers that the kernel had accepted may have begun their sessions since.
     return m_lastCallers && now - *m_lastCallers >= logNotice && (left == 0 || last);
 }
 
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -162,6 +162,25 @@
     }
 }
 
+void SessionDirectory::endWaits()
+{
+    for (const auto &[name, service] : m_services) {
+        service->notify();
+        for (const auto &[id, pool] : service->pools()) {
+            pool->endWaits();
+        }
+    }
+}
+
+void SessionDirectory::interrupt()
+{
+    for (const auto &[name, service] : m_services) {
+        for (const auto &[id, pool] : service->pools()) {
+            pool->interrupt();
+        }
+    }
+}
+
 wire::PoolWithdrawn SessionDirectory::withdraw(const wire::PoolWithdraw &request, TimePoint now)
 {
     wire::PoolWithdrawn reply;
--- a/packages/sessions/src/waxwing/sessions/session_server.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -98,6 +98,16 @@
 
 void SessionServer::stopAccepting()
 {
+    // The kernel resets the connections of its queue when the listening socket is closed.
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -132,6 +132,12 @@
 {
 }
 
+void StatementPath::stop()
+{
+    m_stopping = true;
+    m_directory.endWaits();
+}
+
 asio::awaitable<StatementResult> StatementPath::run(const SessionJob &job)
 {
     Attempts attempts;
@@ -141,6 +147,9 @@
     asio::steady_timer pause(co_await asio::this_coro::executor);
     while (Clock::now() < job.deadline) {
         if (service == nullptr) {
+            if (m_stopping) {
+                break;
+            }
             // The directory arrives a moment after the start.
             attempts.lastReason = "no-directory";
             pause.expires_after(directoryPause);
@@ -157,6 +166,9 @@
                 attempts.lastReason = "queue-full";
                 break;
             }
+            if (m_stopping) {
+                break;
+            }
             if (!attempts.avoided.empty()) {
                 attempts.avoided.clear();
                 pause.expires_after(busyPause);
@@ -183,6 +195,9 @@
             co_return result;
         }
         ++attempts.count;
+        if (m_stopping && verdict != Verdict::Retry) {
+            break;
+        }
         if (verdict == Verdict::RetryLater) {
             pause.expires_after(busyPause);
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -190,6 +205,9 @@
             co_await service->changed(job.deadline);
         }
     }
+    if (m_stopping) {
+        attempts.lastReason = "stopping";
+    }
     co_return giveUp(job, service, attempts);
 }
 
@@ -298,7 +316,7 @@
         const auto part = std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptPart);
         limit = std::min(job.deadline, Clock::now() + part);
     }
-    auto connection = co_await pool->acquire(*job.session, job.rank(), limit);
+    auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : limit);
     if (!connection) {
         attempts.avoided.insert(pool->member().id());
         attempts.lastReason = "no-connection";
