--- a/packages/sessions/include/waxwing/sessions/statement_backend.h
+++ b/packages/sessions/include/waxwing/sessions/statement_backend.h
@@ -35,6 +35,12 @@
     /// @brief Rolls a transaction back, if one is open.
     void drop(SessionTransaction &transaction);
 
+    /// @brief Tells whether statements that can't be sent at once are refused, since the process stops.
+    bool isStopping() const
+    {
+        return m_path.isStopping();
+    }
+
     SessionDirectory &directory()
     {
         return m_directory;
--- a/packages/sessions/include/waxwing/sessions/statement_forwarder.h
+++ b/packages/sessions/include/waxwing/sessions/statement_forwarder.h
@@ -52,6 +52,9 @@
     /// @brief Takes an answer of a holder.
     void receive(const wire::PoolForwardAnswer &answer);
 
+    /// @brief Ends all waits for answers; the statements may have run.
+    void interrupt();
+
     /// @brief Takes note that a statement provably was not sent.
     void noteNotSent(const wire::PoolForward &message);
 
--- a/packages/sessions/src/waxwing/sessions/session_server.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -106,6 +106,16 @@
 
 void SessionServer::stopAccepting()
 {
+    // The kernel resets the connections of its queue when the listening socket is closed.
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
@@ -115,7 +125,7 @@
     for (auto *session : m_sessions) {
         session->closeIfIdle();
     }
-    return m_sessions.size();
+    return m_sessions.size() + m_forwarded.unfinished();
 }
 
 std::size_t SessionServer::handling() const
@@ -128,6 +138,7 @@
     for (auto *session : m_sessions) {
         session->abortTransaction(reason);
     }
+    m_forwarded.abortTransactions();
 }
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -66,7 +66,7 @@
     while (Clock::now() < job.deadline) {
         const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
         if (nearest == nullptr) {
-            if (Clock::now() - job.receivedAt >= connectPatience) {
+            if (m_path.isStopping() || Clock::now() - job.receivedAt >= connectPatience) {
                 break;
             }
             tried.clear();
--- a/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
@@ -96,6 +96,13 @@
     found->second->signal.cancel();
 }
 
+void StatementForwarder::interrupt()
+{
+    for (const auto &[correlation, waiter] : m_waiting) {
+        waiter->signal.cancel();
+    }
+}
+
 void StatementForwarder::noteNotSent(const wire::PoolForward &message)
 {
     const auto found = m_waiting.find(message.correlation());
