--- /dev/null
+++ b/scripts/soak_callers.py
@@ -0,0 +1,254 @@
+"""Callers of a soak: sessions that stay open until their process is gone, and what they may be told."""
+
+import asyncio
+import time
+
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"}  # nothing of the attempt is kept
+START_LIMIT_S = 2.0  # callers close a session whose start takes longer
+ANSWER_LIMIT_S = 10.0  # deadline of an operation in the deployments
+MAX_AGE_MS = 1500
+PROBE_S = 1.0
+
+
+def routes(services, timeout_ms):
+    """One route of each kind for each service: (name, kind, service)."""
+    result = []
+    for service in services:
+        for kind in ("primary", "read_your_writes", "bounded_staleness"):
+            route = {"name": f"r-{kind}-{service}", "host": f"{kind}-{service}", "path_prefix": "/", "kind": kind, "timeout_ms": timeout_ms,
+                     "target_latency_ms": 600, "priority": 1, "service": service, "max_attempts": 2}
+            if kind != "primary":
+                route["max_staleness_ms"] = MAX_AGE_MS
+            result.append(route)
+    return result
+
+
+class SessionEnded(Exception):
+    """The connection ended; `partly` tells whether an answer was due."""
+
+
+class Session:
+    """One connection to a proxy."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def open(cls, address, database):
+        host, port = address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(START_LIMIT_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                session = cls(reader, writer)
+                answer = await session.call(f"STARTUP {database} u1")
+        except (OSError, TimeoutError) as error:
+            raise SessionEnded(str(error)) from error
+        if answer[0] != "READY I":
+            session.close()
+            raise SessionEnded(str(answer))
+        return session
+
+    async def call(self, line):
+        """Sends a line; returns (state, rows, "COMPLETE" or "ERROR", its rest)."""
+        rows, word, rest = [], "", ""
+        try:
+            self.writer.write(line.encode() + b"\r\n")
+            while data := await self.reader.readline():
+                if not data.endswith(b"\r\n"):
+                    break
+                kind, _, text = data.decode().rstrip("\r\n").partition(" ")
+                if kind == "READY":
+                    return f"READY {text[0]}", rows, word, rest
+                if kind == "DATAROW":
+                    rows.append(text)
+                else:
+                    word, rest = kind, text
+        except OSError:
+            pass  # Reset, which is an end as well.
+        raise SessionEnded("closed")
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+class Balancer:
+    """Asks each proxy whether it is ready; two misses take it out, as the load balancer of the platform does."""
+
+    def __init__(self, proxies, call):
+        self.proxies, self.call = proxies, call
+        self.misses = [2] * len(proxies)
+
+    async def run(self, index):
+        while True:
+            status = await self.call(self.proxies[index].ready, "GET", "/waxwingtrestle/ready")
+            self.misses[index] = 0 if status == 200 else self.misses[index] + 1
+            await asyncio.sleep(PROBE_S)
+
+    def pick(self, random, preferred):
+        ready = [index for index, misses in enumerate(self.misses) if misses < 2]
+        return preferred if preferred in ready or not ready else random.choice(ready)
+
+
+class Caller:
+    """Runs operations one after the other and checks each answer."""
+
+    def __init__(self, number, preferred, services, balancer, ledger, random, lost):
+        self.number, self.preferred, self.services = number, preferred, services
+        self.balancer, self.ledger, self.random, self.lost = balancer, ledger, random, lost
+        self.writes = {}  # item -> list of [data, status, acknowledged at]
+        self.served = {}  # kind of operation -> time of the last success
+        self.counts = {}
+        self.sessions = self.operations = 0
+
+    async def run(self):
+        while True:
+            self.sessions += 1
+            index = self.balancer.pick(self.random, self.preferred)
+            kind = self.random.choice(("primary", "read_your_writes", "bounded_staleness"))
+            service = self.random.choice(self.services)
+            session = None
+            try:
+                session = await Session.open(self.balancer.proxies[index].callers, f"{kind}-{service}")
+                await self._prepare(session)
+                while True:
+                    await self._operation(session, index, kind, service)
+                    await asyncio.sleep(self.random.uniform(0.02, 0.12))
+            except (SessionEnded, TimeoutError):
+                await asyncio.sleep(0.1)
+            finally:
+                if session:
+                    session.close()
+
+    async def _prepare(self, session):
+        """Values and statements under names that collide between callers."""
+        self.values = {"zone": f"z{self.number}-{self.sessions}"} if self.random.random() < 0.7 else {}
+        self.shapes = {"s1": ("READ", f"q{self.number % 3}"), "s2": ("WRITE", f"q{self.number % 2}")}
+        for name, value in self.values.items():
+            await self._checked(session, f"SET {name} {value}")
+        for name, (access, shape) in self.shapes.items():
+            await self._checked(session, f"PREPARE {name} {access} {shape}")
+
+    async def _checked(self, session, text):
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            answer = await session.call(f"QUERY p{self.number} {text}")
+        if answer[2] != "COMPLETE":
+            raise SessionEnded(f"{text}: {answer}")
+
+    async def _operation(self, session, index, kind, service):
+        self.operations += 1
+        key = f"{self.number}-{self.operations}"
+        # Items of a session show its own writes; those of a caller also what its earlier sessions wrote.
+        item = f"{service}-{self.number}" + (f"-{self.sessions}" if kind != "primary" else "")
+        draw = self.random.random()
+        if draw < 0.35 and kind != "bounded_staleness":
+            await self._write(session, index, service, "s" + key, item)
+        elif draw < 0.55 and kind != "bounded_staleness":
+            await self._transaction(session, index, kind, service, "t" + key, item)
+        else:
+            await self._read(session, index, kind, "s" + key, key, item)
+
+    async def _statement(self, session, index, identifier, key, verb, item="", data=""):
+        """Runs one statement; returns (code, state, rows), with the code None for a success and LOST without an answer."""
+        shape = None
+        text = " ".join(word for word in (verb, item, data) if word)
+        if verb != "COMMIT" and self.random.random() < 0.5:
+            name = "s1" if verb == "READ" else "s2"
+            shape = self.shapes[name][1]
+            text = f"EXECUTE {name} {item} {data}".rstrip()
+        self.ledger.asked[identifier] = (verb, item, data, shape, self.values, key)
+        sent = time.monotonic()
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                state, rows, word, rest = await session.call(f"QUERY {identifier} {text}")
+        except SessionEnded:
+            self.lost.append((index, identifier, sent, time.monotonic()))
+            self._count("closed")
+            return "LOST", "", []
+        except TimeoutError:
+            self._count("no answer")
+            return "LOST", "", []
+        if word == "COMPLETE":
+            if not rest.endswith("." + identifier):
+                self.ledger.report(f"{identifier} got a success with the signature {rest}")
+            self._count("done")
+            return None, state, rows
+        code = rest.split(" ", 1)[0]
+        self._count(code)
+        return code, state, rows
+
+    def _count(self, outcome):
+        self.counts[outcome] = self.counts.get(outcome, 0) + 1
+
+    def _settle(self, service, item, data, status):
+        """Notes what became of a write: acknowledged, refused or unknown."""
+        self.writes.setdefault(item, []).append([data, status, time.monotonic()])
+        if status == "acknowledged":
+            self.ledger.acknowledged[data] = service
+        elif status == "refused":
+            self.ledger.refused.add(data)
+
+    async def _write(self, session, index, service, identifier, item):
+        data = "d" + identifier
+        code, state, _ = await self._statement(session, index, identifier, identifier, "WRITE", item, data)
+        self._settle(service, item, data, "acknowledged" if code is None else "refused" if code in PROMISES else "unknown")
+        self._finish(code, state, "write", service)
+
+    def _finish(self, code, state, kind, service):
+        if code is None:
+            self.served[kind, service] = time.monotonic()
+        if code == "LOST":
+            raise SessionEnded("no answer")
+        if state != "READY I":
+            self.ledger.report(f"caller {self.number}: an operation ended in the state {state}")
+            raise SessionEnded(state)
+
+    async def _read(self, session, index, kind, identifier, key, item):
+        before = time.monotonic() - (MAX_AGE_MS / 1000 if kind == "bounded_staleness" else 0)
+        code, state, rows = await self._statement(session, index, identifier, "s" + key, "READ", item)
+        if code is None:
+            self._check_read(identifier, kind, item, rows, before)
+        self._finish(code, state, "read", item.rsplit("-")[0])
+
+    def _check_read(self, identifier, kind, item, rows, before):
+        writes = self.writes.get(item, [])
+        due = max((number for number, (_, status, at) in enumerate(writes) if status == "acknowledged" and at < before), default=-1)
+        allowed = {data for number, (data, status, _) in enumerate(writes) if status == "unknown" or status == "acknowledged" and number >= due}
+        if due < 0:
+            allowed.add("-")
+        if len(rows) != 1 or rows[0] not in allowed:
+            self.ledger.report(f"{identifier} ({kind}) read {rows} of {item}, expected one of {sorted(allowed)}")
+
+    async def _transaction(self, session, index, kind, service, key, item):
+        state = (await self._begin(session))[0]
+        before = time.monotonic()
+        written, code = [], None
+        for number in range(1, self.random.randint(2, 4)):
+            identifier = f"{key}-{number}"
+            if number == 1 and self.random.random() < 0.5:
+                code, state, rows = await self._statement(session, index, identifier, key, "READ", item)
+                if code is None:
+                    self._check_read(identifier, kind, item, rows, before)
+            else:
+                written.append("d" + identifier)
+                code, state, _ = await self._statement(session, index, identifier, key, "WRITE", f"{item}-{len(written)}", written[-1])
+            if code is not None:
+                break
+            await asyncio.sleep(self.random.uniform(0, 0.05))
+        status = "refused"
+        if code is None and self.random.random() < 0.85:
+            code, state, _ = await self._statement(session, index, f"{key}-{number + 1}", key, "COMMIT")
+            status = "acknowledged" if code is None else "refused" if code in PROMISES else "unknown"
+        elif code != "LOST":
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                state = (await session.call(f"QUERY {key}-r ROLLBACK"))[0]
+            code = code or "ROLLBACK"
+        for number, data in enumerate(written):
+            self._settle(service, f"{item}-{number + 1}", data, status)
+        self._finish(code, state, "transaction", service)
+
+    async def _begin(self, session):
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            answer = await session.call(f"QUERY b{self.number} BEGIN")
+        if answer[2] != "COMPLETE":
+            raise SessionEnded(str(answer))
+        return answer
