Count only holders in the judgement of a primary, test the choice of holders

While holders are named, the other proxies have no connections and can report nothing on a primary; comparing reports with half of all live proxies would never find one cut off.

--- a/packages/support/src/waxwing/support/log.cpp
+++ b/packages/support/src/waxwing/support/log.cpp
@@ -24,11 +24,15 @@
 namespace
 {
 
+constexpr Duration noticeSpacing = std::chrono::seconds(1); // between lines that tell of dropped ones of the same event
+
 /// Lines of one event that may still be written.
 struct Budget
 {
     double lines = 0;
     TimePoint at;
+    std::uint64_t dropped = 0; ///< lines dropped since the log told of them
+    TimePoint nextNotice;
 };
 
 struct Sink
@@ -102,6 +106,28 @@
     return true;
 }
 
+void noteDropped(Sink &target, std::string_view event)
+{
+    Metrics::instance().counter("waxwing_log_lines_dropped_total", "event", event).add();
+    const std::lock_guard lock(target.mutex);
+    if (const auto found = target.budgets.find(event); found != target.budgets.end()) {
+        ++found->second.dropped;
+    }
+}
+
+/// Number of dropped lines that the log should tell of now; 0 for none.
+std::uint64_t takeDropped(Sink &target, std::string_view event)
+{
+    const auto now = Clock::now();
+    const std::lock_guard lock(target.mutex);
+    const auto found = target.budgets.find(event);
+    if (found == target.budgets.end() || found->second.dropped == 0 || now < found->second.nextNotice) {
+        return 0;
+    }
+    found->second.nextNotice = now + noticeSpacing;
+    return std::exchange(found->second.dropped, 0);
+}
+
 /// Layout that counts down the lines that wait. The log thread formats a line right before it writes it.
 class CountingLayout : public log4cplus::PatternLayout
 {
@@ -145,6 +171,19 @@
     return target;
 }
 
+void writeLine(Level level, std::string_view event, boost::json::object fields)
+{
+    boost::json::object line;
+    line["time_ms"] = unixMilliseconds();
+    line["level"] = levelName(level);
+    line["process"] = sink()->process;
+    line["event"] = event;
+    for (auto &field : fields) {
+        line[field.key()] = std::move(field.value());
+    }
+    sink()->logger.log(libraryLevel(level), boost::json::serialize(line));
+}
+
 } // namespace
 
 void start(const Options &options)
@@ -184,18 +223,13 @@
         return;
     }
     if (!admit(*sink(), event) || !reserve(*sink())) {
-        Metrics::instance().counter("waxwing_log_lines_dropped_total", "event", event).add();
+        noteDropped(*sink(), event);
         return;
     }
-    boost::json::object line;
-    line["time_ms"] = unixMilliseconds();
-    line["level"] = levelName(level);
-    line["process"] = sink()->process;
-    line["event"] = event;
-    for (auto &field : fields) {
-        line[field.key()] = std::move(field.value());
+    writeLine(level, event, std::move(fields));
+    if (const auto dropped = takeDropped(*sink(), event); dropped != 0) {
+        log::write(Level::Warning, "log lines dropped", {{"of", event}, {"lines", dropped}});
     }
-    sink()->logger.log(libraryLevel(level), boost::json::serialize(line));
 }
 
 } // namespace waxwing::log
--- a/packages/support/src/waxwing/support/log_test.cpp
+++ b/packages/support/src/waxwing/support/log_test.cpp
@@ -1,6 +1,7 @@
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
+#include <waxwing/support/time.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
@@ -21,6 +22,7 @@
     CPPUNIT_TEST_SUITE(LogTest);
     CPPUNIT_TEST(floodOfOneEventIsBounded);
     CPPUNIT_TEST(readerThatStopsDoesNotBlock);
+    CPPUNIT_TEST(logTellsOfDroppedLines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,6 +77,32 @@
         std::filesystem::remove(pipe);
         CPPUNIT_ASSERT(Metrics::instance().exposition().find("waxwing_log_lines_dropped_total{event=\"unread\"}") != std::string::npos);
     }
+
+    // Guards against a log that looks complete although lines of a flood are missing.
+    void logTellsOfDroppedLines()
+    {
+        const auto file = std::filesystem::temp_directory_path() / ("waxwing-log-dropped-" + std::to_string(::getpid()));
+        log::start({.process = "test", .file = file.string(), .linesPerSecond = 1'000, .burst = 5});
+        const auto isTold = [&] {
+            std::ifstream stream(file);
+            for (std::string line; std::getline(stream, line);) {
+                if (line.find("\"log lines dropped\"") != std::string::npos) {
+                    return true;
+                }
+            }
+            return false;
+        };
+        const auto deadline = Clock::now() + 10s;
+        while (!isTold() && Clock::now() < deadline) {
+            for (int i = 0; i < 1'000; ++i) {
+                log::write(log::Level::Info, "burst", {{"i", i}});
+            }
+        }
+        const bool told = isTold();
+        log::stop();
+        std::filesystem::remove(file);
+        CPPUNIT_ASSERT(told);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
--- a/programs/control/connection_holders.cpp
+++ b/programs/control/connection_holders.cpp
@@ -44,9 +44,8 @@
 
 bool ConnectionHolders::needsHolders(std::size_t proxies, const std::map<std::string, std::size_t, std::less<>> &limits) const
 {
-    return std::any_of(limits.begin(), limits.end(), [&](const auto &item) {
-        return item.second != 0 && isGathered(usable(item.second), proxies, m_holders.contains(item.first));
-    });
+    return std::any_of(limits.begin(), limits.end(),
+                       [&](const auto &item) { return item.second != 0 && isGathered(usable(item.second), proxies, m_holders.contains(item.first)); });
 }
 
 std::size_t ConnectionHolders::usable(std::size_t limit) const
@@ -74,8 +73,7 @@
 }
 
 std::vector<ConnectionHolders::Holder> ConnectionHolders::choose(const std::string &service, std::span<const Proxy> proxies, std::size_t connections,
-                                                                 const std::vector<Holder> &before,
-                                                                 std::map<std::string, std::size_t, std::less<>> &load) const
+                                                                 const std::vector<Holder> &before, std::map<std::string, std::size_t, std::less<>> &load) const
 {
     const auto wanted = std::max<std::size_t>(1, connections / m_options.connections);
     const auto wasHolder = [&](const Proxy &proxy) {
--- /dev/null
+++ b/programs/control/connection_holders_test.cpp
@@ -0,0 +1,149 @@
+#include "connection_holders.h"
+
+#include <waxwing/support/random.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+using namespace waxwing;
+using namespace waxwing::control;
+
+class ConnectionHoldersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConnectionHoldersTest);
+    CPPUNIT_TEST(smallDeploymentsShareTheConnections);
+    CPPUNIT_TEST(everyFailureDomainHasAHolder);
+    CPPUNIT_TEST(servicesSpreadOverTheProxies);
+    CPPUNIT_TEST(drainingHolderIsReplacedAndTheOthersStay);
+    CPPUNIT_TEST(singleProxyDoesNotChangeTheWay);
+    CPPUNIT_TEST(connectionsStayWithinTheLimit);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Limits = std::map<std::string, std::size_t, std::less<>>;
+
+    static std::vector<ConnectionHolders::Proxy> makeProxies(int count, int domains)
+    {
+        std::vector<ConnectionHolders::Proxy> proxies;
+        for (int i = 0; i < count; ++i) {
+            const auto name = "p" + std::to_string(i);
+            proxies.push_back({name, name + ":1", "d" + std::to_string(i % domains), false});
+        }
+        return proxies;
+    }
+
+    static Limits makeLimits(int services, std::size_t limit)
+    {
+        Limits limits;
+        for (int i = 0; i < services; ++i) {
+            limits["s" + std::to_string(i)] = limit;
+        }
+        return limits;
+    }
+
+    static std::set<std::string> names(std::span<const ConnectionHolders::Holder> holders)
+    {
+        std::set<std::string> result;
+        for (const auto &holder : holders) {
+            result.insert(holder.proxy);
+        }
+        return result;
+    }
+
+public:
+    // Guards against forwarding where every proxy can hold connections of its own (6 proxies on 21 connections).
+    void smallDeploymentsShareTheConnections()
+    {
+        ConnectionHolders holders;
+        CPPUNIT_ASSERT(!holders.update(makeProxies(6, 3), makeLimits(3, 21)));
+        CPPUNIT_ASSERT(!holders.update(makeProxies(9, 3), makeLimits(3, 21)));
+        CPPUNIT_ASSERT(holders.holders("s0").empty());
+    }
+
+    // Guards against statements that leave their failure domain although a proxy in it could hold connections.
+    void everyFailureDomainHasAHolder()
+    {
+        ConnectionHolders holders;
+        CPPUNIT_ASSERT(holders.update(makeProxies(74, 6), makeLimits(8, 49)));
+        for (int i = 0; i < 8; ++i) {
+            std::set<std::string> domains;
+            for (const auto &holder : holders.holders("s" + std::to_string(i))) {
+                domains.insert(holder.failureDomain);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(6), domains.size());
+        }
+    }
+
+    // Guards against a proxy that holds for most services while others of its failure domain hold for none.
+    void servicesSpreadOverTheProxies()
+    {
+        ConnectionHolders holders;
+        holders.update(makeProxies(74, 6), makeLimits(8, 49));
+        std::map<std::string, int> load;
+        for (int i = 0; i < 8; ++i) {
+            for (const auto &holder : holders.holders("s" + std::to_string(i))) {
+                ++load[holder.proxy];
+            }
+        }
+        for (const auto &[proxy, services] : load) {
+            CPPUNIT_ASSERT_MESSAGE(proxy, services <= 2);
+        }
+    }
+
+    // Guards against connections that move between proxies that stay, and against work for a proxy that stops.
+    void drainingHolderIsReplacedAndTheOthersStay()
+    {
+        ConnectionHolders holders;
+        auto proxies = makeProxies(74, 6);
+        holders.update(proxies, makeLimits(8, 49));
+        auto before = names(holders.holders("s0"));
+        const auto leaving = *before.begin();
+        std::find_if(proxies.begin(), proxies.end(), [&](const auto &proxy) { return proxy.name == leaving; })->draining = true;
+        CPPUNIT_ASSERT(holders.update(proxies, makeLimits(8, 49)));
+        const auto after = names(holders.holders("s0"));
+        CPPUNIT_ASSERT(!after.contains(leaving));
+        CPPUNIT_ASSERT_EQUAL(before.size(), after.size());
+        before.erase(leaving);
+        CPPUNIT_ASSERT(std::includes(after.begin(), after.end(), before.begin(), before.end()));
+    }
+
+    // Guards against connections that all move whenever one proxy comes or goes.
+    void singleProxyDoesNotChangeTheWay()
+    {
+        ConnectionHolders holders;
+        CPPUNIT_ASSERT(!holders.update(makeProxies(89, 6), makeLimits(1, 181)));
+        CPPUNIT_ASSERT(holders.update(makeProxies(90, 6), makeLimits(1, 181)));
+        holders.update(makeProxies(89, 6), makeLimits(1, 181));
+        CPPUNIT_ASSERT(!holders.holders("s0").empty());
+        CPPUNIT_ASSERT(holders.update(makeProxies(59, 6), makeLimits(1, 181)));
+        CPPUNIT_ASSERT(holders.holders("s0").empty());
+    }
+
+    // Guards against holders that together take more connections than the database has, less those of control.
+    void connectionsStayWithinTheLimit()
+    {
+        constexpr std::uint64_t seed = 1;
+        std::printf(" seed %llu", static_cast<unsigned long long>(seed));
+        Random random(seed);
+        ConnectionHolders holders;
+        for (int run = 0; run < 2'000; ++run) {
+            const auto limit = static_cast<std::size_t>(random.between(1, 200));
+            auto proxies = makeProxies(static_cast<int>(random.between(1, 120)), static_cast<int>(random.between(1, 8)));
+            for (auto &proxy : proxies) {
+                proxy.draining = random.between(0, 9) == 0;
+            }
+            holders.update(proxies, makeLimits(4, limit));
+            for (int i = 0; i < 4; ++i) {
+                std::size_t sum = 0;
+                for (const auto &holder : holders.holders("s" + std::to_string(i))) {
+                    sum += holder.connections;
+                }
+                CPPUNIT_ASSERT(sum + 2 <= std::max<std::size_t>(limit, 2));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionHoldersTest);
--- a/programs/control/primary_keeper.cpp
+++ b/programs/control/primary_keeper.cpp
@@ -229,10 +229,12 @@
     }));
 }
 
-std::string PrimaryKeeper::judge(Service &service, const DatabaseCalls::Answer &answer) const
+std::string PrimaryKeeper::judge(const std::string &name, Service &service, const DatabaseCalls::Answer &answer) const
 {
     const auto now = Clock::now();
-    const auto live = static_cast<double>(m_state.leases.proxies().size());
+    // Proxies without connections notice nothing of a primary, and must not outvote those that do.
+    const auto holders = m_state.holders.holders(name).size();
+    const auto live = static_cast<double>(holders == 0 ? m_state.leases.proxies().size() : holders);
     const auto unreachable = countReports(service, &Report::unreachable, now);
     const auto stalled = countReports(service, &Report::stalled, now);
     if (answer.reach == Reach::Answered && !answer.status->primary) {
@@ -273,7 +275,7 @@
     }
     auto &service = m_services[name];
     learnTerms(name, {{primary.id(), answer}});
-    auto verdict = judge(service, answer);
+    auto verdict = judge(name, service, answer);
     const auto now = Clock::now();
     if (verdict.empty() && answer.status && countReports(service, &Report::lagging, now) >= 2 && now - service.changedAt >= lagChangeSpacing) {
         const bool lag = co_await doReplicasLag(name, primary.id());
--- a/programs/control/primary_keeper.h
+++ b/programs/control/primary_keeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_holders.h"
 #include "database_calls.h"
 #include "epoch_withdrawal.h"
 #include "session_control_ports.h"
@@ -38,6 +39,7 @@
         const SessionsMachine &machine;
         const PoolDirectory &directory;
         const SessionLeases &leases;
+        const ConnectionHolders &holders;
     };
 
     /// @param publish called when the directory must be sent to the proxies
@@ -96,7 +98,7 @@
     boost::asio::awaitable<void> adopt(std::string name, wire::PoolMember member);
     void noteUnconfirmed(const std::string &name, const std::string &database, const std::string &reach);
     boost::asio::awaitable<void> check(std::string name, wire::PoolMember primary);
-    std::string judge(Service &service, const DatabaseCalls::Answer &answer) const;
+    std::string judge(const std::string &name, Service &service, const DatabaseCalls::Answer &answer) const;
     boost::asio::awaitable<bool> doReplicasLag(std::string name, std::string primary);
     std::size_t countReports(const Service &service, bool Report::*kind, TimePoint now) const;
     boost::asio::awaitable<void> change(std::string name, std::string cause);
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -109,7 +109,7 @@
     SessionControlPorts m_ports;
     PoolDirectory m_directory;
     SessionLeases m_leases;
-    ConnectionHolders m_holders;
+    ConnectionHolders m_holders; ///< before the keeper, which reads it
     std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> m_sendDirectly;
     std::map<std::string, std::string> m_relays; ///< members through which proxies are reached that this leader does not reach
     PrimaryKeeper m_keeper;
