--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -20,6 +20,15 @@
 // Part of the time for which a leaving database takes new statements: the notice takes a while, and a statement may wait.
 constexpr int drainPercent = 80;
 
+std::vector<StatementHolder> decodeHolders(const wire::PoolServiceView &view)
+{
+    std::vector<StatementHolder> holders;
+    for (const auto &holder : view.holders()) {
+        holders.push_back({holder.proxy(), holder.link(), holder.failure_domain(), holder.connections()});
+    }
+    return holders;
+}
+
 } // namespace
 
 SessionDirectory::SessionDirectory(const boost::asio::any_io_executor &executor, Options options)
@@ -98,6 +107,11 @@
             log::write(log::Level::Info, "primary changed",
                        {{"service", view.service()}, {"epoch", view.epoch()}, {"primary", view.primary()}, {"directory_version", m_directoryVersion}});
         }
+        if (!grant.holders_pending()) {
+            service->setHolders(decodeHolders(view), m_options.proxy);
+        } else if (service->isServedHere() && service->holders().empty()) {
+            service->awaitHolders();
+        }
         service->setPrimary(view.epoch(), view.primary());
         service->notify();
     }
@@ -146,6 +160,10 @@
                 share = std::max<std::size_t>(leastConnections, limit / 2);
             }
         }
+        if (!service->isShared()) {
+            limit = service->heldConnections();
+            share = limit;
+        }
         for (const auto &[id, pool] : service->pools()) {
             pool->setLimits(share, limit);
             pool->warm(pool->member().draining() ? 0 : std::min(share, m_options.warmConnections));
@@ -162,6 +180,25 @@
     }
 }
 
+void SessionDirectory::endWaits()
+{
+    for (const auto &[name, service] : m_services) {
+        service->notify();
+        for (const auto &[id, pool] : service->pools()) {
+            pool->endWaits();
+        }
+    }
+}
+
+void SessionDirectory::interrupt()
+{
+    for (const auto &[name, service] : m_services) {
+        for (const auto &[id, pool] : service->pools()) {
+            pool->interrupt();
+        }
+    }
+}
+
 wire::PoolWithdrawn SessionDirectory::withdraw(const wire::PoolWithdraw &request, TimePoint now)
 {
     wire::PoolWithdrawn reply;
--- a/packages/sessions/src/waxwing/sessions/session_server.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_server.cpp
@@ -28,9 +28,17 @@
 } // namespace
 
 SessionServer::SessionServer(asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions)
+    : SessionServer(context, directory, maxSessions, Links())
+{
+}
+
+SessionServer::SessionServer(asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions, Links links)
     : m_context(context)
     , m_directory(directory)
     , m_path(directory)
+    , m_forwarder(context.get_executor(), links.incarnation, std::move(links.forward))
+    , m_forwarded(context, directory, m_path, std::move(links.answer))
+    , m_backend(directory, m_path, m_forwarder)
     , m_maxSessions(maxSessions)
     , m_acceptor(context)
 {
@@ -90,7 +98,7 @@
 
 asio::awaitable<void> SessionServer::serve(asio::ip::tcp::socket socket)
 {
-    ClientSession session(std::move(socket), m_directory, m_path);
+    ClientSession session(std::move(socket), m_directory, m_backend);
     m_sessions.insert(&session);
     co_await session.serve();
     m_sessions.erase(&session);
@@ -98,6 +106,16 @@
 
 void SessionServer::stopAccepting()
 {
+    // The kernel resets the connections of its queue when the listening socket is closed.
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
@@ -107,7 +125,7 @@
     for (auto *session : m_sessions) {
         session->closeIfIdle();
     }
-    return m_sessions.size();
+    return m_sessions.size() + m_forwarded.unfinished();
 }
 
 std::size_t SessionServer::handling() const
@@ -120,6 +138,7 @@
     for (auto *session : m_sessions) {
         session->abortTransaction(reason);
     }
+    m_forwarded.abortTransactions();
 }
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -1,4 +1,5 @@
 #include <waxwing/platform/database_wire.h>
+#include <waxwing/sessions/open_transaction.h>
 #include <waxwing/sessions/statement_log.h>
 #include <waxwing/sessions/statement_path.h>
 #include <waxwing/support/counter.h>
@@ -132,6 +133,12 @@
 {
 }
 
+void StatementPath::stop()
+{
+    m_stopping = true;
+    m_directory.endWaits();
+}
+
 asio::awaitable<StatementResult> StatementPath::run(const SessionJob &job)
 {
     Attempts attempts;
@@ -141,6 +148,9 @@
     asio::steady_timer pause(co_await asio::this_coro::executor);
     while (Clock::now() < job.deadline) {
         if (service == nullptr) {
+            if (m_stopping) {
+                break;
+            }
             // The directory arrives a moment after the start.
             attempts.lastReason = "no-directory";
             pause.expires_after(directoryPause);
@@ -157,6 +167,9 @@
                 attempts.lastReason = "queue-full";
                 break;
             }
+            if (m_stopping) {
+                break;
+            }
             if (!attempts.avoided.empty()) {
                 attempts.avoided.clear();
                 pause.expires_after(busyPause);
@@ -183,6 +196,9 @@
             co_return result;
         }
         ++attempts.count;
+        if (m_stopping && verdict != Verdict::Retry) {
+            break;
+        }
         if (verdict == Verdict::RetryLater) {
             pause.expires_after(busyPause);
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -190,6 +206,9 @@
             co_await service->changed(job.deadline);
         }
     }
+    if (m_stopping) {
+        attempts.lastReason = "stopping";
+    }
     co_return giveUp(job, service, attempts);
 }
 
@@ -298,7 +317,7 @@
         const auto part = std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptPart);
         limit = std::min(job.deadline, Clock::now() + part);
     }
-    auto connection = co_await pool->acquire(*job.session, job.rank(), limit);
+    auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : limit);
     if (!connection) {
         attempts.avoided.insert(pool->member().id());
         attempts.lastReason = "no-connection";
@@ -349,9 +368,7 @@
     const bool staysOpen = job.begins && !job.commits && succeeded;
     const bool unleased = succeeded && readsPrimary && !leased && !choice.verifies;
     if (staysOpen && !unleased && answer.replies.back().state == TransactionState::Open) {
-        result.connection = std::move(connection);
-        result.pool = pool;
-        result.epoch = choice.epoch;
+        result.transaction = std::make_unique<OpenTransaction>(pool, std::move(connection), choice.epoch, job.writes);
     } else {
         const auto state = answer.replies.back().state;
         asio::co_spawn(co_await asio::this_coro::executor, returnClean(pool, std::move(connection), state), asio::detached);
@@ -455,6 +472,7 @@
             }
             if (reply.position) {
                 service.noteAcknowledged(*reply.position, Clock::now());
+                result.committed = *reply.position;
             }
         }
         result.reply = std::move(reply);
