Follow a hint to a leader of control that no seed lists

Cause: a proxy ignored the hint of a member to a leader whose address it did not know; a proxy that has just started knows the seeds only, three of six members, and asked them for ever. Deployments with three members never met it, since each member is a seed. Change: the hinted address is learned.

ControlClientTest::leaderThatNoSeedIsGetsTheRenewals failed before (assertion) and passes.

--- a/programs/proxy/control_client.cpp
+++ b/programs/proxy/control_client.cpp
@@ -127,6 +127,9 @@
 
 void ControlClient::onNotLeader(const LinkPeer &from, const std::string &leader)
 {
+    if (!leader.empty()) {
+        learn(leader); // the seeds are only some of the members
+    }
     const bool isHelpful = !leader.empty() && isKnown(leader) && leader != m_leader;
     // Only the process that is believed to lead, or any while none is known, changes the belief: hints of others may be old.
     if (from.id == m_leader || m_leader.empty()) {
--- a/programs/proxy/control_client_test.cpp
+++ b/programs/proxy/control_client_test.cpp
@@ -50,10 +50,27 @@
     CPPUNIT_TEST_SUITE(ControlClientTest);
     CPPUNIT_TEST(silentLeaderIsNamed);
     CPPUNIT_TEST(relayIsKeptAndTheLeaderTriedNowAndThen);
+    CPPUNIT_TEST(leaderThatNoSeedIsGetsTheRenewals);
     CPPUNIT_TEST(leaderThatIsReachedAgainTakesOver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against proxies that never get a lease when the leader is a member that their seeds don't list (RECOVER on
+    // trouble-1 and trouble-2 of bainha-sul-grown: six members, three seeds).
+    void leaderThatNoSeedIsGetsTheRenewals()
+    {
+        Fixture fixture;
+        fixture.client.tick(TimePoint(1s));
+        fixture.client.onNotLeader(other, "third");
+        fixture.sent.clear();
+        fixture.client.tick(TimePoint(1'100ms));
+        CPPUNIT_ASSERT(fixture.sent == std::vector<std::string> {"third"});
+        fixture.client.onGrant({LinkPeer::Kind::Dialed, "third"}, fixture.last);
+        fixture.sent.clear();
+        fixture.client.tick(TimePoint(1'600ms));
+        CPPUNIT_ASSERT(fixture.sent == std::vector<std::string> {"third"});
+    }
+
     // Guards against members that refer to a leader which this proxy does not reach.
     void silentLeaderIsNamed()
     {
