--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -160,7 +160,7 @@
         return links;
     }
 
-    /// Connects to the holders of the nearest failure domains ahead of the first statement, and closes other links.
+    /// Connects to the holders of the nearest failure domains ahead of the first statement.
     void connectHolders()
     {
         if (m_directory.directoryVersion() == m_linkedVersion) {
