Count what members of control send, by kind of message

Operators see how many bytes a member of control sends, but not which messages they belong to, so that copies of the configuration, the directory, relayed messages and the replicated log can't be told apart.

--- a/programs/control/log_peers.h
+++ b/programs/control/log_peers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sent_traffic.h"
+
 #include <waxwing/transport/link_peer.h>
 #include <waxwing/transport/message_link.h>
 #include <waxwing/wire/waxwing.pb.h>
@@ -26,9 +28,11 @@
 public:
     /// @brief Creates the sender for one log.
     /// @param link message link of the process, empty until it has started; outlives this object
-    LogPeers(LogId id, std::optional<MessageLink> &link)
+    /// @param traffic counts the packets; may be null, outlives this object otherwise
+    explicit LogPeers(LogId id, std::optional<MessageLink> &link, SentTraffic *traffic = nullptr)
         : m_id(id)
         , m_link(link)
+        , m_traffic(traffic)
     {
     }
 
@@ -37,7 +41,11 @@
     void send(const std::string &address, std::string packet)
     {
         if (m_link) {
-            m_link->send({LinkPeer::Kind::Dialed, address}, envelope(m_id, std::move(packet)));
+            const auto message = envelope(m_id, std::move(packet));
+            if (m_traffic != nullptr) {
+                m_traffic->add(message);
+            }
+            m_link->send({LinkPeer::Kind::Dialed, address}, message);
         }
     }
 
@@ -53,6 +61,7 @@
 private:
     LogId m_id;
     std::optional<MessageLink> &m_link;
+    SentTraffic *m_traffic;
 };
 
 } // namespace waxwing::control
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -2,6 +2,7 @@
 
 #include "control_log.h"
 #include "log_peers.h"
+#include "sent_traffic.h"
 #include "session_control.h"
 #include "session_control_settings.h"
 
@@ -65,7 +66,7 @@
 public:
     explicit SessionControlProcess(const SessionControlSettings &settings)
         : m_settings(settings)
-        , m_peers(LogId::Sessions, m_link)
+        , m_peers(LogId::Sessions, m_link, &m_traffic)
         , m_log(m_context, m_peers, logOptions(settings))
         , m_control(m_context, {settings.name, settings.heartbeat}, m_log.machine(), ports())
         , m_timer(m_context)
@@ -168,6 +169,7 @@
         if (m_link) {
             wire::Envelope message;
             *message.mutable_pool() = content;
+            m_traffic.add(message);
             m_link->send(to, message);
         }
     }
@@ -350,6 +352,7 @@
     {
         m_control.tick();
         reportLosses();
+        m_traffic.report(Clock::now());
         if (m_stopping && Clock::now() >= m_stopDeadline) {
             m_context.stop();
             return;
@@ -385,6 +388,7 @@
     const SessionControlSettings &m_settings;
     asio::io_context m_context {1};
     std::optional<MessageLink> m_link;
+    SentTraffic m_traffic;
     LogPeers m_peers;
     ControlLog<SessionsMachine> m_log;
     SessionControl m_control;
