--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -8,6 +8,7 @@
 ANSWER_LIMIT_S = 10.0  # deadline of an operation in the deployments
 MAX_AGE_MS = 1500
 PROBE_S = 1.0
+EAGER_CALLERS = 6  # with eager callers, one of this many uses its session without a pause until the proxy closes it
 
 
 def routes(services, timeout_ms):
@@ -92,9 +93,10 @@
 class Caller:
     """Runs operations one after the other and checks each answer."""
 
-    def __init__(self, number, preferred, services, balancer, ledger, random, lost):
+    def __init__(self, number, preferred, services, balancer, ledger, random, lost, eager):
         self.number, self.preferred, self.services = number, preferred, services
         self.balancer, self.ledger, self.random, self.lost = balancer, ledger, random, lost
+        self.pauses = not eager or number % EAGER_CALLERS != 0
         self.writes = {}  # item -> list of [data, status, acknowledged at]
         self.served = {}  # kind of operation -> time of the last success
         self.counts = {}
@@ -112,7 +114,7 @@
                 await self._prepare(session)
                 while True:
                     await self._operation(session, index, kind, service)
-                    await asyncio.sleep(self.random.uniform(0.02, 0.12))
+                    await asyncio.sleep(self.random.uniform(0.02, 0.12) if self.pauses else 0)
             except (SessionEnded, TimeoutError):
                 await asyncio.sleep(0.1)
             finally:
--- a/scripts/waxwing_processes.py
+++ b/scripts/waxwing_processes.py
@@ -134,8 +134,14 @@
         return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
 
     def memory_mb(self):
+        return self._status_mb("VmRSS:")
+
+    def peak_memory_mb(self):
+        return self._status_mb("VmHWM:")
+
+    def _status_mb(self, field):
         with open(f"/proc/{self.pid}/status", encoding="ascii") as file:
             for line in file:
-                if line.startswith("VmRSS:"):
+                if line.startswith(field):
                     return int(line.split()[1]) / 1024
         return 0.0
