Ignore databases whose description receivers can't read

Callers would have seen every proxy lose its lease, and with it reads and writes refused everywhere, from one heartbeat of another writer whose id in the path is not UTF-8.

Cause: the HTTP parser passes bytes from 0x80 to 0xff of a path on, and the id went unchecked into a proto3 string field. Such a message is still written, but its receivers refuse to parse it: each grant to each proxy, and each heartbeat passed to the leader. Control characters and blanks in the id or service would have ended the first line to a database early or shifted its fields.

The ids, services and failure domains of databases are now checked where a heartbeat is decoded (an id is visible ASCII, the others short texts without control characters), and again where the leader takes one from another member or from the log, which a former version may have written. What is ignored is counted by reason, and logged at most every 5 s.

--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -223,6 +223,9 @@
         case platform::Call::Beat:
             handleHeartbeat(platform::decodeBeat(database, request.body), reply);
             break;
+        case platform::Call::Unreadable:
+            handleHeartbeat(std::nullopt, reply);
+            break;
         case platform::Call::Leave: {
             wire::PoolMember member;
             member.set_id(database);
@@ -288,7 +291,7 @@
     void handleHeartbeat(const std::optional<wire::PoolMember> &member, const HttpReply &reply)
     {
         if (!member) {
-            Metrics::instance().counter("waxwing_control_heartbeats_ignored_total", "reason", "not-readable").add();
+            m_control.ignoreHeartbeat("not-readable");
             reply.send({.status = 400, .body = R"({"error":"the heartbeat is not readable"})"});
         } else if (m_control.heartbeat(*member)) {
             reply.send({.status = 200, .body = "{}"});
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -23,11 +23,7 @@
 
 // Proxies ask every 200 ms while they know no leader.
 constexpr Duration maxWaitingAge = 1s;
-
-void countIgnored(std::string_view reason)
-{
-    Metrics::instance().counter("waxwing_control_heartbeats_ignored_total", "reason", reason).add();
-}
+constexpr Duration ignoredLogInterval = 5s; // another writer may repeat its heartbeats for as long as it runs
 
 } // namespace
 
@@ -161,7 +157,11 @@
     m_entryApplied = true;
     // The databases that earlier leaders recorded are used until heartbeats replace them; those without heartbeats expire as usual.
     for (const auto &[id, member] : m_machine.members()) {
-        m_directory.applyHeartbeat(member, m_activeSince);
+        if (platform::isUsable(member)) {
+            m_directory.applyHeartbeat(member, m_activeSince);
+        } else {
+            ignoreHeartbeat("recorded-not-usable");
+        }
     }
     // Without this, proxies that found no leader would ask again only after 200 ms.
     for (const auto &[proxy, renewedAt] : std::exchange(m_proxiesAwaitingLeader, {})) {
@@ -417,7 +417,11 @@
         return;
     }
     if (m_config.version != 0 && !m_config.services.contains(member.service())) {
-        countIgnored("unknown-service");
+        ignoreHeartbeat("unknown-service");
+        return;
+    }
+    if (!platform::isUsable(member)) {
+        ignoreHeartbeat("not-usable");
         return;
     }
     if (m_directory.applyHeartbeat(member, Clock::now())) {
@@ -434,6 +438,16 @@
     }
 }
 
+void SessionControl::ignoreHeartbeat(std::string_view reason)
+{
+    Metrics::instance().counter("waxwing_control_heartbeats_ignored_total", "reason", reason).add();
+    ++m_ignoredHeartbeats;
+    if (const auto now = Clock::now(); now >= m_nextIgnoredLogAt) {
+        m_nextIgnoredLogAt = now + ignoredLogInterval;
+        log::write(log::Level::Warning, "heartbeat ignored", {{"reason", reason}, {"count", std::exchange(m_ignoredHeartbeats, 0)}});
+    }
+}
+
 void SessionControl::recordDatabase(const wire::PoolMember &member)
 {
     // The recorded databases only shorten the start of the next leader, so nothing waits for the entry.
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -65,6 +65,10 @@
     /// @return false if no leader is known, so that the database should try another member
     bool heartbeat(const wire::PoolMember &member);
 
+    /// @brief Counts a heartbeat that names no database to use, and logs it unless one was logged within the last 5 s.
+    /// @param reason value of the counter's label
+    void ignoreHeartbeat(std::string_view reason);
+
     /// @brief Stores a configuration.
     /// @param document JSON as the operator sent it
     /// @param handler called once; with the problems if it is invalid
@@ -126,6 +130,8 @@
     std::uint64_t m_term = 0;
     std::uint32_t m_directoryCounter = 0; ///< number of the directory within this leadership
     TimePoint m_activeSince;
+    std::uint64_t m_ignoredHeartbeats = 0; ///< since the last log line about them
+    TimePoint m_nextIgnoredLogAt;
 };
 
 } // namespace waxwing::control
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace waxwing;
 using namespace waxwing::control;
 using waxwing::control::testing::SessionControlFixture;
@@ -14,6 +18,7 @@
     CPPUNIT_TEST(statusListsServicesAndProxies);
     CPPUNIT_TEST(cutOffProxyIsReachedThroughAnotherMember);
     CPPUNIT_TEST(memberRelaysOnlyToTheLeaderThatTheProxyCannotReach);
+    CPPUNIT_TEST(unusableDatabaseIsNotPublished);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +122,48 @@
         fixture.control.handleMessage("core-2", message);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), referrals);
     }
+
+    // Guards against grants that no proxy can parse, so that all proxies lose their leases: another member, or a former leader,
+    // accepted an entry of another writer.
+    void unusableDatabaseIsNotPublished()
+    {
+        SessionControlFixture fixture;
+        const auto odd = [](const std::string &id, const std::string &address) {
+            wire::PoolMember member;
+            member.set_id(id);
+            member.set_service("s");
+            member.set_address(address);
+            member.set_born_ms(1);
+            member.set_sequence(1);
+            return member;
+        };
+        wire::SessionsCommand command;
+        *command.mutable_set_member()->mutable_member() = odd("recorded\r\n", "127.0.0.1:1");
+        fixture.machine.apply(++fixture.index, encodeMessage(command));
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        fixture.addDatabase("a", true);
+        wire::PoolEnvelope beat;
+        *beat.mutable_beat()->mutable_member() = odd("\xff\xfe", "127.0.0.1:2");
+        fixture.control.handleMessage("core-3", beat);
+        *beat.mutable_beat()->mutable_member() = odd("b c", "127.0.0.1:3");
+        fixture.control.handleMessage("core-3", beat);
+        std::vector<std::string> published;
+        bool isReadable = true;
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            wire::PoolEnvelope received;
+            isReadable = isReadable && received.ParseFromString(message.SerializeAsString());
+            for (const auto &view : message.grant().services()) {
+                for (const auto &member : view.members()) {
+                    published.push_back(member.id());
+                }
+            }
+        };
+        fixture.renewLease("p1", false);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return !published.empty(); }));
+        CPPUNIT_ASSERT(isReadable);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), published.front());
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(published.size()), std::count(published.begin(), published.end(), "a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
