Leave time for the answer of a holder

Callers of proxies without connections were told "unknown" for writes that never ran: a holder had all of the statement's time, so that its "not run" at the end of that time met a proxy that had already given up. Reads were given up as `holder-silent` in the same way, at 0.6 of their time and at its end.

The remaining time that is sent to a holder now ends earlier than the wait for its answer, by the time that a message and its answer need. That is measured for each holder (round trip less the time that the holder reports to have worked), smoothed as in RFC 6298, and at most a quarter of the time left. Before the first measurement the distance decides. A refusal reports how long it was held, so that it measures the link as well.

--- a/packages/sessions/include/waxwing/sessions/statement_forwarder.h
+++ b/packages/sessions/include/waxwing/sessions/statement_forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <waxwing/sessions/statement_holder.h>
+#include <waxwing/sessions/transfer_time.h>
 #include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
 
@@ -41,10 +42,11 @@
     StatementForwarder(boost::asio::any_io_executor executor, std::uint64_t incarnation, Send send);
 
     /// @brief Forwards a statement and waits for its answer.
-    /// @param message correlation, incarnation and remaining time are filled in here
+    /// @param message correlation, incarnation and remaining time are filled in here; the remaining time leaves the holder's answer
+    /// enough time to arrive before the limit
     /// @param limit time at which the wait for the answer ends
-    /// @param deadline deadline of the statement, which is sent to the holder as the remaining time
-    boost::asio::awaitable<Answer> exchange(StatementHolder holder, wire::PoolForward message, TimePoint limit, TimePoint deadline);
+    /// @param distance distance to the holder, see SessionDirectory::distance()
+    boost::asio::awaitable<Answer> exchange(StatementHolder holder, wire::PoolForward message, TimePoint limit, unsigned distance);
 
     /// @brief Tells a holder to roll back a transaction.
     void rollBack(const StatementHolder &holder, std::uint64_t transaction);
@@ -86,17 +88,25 @@
 
     struct Peer
     {
+        explicit Peer(Duration assumedTransfer)
+            : transfer(assumedTransfer)
+        {
+        }
+
         std::size_t pendingStatements = 0; ///< statements without an answer yet
         TimePoint avoidUntil;
+        TransferTime transfer;
     };
 
+    Peer &findPeer(const std::string &proxy, unsigned distance);
+
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_incarnation;
     Send m_send;
     std::uint64_t m_correlations = 0;
     std::uint64_t m_transactions = 0;
     std::map<std::uint64_t, Waiter *> m_waiting; ///< by correlation; each is owned by its coroutine
-    std::map<std::string, Peer> m_peers; ///< by name of the holder
+    std::map<std::string, Peer> m_peers; ///< by name of the holder; entries are never erased
 };
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -82,7 +82,7 @@
         if (!job.mayPersist() && !job.begins) {
             limit = std::min(limit, Clock::now() + std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptShare));
         }
-        const auto answer = co_await m_forwarder.exchange(holder, message, limit, job.deadline);
+        const auto answer = co_await m_forwarder.exchange(holder, message, limit, distance(holder.failureDomain));
         if (answer.status == StatementForwarder::Status::Silent) {
             if (job.mayPersist() || job.begins) {
                 co_return handleNoAnswer(job, holder, number);
@@ -182,7 +182,7 @@
 {
     auto message = encodeForward(job, kind);
     message.set_transaction(open.number);
-    const auto answer = co_await m_forwarder.exchange(open.holder, std::move(message), job.deadline, job.deadline);
+    const auto answer = co_await m_forwarder.exchange(open.holder, std::move(message), job.deadline, m_directory.distance(open.holder.failureDomain));
     const bool answered = answer.status == StatementForwarder::Status::Answered;
     if (answered && answer.content.result() == wire::PoolForwardAnswer::ANSWERED) {
         bool readable = false;
--- a/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
@@ -1,3 +1,4 @@
+#include <waxwing/protocol/session_error.h>
 #include <waxwing/sessions/statement_forwarder.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
@@ -7,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -22,12 +24,27 @@
 constexpr Duration noAnswerAvoidanceTime = 800ms;
 // A holder whose link is not connected is avoided for about one attempt to connect.
 constexpr Duration notConnectedAvoidanceTime = 100ms;
+// Round trips assumed before the first measurement, within a region and between two.
+constexpr Duration nearTransferTime = 5ms;
+constexpr Duration farTransferTime = 45ms;
+// A holder always gets the larger part of the time, also while its link is congested.
+constexpr int maxTransferPart = 4;
 
 void countExchange(std::string_view outcome)
 {
     Metrics::instance().counter("waxwing_session_forwards_total", "outcome", outcome).add();
 }
 
+/// Time that the holder worked on a statement, as far as its answer tells.
+std::optional<Duration> workTime(const wire::PoolForwardAnswer &answer)
+{
+    const auto error = static_cast<SessionError>(answer.error());
+    if (answer.result() == wire::PoolForwardAnswer::ANSWERED && error != SessionError::None && error != SessionError::Busy) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::uint64_t(answer.queued_ms()) + answer.ran_ms());
+}
+
 } // namespace
 
 StatementForwarder::StatementForwarder(asio::any_io_executor executor, std::uint64_t incarnation, Send send)
@@ -37,24 +54,25 @@
 {
 }
 
-asio::awaitable<StatementForwarder::Answer> StatementForwarder::exchange(StatementHolder holder, wire::PoolForward message, TimePoint limit, TimePoint deadline)
+asio::awaitable<StatementForwarder::Answer> StatementForwarder::exchange(StatementHolder holder, wire::PoolForward message, TimePoint limit, unsigned distance)
 {
     const auto correlation = ++m_correlations;
     const auto now = Clock::now();
     message.set_correlation(correlation);
     message.set_incarnation(m_incarnation);
-    message.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(deadline - now).count())));
+    auto &peer = findPeer(holder.proxy, distance);
+    const auto remaining = limit - now - std::min(peer.transfer.upperBound(), (limit - now) / maxTransferPart);
+    message.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(remaining).count())));
     Waiter waiter(m_executor);
     waiter.signal.expires_after(limit - now);
     m_waiting[correlation] = &waiter;
-    ++m_peers[holder.proxy].pendingStatements;
+    ++peer.pendingStatements;
     if (m_send(holder.link, message)) {
         co_await waiter.signal.async_wait(asio::as_tuple(asio::use_awaitable));
     } else {
         waiter.ended = true;
     }
     m_waiting.erase(correlation);
-    auto &peer = m_peers[holder.proxy];
     --peer.pendingStatements;
     if (!waiter.ended) {
         waiter.answer.status = Status::Silent;
@@ -69,11 +87,19 @@
         peer.avoidUntil = Clock::now() + notConnectedAvoidanceTime;
         countExchange("not-sent");
     } else {
+        if (const auto work = workTime(waiter.answer.content)) {
+            peer.transfer.add(Clock::now() - now - *work);
+        }
         countExchange(waiter.answer.content.result() == wire::PoolForwardAnswer::ANSWERED ? "answered" : "declined");
     }
     co_return std::move(waiter.answer);
 }
 
+StatementForwarder::Peer &StatementForwarder::findPeer(const std::string &proxy, unsigned distance)
+{
+    return m_peers.try_emplace(proxy, distance > 1 ? farTransferTime : nearTransferTime).first->second;
+}
+
 void StatementForwarder::rollBack(const StatementHolder &holder, std::uint64_t transaction)
 {
     wire::PoolForward message;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -511,6 +511,7 @@
     const auto now = Clock::now();
     StatementResult result;
     result.error = SessionError::Busy;
+    result.queued = now - job.receivedAt;
     result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
     Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
     boost::json::array pools;
