Keep the lease of a service whose directory entry began without a primary

Callers of a proxy that had seen a service before its first primary paid for a verifying transaction with every read at the primary until the proxy was restarted, and reads of bounded age passed the primary over.

Cause: the directory lists a service as soon as a database of it is known, with epoch 0 and no primary. The proxy withdrew the epochs before it, and 0 - 1 is the highest epoch there is, so that no later epoch was granted.

An epoch of 0 withdraws nothing, because nothing was granted before it.

SessionDirectoryTest::serviceWithoutPrimaryGetsItsFirstEpoch failed before at `directory.lease().covers("s", 5, Clock::now())`. Now sessions_test (10 tests), session_path_test (27) and forwarding_test (9) pass. How often a proxy renews in that moment was not measured.

--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -100,7 +100,7 @@
         }
         if (!view.primary().empty()) {
             m_lease.grantEpoch(view.service(), view.epoch());
-        } else {
+        } else if (view.epoch() != 0) { // 0 until the first primary is recorded
             m_lease.withdraw(view.service(), view.epoch() - 1); // the primary is being replaced
         }
         applyMembers(*service, view);
