Keep the link running when an address can't be dialed

A process ended by itself ("terminate called after throwing an instance of 'zmq::error_t': Too many open files"), and with it the sessions of its callers, when its link was to connect ahead of the first message and ZeroMQ had no socket left, or refused an option.

Cause: dialing on request ran outside of any handler, on a thread of its own. Addresses come from other processes: members that ask to join, holders in the directory, the leader that a member names. Errors while receiving were not handled either, and an address that ZeroMQ refuses kept a socket for good.

Dialing now returns no socket in these cases: the message is reported as not sent and the reason is counted. Errors while receiving are counted, and the next round tries again.

--- a/packages/transport/src/waxwing/transport/link_thread.cpp
+++ b/packages/transport/src/waxwing/transport/link_thread.cpp
@@ -8,6 +8,7 @@
 #include <zmq_addon.hpp>
 
 #include <array>
+#include <cerrno>
 #include <vector>
 
 namespace waxwing
@@ -108,27 +109,28 @@
     return true;
 }
 
-zmq::socket_t &LinkThread::dialed(const std::string &address)
+zmq::socket_t *LinkThread::dialed(const std::string &address)
 {
     const auto existing = m_dialed.find(address);
     if (existing != m_dialed.end()) {
-        return existing->second;
-    }
-    zmq::socket_t socket(m_context, zmq::socket_type::dealer);
-    applyCommon(socket);
-    socket.set(zmq::sockopt::routing_id, m_options.name);
-    socket.set(zmq::sockopt::immediate, true);
-    if (!m_options.key.isEmpty()) {
-        socket.set(zmq::sockopt::curve_serverkey, m_options.key.publicKey);
-        socket.set(zmq::sockopt::curve_publickey, m_options.key.publicKey);
-        socket.set(zmq::sockopt::curve_secretkey, m_options.key.secretKey);
+        return &existing->second;
     }
     try {
+        zmq::socket_t socket(m_context, zmq::socket_type::dealer);
+        applyCommon(socket);
+        socket.set(zmq::sockopt::routing_id, m_options.name);
+        socket.set(zmq::sockopt::immediate, true);
+        if (!m_options.key.isEmpty()) {
+            socket.set(zmq::sockopt::curve_serverkey, m_options.key.publicKey);
+            socket.set(zmq::sockopt::curve_publickey, m_options.key.publicKey);
+            socket.set(zmq::sockopt::curve_secretkey, m_options.key.secretKey);
+        }
         socket.connect("tcp://" + address);
-    } catch (const zmq::error_t &) {
-        countDrop("bad-address");
+        return &m_dialed.emplace(address, std::move(socket)).first->second;
+    } catch (const zmq::error_t &error) {
+        countDrop(error.num() == EMFILE ? "too-many-peers" : "bad-address");
+        return nullptr;
     }
-    return m_dialed.emplace(address, std::move(socket)).first->second;
 }
 
 void LinkThread::run()
@@ -153,12 +155,10 @@
         std::uint64_t ignored = 0;
         [[maybe_unused]] const auto size = ::read(m_wakeDescriptor, &ignored, sizeof(ignored));
         sendPending();
-        if (m_router.handle() != nullptr) {
-            receiveAccepted();
-        }
-        answerAuthentication();
-        for (auto &[address, socket] : m_dialed) {
-            receiveDialed(address, socket);
+        receive([this] { receiveAccepted(); });
+        receive([this] { answerAuthentication(); });
+        for (auto &entry : m_dialed) {
+            receive([&] { receiveDialed(entry.first, entry.second); });
         }
     }
     m_dialed.clear();
@@ -166,6 +166,16 @@
     m_authentication.close();
 }
 
+template<class Receive>
+void LinkThread::receive(Receive receiveFrom)
+{
+    try {
+        receiveFrom();
+    } catch (const zmq::error_t &) {
+        countDrop("receive-failed"); // the next round tries again
+    }
+}
+
 void LinkThread::stop()
 {
     m_stopped.store(true, std::memory_order_release);
@@ -206,7 +216,8 @@
             const std::array<zmq::const_buffer, 2> parts = {zmq::buffer(item.peer.id), zmq::buffer(item.frame)};
             sent = zmq::send_multipart(m_router, parts, zmq::send_flags::dontwait).has_value();
         } else {
-            sent = dialed(item.peer.id).send(zmq::buffer(item.frame), zmq::send_flags::dontwait).has_value();
+            auto *socket = dialed(item.peer.id);
+            sent = socket != nullptr && socket->send(zmq::buffer(item.frame), zmq::send_flags::dontwait).has_value();
         }
     } catch (const zmq::error_t &) {
         sent = false; // The ROUTER socket has no such peer.
@@ -222,6 +233,9 @@
 
 void LinkThread::receiveAccepted()
 {
+    if (m_router.handle() == nullptr) {
+        return;
+    }
     for (int i = 0; i < maxMessagesPerRound; ++i) {
         std::vector<zmq::message_t> parts;
         if (!zmq::recv_multipart(m_router, std::back_inserter(parts), zmq::recv_flags::dontwait)) {
--- a/packages/transport/src/waxwing/transport/link_thread.h
+++ b/packages/transport/src/waxwing/transport/link_thread.h
@@ -66,7 +66,15 @@
 
 private:
     void applyCommon(zmq::socket_t &socket);
-    zmq::socket_t &dialed(const std::string &address);
+
+    /// @brief Socket to an address, connected on first use.
+    /// @return null if the address can't be dialed or no socket is left; it is tried again on the next use
+    zmq::socket_t *dialed(const std::string &address);
+
+    /// @brief Reads from a socket; an error of ZeroMQ is counted and does not end the thread.
+    template<class Receive>
+    void receive(Receive receiveFrom);
+
     void sendPending();
     void sendOne(Item &&item);
     void receiveAccepted();
--- a/packages/transport/src/waxwing/transport/message_link_test.cpp
+++ b/packages/transport/src/waxwing/transport/message_link_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(messagesPassBothWaysWithKeys);
     CPPUNIT_TEST(unknownPeerIsReportedAsNotSent);
     CPPUNIT_TEST(otherKeyIsRefused);
+    CPPUNIT_TEST(addressesThatCannotBeDialedAreCounted);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -111,6 +112,42 @@
         });
         CPPUNIT_ASSERT_EQUAL(0, received % 1000);
     }
+
+    // Guards against a process that ends because a peer names an address that can't be dialed, or more addresses than ZeroMQ has
+    // sockets.
+    void addressesThatCannotBeDialedAreCounted()
+    {
+        constexpr int addresses = 1'100; // ZeroMQ has 1,023 sockets by default
+        int failures = 0;
+        std::optional<std::uint64_t> received;
+        const auto listening = freeAddress();
+        auto server = std::move(MessageLink::start(m_context, {.name = "server", .listen = listening}, [&](const LinkPeer &, wire::Envelope &&message) {
+                                    received = message.forward_cancel().correlation();
+                                }).value());
+        auto link = std::move(MessageLink::start(
+                                  m_context, {.name = "client"}, [](const LinkPeer &, wire::Envelope &&) {},
+                                  [&](const LinkPeer &to, wire::Envelope &&) { failures += to.id == "nowhere" ? 1 : 0; })
+                                  .value());
+        runUntil([&] {
+            link.send({LinkPeer::Kind::Dialed, listening}, cancel(1));
+            return received.has_value();
+        });
+        for (const auto *address : {"", ":", "127.0.0.1", "127.0.0.1:99999", "127.0.0.1:-1", "nowhere", "a b:1", "\xff\xfe:1"}) {
+            link.dial(address);
+        }
+        for (int i = 1; i <= addresses; ++i) {
+            const auto host = std::to_string(i / 250) + "." + std::to_string(i % 250 + 1);
+            while (!link.send({LinkPeer::Kind::Dialed, "127.1." + host + ":9"}, cancel(2))) {
+                m_context.run_one_for(1ms); // the ring of the link is full
+            }
+            link.dial("127.2." + host + ":9");
+        }
+        runUntil([&] {
+            link.send({LinkPeer::Kind::Dialed, "nowhere"}, cancel(3));
+            link.send({LinkPeer::Kind::Dialed, listening}, cancel(4));
+            return failures != 0 && received == 4U;
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageLinkTest);
