Tell what membership changes of control do and why losses are not borne

Operators saw `log membership change started` without the kind of the change or its end, and `losses that control can bear` without what was asked for or what control waits for.

The event names the kind (add-learner, promote, remove), and `log membership change ended` tells whether it was committed or leadership was lost before; refused ones are counted with their reason. While control bears fewer, its leader warns on each change of the reason and every 5 s: too-few-members, voter-silent, change-pending, learner-behind or not-promoted, with the members that reply and the number of voters, and sets waxwing_control_losses_missing. The number of voters is unchanged.

--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -213,7 +213,11 @@
                     if (member.id() == status.id || m_node->isActive(now, member.id())) {
                         status.active.push_back(member.id());
                     }
+                    if (!member.voter() && m_node->isCaughtUp(now, member.id())) {
+                        status.caughtUp.push_back(member.id());
+                    }
                 }
+                status.changePending = m_node->log().membershipIndex() > m_node->commitIndex();
             }
         }
         return status;
@@ -456,6 +460,30 @@
         });
     }
 
+    void startManagedChange(TimePoint now, const RaftMembershipChange &change)
+    {
+        failPendingAfterLeadershipLoss();
+        LogIndex index = 0;
+        const auto error = m_node->changeMembership(now, change, index);
+        if (error != RaftChangeError::None) {
+            Metrics::instance().counter("waxwing_log_membership_changes_total", "result", raftChangeErrorName(error)).add();
+            return;
+        }
+        const std::string kind(raftChangeKindName(change.kind));
+        const auto member = toHex(change.id);
+        log::write(log::Level::Info, "log membership change started", {{"folder", m_options.folder}, {"change", kind}, {"member", member}, {"index", index}});
+        m_changes.emplace(index,
+                          PendingRequest<MembershipHandler> {
+                              m_node->term(), [this, kind, member, index](const MembershipResult &result) {
+                                  const bool done = result.outcome == LogOutcome::Done;
+                                  const auto *outcome = done ? "done" : "unknown";
+                                  Metrics::instance().counter("waxwing_log_membership_changes_total", "result", outcome).add();
+                                  log::write(done ? log::Level::Info : log::Level::Warning, "log membership change ended",
+                                             {{"folder", m_options.folder}, {"change", kind}, {"member", member}, {"index", index}, {"result", outcome}});
+                              }});
+        scheduleProcess();
+    }
+
     /// Forms or joins a log; while this member leads, starts the next membership change that is needed. Runs periodically.
     void maintainMembership()
     {
@@ -470,13 +498,7 @@
             if (auto change = m_members.nextChange(
                     m_node->log().membership(), [&](MemberId id) { return m_node->isCaughtUp(now, id); },
                     [&](MemberId id) { return m_node->isActive(now, id); }, now)) {
-                LogIndex index = 0;
-                const auto error = m_node->changeMembership(now, *change, index);
-                if (error == RaftChangeError::None) {
-                    log::write(log::Level::Info, "log membership change started",
-                               {{"folder", m_options.folder}, {"member", toHex(change->id)}, {"index", index}});
-                    scheduleProcess();
-                }
+                startManagedChange(now, *change);
             }
         }
         m_membershipTimer.expires_after(m_options.joinInterval);
--- a/packages/coordination/include/waxwing/coordination/log_types.h
+++ b/packages/coordination/include/waxwing/coordination/log_types.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace waxwing
@@ -51,6 +52,19 @@
 using ReadHandler = std::function<void(const ReadResult &result)>;
 using MembershipHandler = std::function<void(const MembershipResult &result)>;
 
+/// @brief Reason why a log bears the loss of fewer voters than required.
+enum class LossShortfall {
+    None,
+    TooFewMembers, ///< fewer members reply than are needed as voters
+    VoterSilent, ///< a voter doesn't reply and has not been replaced yet
+    ChangePending, ///< a membership change is not committed yet
+    LearnerBehind, ///< a learner replies but has not caught up yet
+    NotPromoted, ///< learners have caught up and are not voters yet
+};
+
+/// @brief Name of a reason in log lines.
+std::string_view lossShortfallName(LossShortfall shortfall);
+
 /// @brief State of a member for status pages and metrics.
 struct LogStatus
 {
@@ -67,10 +81,17 @@
     bool ready = false; ///< leader with a valid lease
     bool serving = false; ///< voter that knows the leader and has applied all entries that it knows to be committed
     std::vector<MemberId> active; ///< leader only: members that replied within the election timeout, including this one
+    std::vector<MemberId> caughtUp; ///< leader only: learners that may become voters
+    bool changePending = false; ///< leader only: a membership change is not committed yet
 
     /// @brief Number of active voters that may fail before the log loses its majority, as known to the leader.
     /// @return nothing on members that are not leader
     std::optional<std::size_t> tolerableLosses() const;
+
+    /// @brief Tells why fewer voters than required may fail, as known to the leader.
+    /// @param losses number of voters that may fail at the same time, as required by the deployment
+    /// @return LossShortfall::None if the requirement is met, and on members that are not leader
+    LossShortfall lossShortfall(std::size_t losses) const;
     bool failed = false; ///< a disk error stopped the member
 };
 
--- a/packages/coordination/include/waxwing/coordination/raft_node.h
+++ b/packages/coordination/include/waxwing/coordination/raft_node.h
@@ -90,6 +90,9 @@
 /// @brief Name of an error in log lines and metrics.
 std::string_view raftChangeErrorName(RaftChangeError error);
 
+/// @brief Name of a kind of membership change in log lines.
+std::string_view raftChangeKindName(RaftMembershipChange::Kind kind);
+
 /// @brief One member of a replicated log (Raft), without clocks, sockets, files or threads.
 ///
 /// Calls that depend on time take the current time. takeOutput() returns the messages to send and the data to write. The
--- a/packages/coordination/src/waxwing/coordination/log_status_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_status_test.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(LogStatusTest);
     CPPUNIT_TEST(silentVotersReduceTolerableLosses);
     CPPUNIT_TEST(learnersDoNotCount);
+    CPPUNIT_TEST(shortfallNamesItsReason);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,6 +33,27 @@
         CPPUNIT_ASSERT(status.tolerableLosses() == 0);
     }
 
+    // Guards against a log that bears fewer losses than required for the rest of a day, and nobody can tell what it waits for.
+    void shortfallNamesItsReason()
+    {
+        auto status = leaderOf({{1, true}, {2, true}, {3, true}, {4, false}, {5, false}});
+        status.active = {1, 2, 3, 4};
+        CPPUNIT_ASSERT(status.lossShortfall(1) == LossShortfall::None);
+        CPPUNIT_ASSERT(status.lossShortfall(2) == LossShortfall::TooFewMembers);
+        status.active = {1, 2, 3, 4, 5};
+        status.caughtUp = {4};
+        CPPUNIT_ASSERT(status.lossShortfall(2) == LossShortfall::LearnerBehind);
+        status.caughtUp = {4, 5};
+        CPPUNIT_ASSERT(status.lossShortfall(2) == LossShortfall::NotPromoted);
+        status.changePending = true;
+        CPPUNIT_ASSERT(status.lossShortfall(2) == LossShortfall::ChangePending);
+        status = leaderOf({{1, true}, {2, true}, {3, true}, {4, false}});
+        status.active = {1, 2, 4};
+        CPPUNIT_ASSERT(status.lossShortfall(1) == LossShortfall::VoterSilent);
+        status.role = RaftNode::Role::Follower;
+        CPPUNIT_ASSERT(status.lossShortfall(1) == LossShortfall::None);
+    }
+
 private:
     static LogStatus leaderOf(const std::vector<std::pair<MemberId, bool>> &members)
     {
--- a/packages/coordination/src/waxwing/coordination/raft_node.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node.cpp
@@ -41,6 +41,19 @@
     return "none";
 }
 
+std::string_view raftChangeKindName(RaftMembershipChange::Kind kind)
+{
+    switch (kind) {
+    case RaftMembershipChange::Kind::AddLearner:
+        return "add-learner";
+    case RaftMembershipChange::Kind::Promote:
+        return "promote";
+    case RaftMembershipChange::Kind::Remove:
+        return "remove";
+    }
+    return "remove";
+}
+
 RaftNode::RaftNode(MemberId id, const RaftOptions &options, RaftStoredState stored, std::uint64_t seed, TimePoint now)
     : m_id(id)
     , m_options(options)
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -27,6 +27,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -52,6 +53,7 @@
 constexpr Duration maxElectionTimeout = 440ms;
 constexpr Duration raftLeaseDuration = 195ms; // 10% shorter than the shortest election timeout, to allow for clock drift
 constexpr Duration lossesCheckInterval = 500ms; // an election takes less
+constexpr Duration shortfallReportInterval = 5s;
 constexpr Duration drainTimeout = 1s; // for responses in flight when the process stops
 constexpr std::size_t maxConfigBytes = 4U << 20; // enough for a configuration of 10,000 routes
 constexpr LogIndex snapshotIntervalEntries = 100; // a configuration of 350 routes takes 80 KB, so the log stays below 10 MB
@@ -274,7 +276,9 @@
             return;
         }
         m_nextLossesCheckAt = now + lossesCheckInterval;
-        const auto losses = m_log.host().status().tolerableLosses();
+        const auto status = m_log.host().status();
+        const auto losses = status.tolerableLosses();
+        reportShortfall(status, now);
         if (losses == m_reportedLosses) {
             return;
         }
@@ -285,6 +289,32 @@
         }
     }
 
+    /// Warns while fewer voters may be lost than required, and once when the requirement is met again.
+    void reportShortfall(const LogStatus &status, TimePoint now)
+    {
+        const auto shortfall = status.lossShortfall(m_settings.lossesToBear);
+        const auto borne = status.tolerableLosses();
+        if (borne) {
+            Metrics::instance().gauge("waxwing_control_losses_missing").set(m_settings.lossesToBear - std::min(*borne, m_settings.lossesToBear));
+        }
+        if (shortfall == m_reportedShortfall && (shortfall == LossShortfall::None || now < m_nextShortfallReportAt)) {
+            return;
+        }
+        const bool ended = shortfall == LossShortfall::None;
+        m_reportedShortfall = shortfall;
+        m_nextShortfallReportAt = now + shortfallReportInterval;
+        if (ended && borne) {
+            log::write(log::Level::Info, "control bears the required losses", {{"borne", *borne}, {"required", m_settings.lossesToBear}});
+        } else if (!ended) {
+            log::write(log::Level::Warning, "control bears fewer losses than required",
+                       {{"borne", borne.value_or(0)},
+                        {"required", m_settings.lossesToBear},
+                        {"reason", lossShortfallName(shortfall)},
+                        {"members_heard", status.active.size()},
+                        {"voters", voterCount(status.membership)}});
+        }
+    }
+
     void handleHeartbeat(const std::optional<wire::PoolMember> &member, const HttpReply &reply)
     {
         if (!member) {
@@ -393,6 +423,8 @@
     asio::signal_set m_signals;
     std::optional<std::size_t> m_reportedLosses; ///< voters that may be lost, as last reported; nothing while another member leads
     TimePoint m_nextLossesCheckAt;
+    LossShortfall m_reportedShortfall = LossShortfall::None;
+    TimePoint m_nextShortfallReportAt;
     bool m_stopping = false;
     TimePoint m_stopDeadline;
     int m_exitCode = 0;
--- a/programs/control/session_control_settings.h
+++ b/programs/control/session_control_settings.h
@@ -23,6 +23,7 @@
     bool mayForm = false; ///< this member may form a new cluster: the system starts for the first time
     std::string platformAddress; ///< IP:port of the platform that carries out promotions; none when empty
     Duration heartbeat = 1'200ms; ///< interval of the databases' heartbeats
+    std::size_t lossesToBear = 1; ///< members that may be lost at the same time
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
     std::vector<std::string> errors; ///< one sentence each, with file and line
--- /dev/null
+++ b/programs/control/session_control_settings_test.cpp
@@ -0,0 +1,60 @@
+#include "session_control_settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+using namespace waxwing::control;
+
+class SessionControlSettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SessionControlSettingsTest);
+    CPPUNIT_TEST(lossesToBearAreRead);
+    CPPUNIT_TEST(lossesOutOfRangeAreRefusedWithFileAndLine);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tearDown() override
+    {
+        std::filesystem::remove(m_path);
+    }
+
+    // Guards against a deployment whose number of losses never reaches the replicated log.
+    void lossesToBearAreRead()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), load("").lossesToBear);
+        const auto settings = load("losses_to_bear = 2\n");
+        CPPUNIT_ASSERT(settings.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), settings.lossesToBear);
+    }
+
+    // Guards against a number of losses that no deployment can have members for.
+    void lossesOutOfRangeAreRefusedWithFileAndLine()
+    {
+        const auto settings = load("losses_to_bear = 9\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), settings.errors.size());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(settings.errors.front(), std::size_t(0), settings.errors.front().find(m_path.string() + ":8:"));
+        CPPUNIT_ASSERT(settings.errors.front().find("control.losses_to_bear") != std::string::npos);
+    }
+
+private:
+    SessionControlSettings load(const std::string &line) const
+    {
+        std::ofstream(m_path) << "[control]\n"
+                                 "name = \"a\"\n"
+                                 "failure_domain = \"z\"\n"
+                                 "http = \"127.0.0.1:1\"\n"
+                                 "link = \"127.0.0.1:2\"\n"
+                                 "data = \"data\"\n"
+                                 "seeds = [\"127.0.0.1:1\"]\n"
+                              << line;
+        return SessionControlSettings::load(m_path.string());
+    }
+
+    std::filesystem::path m_path = std::filesystem::temp_directory_path() / ("waxwing-control-settings-" + std::to_string(getpid()) + ".toml");
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlSettingsTest);
