Decline a second begin of a forwarded transaction

A holder could end by itself, with the sessions and transactions of all its callers, when another proxy began two transactions under the same number, as one does that leaves the number at 0: the later transaction replaced the earlier one while a statement of it could be running, and the statement went on with freed memory. The earlier one was rolled back without an answer that says so.

Cause: the entry of a transaction was overwritten by each begin.

A begin whose number is in use is declined as not run; the sender passes its statement to another holder or refuses it.

ForwardingTest::secondBeginOfATransactionIsDeclined failed before: both statements ran (expected 1, actual 2). Now forwarding_test (10 tests) passes, three times in a row. The use of freed memory itself was read from the code, not shown by a run.

--- a/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -42,7 +42,8 @@
     switch (message.kind()) {
     case wire::PoolForward::SINGLE:
     case wire::PoolForward::BEGIN:
-        if (!canServe(message)) {
+        // A running statement of the transaction uses the entry that a second begin would replace.
+        if (!canServe(message) || (message.kind() == wire::PoolForward::BEGIN && m_transactions.contains(key))) {
             countForwarded("declined");
             wire::PoolForwardAnswer content;
             content.set_result(wire::PoolForwardAnswer::DECLINED);
