Refuse at once when no connection is expected in time

The expected wait was the length of the queue times the usual time of use, which doesn't know of connections that don't come back, and it was compared with the latency target only.

The expected wait now includes the time by which the last return of a connection is overdue, and until when a pool without any connection doesn't try to open one. It is compared with the time that the statement has left (`deadline-unreachable`) besides the latency target (`queue-full`). A statement waits for a connection only until its answer could no longer arrive, so that a write isn't sent without time to learn its outcome; then it is refused at once instead of after further attempts.

SessionPathTest::statementIsRefusedAtOnceWhenNoConnectionIsExpected fails without the time that is overdue:

session_path_test.cpp:323:Assertion - Expression: Clock::now() - sentAt < SessionFixture::statementTimeout / 2 - ERROR BUSY not run, retry after 300 ms: no-connection|I

In ForwardingTest::refusalOfTheHolderArrivesBeforeTheDeadline the read would be refused at once now, since it came after a write that had waited in vain.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -93,9 +93,10 @@
     /// @brief Records the reply time of a statement.
     void recordReplyTime(Duration took, TimePoint now);
 
-    /// @brief Expected time until a connection is free.
+    /// @brief Expected time until a connection is free. While no connection is returned for longer than usual, this is expected to go on
+    /// for as long again.
     /// @param rank rank of the statement; it is queued ahead of statements with a higher rank
-    Duration expectedWait(int rank) const;
+    Duration expectedWait(int rank, TimePoint now) const;
 
     /// @brief Expected time from sending a statement to its answer. The weight of the measurements decays with their age.
     /// @param base expected time without a measurement
@@ -191,6 +192,7 @@
     Duration m_replyTime {}; ///< moving average; zero before the first measurement
     TimePoint m_replyTimeAt;
     Duration m_holdTime {}; ///< moving average of the time for which a connection is in use
+    TimePoint m_lastHandOut; ///< time at which acquire() last returned a connection
     TimePoint m_avoidUntil;
     TimePoint m_laggingUntil;
     unsigned m_consecutiveLags = 0;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -56,7 +56,7 @@
         /// Without a lease the primary itself has to prove that it leads: the read runs in a read-write transaction, which a
         /// replica refuses.
         bool verifies = false;
-        bool overloaded = false; ///< no pool was chosen because the queues are too long
+        std::string_view refusal; ///< no pool was chosen for this reason, which waiting does not change
     };
 
     /// Result of an attempt, which decides the next step.
@@ -65,6 +65,7 @@
         Retry, ///< retry immediately, on another database
         RetryLater, ///< retry after a delay
         AwaitPrimary, ///< retry after the next change of primary
+        GiveUp, ///< no attempt can end in the time left
     };
 
     struct Attempts
@@ -81,7 +82,8 @@
     bool mayWaitForPrimary(const SessionJob &job, ServiceState &service, Attempts &attempts) const;
     bool isPrimaryUnreachable(const SessionJob &job, const ServiceState &service, Attempts &attempts) const;
     Duration expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
-    bool isOverloaded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
+    /// Reason why the statement should not wait for this database: its answer is expected too late. Empty if there is none.
+    std::string_view overload(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
     Choice choosePrimary(const ServiceState &service) const;
     std::optional<TermPosition> requiredPosition(const SessionJob &job, const ServiceState &service) const;
     boost::asio::awaitable<AttemptOutcome> attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts,
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -116,7 +116,8 @@
 {
     ++m_busy;
     m_inUse.insert(connection.get());
-    connection->handedOutAt = Clock::now();
+    m_lastHandOut = Clock::now();
+    connection->handedOutAt = m_lastHandOut;
     return connection;
 }
 
@@ -291,13 +292,17 @@
     m_replyTimeAt = now;
 }
 
-Duration DatabasePool::expectedWait(int rank) const
+Duration DatabasePool::expectedWait(int rank, TimePoint now) const
 {
+    if (m_count == 0) {
+        return std::max(Duration::zero(), m_openAfter - now);
+    }
     const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [rank](const Waiter *waiter) { return waiter->rank <= rank; });
-    if (ahead == 0 && (!m_idle.empty() || m_count < m_options.limit)) {
+    if (ahead == 0 && (!m_idle.empty() || (m_count < m_options.limit && now >= m_openAfter))) {
         return Duration::zero();
     }
-    return m_holdTime * (ahead + 1) / static_cast<int>(std::max<std::size_t>(1, m_count));
+    const auto delay = m_busy == 0 ? Duration::zero() : std::max(Duration::zero(), now - m_lastHandOut - m_holdTime);
+    return m_holdTime * (ahead + 1) / static_cast<int>(m_count) + delay;
 }
 
 Duration DatabasePool::expectedReply(Duration base, TimePoint now) const
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -165,8 +165,8 @@
             break;
         }
         if (!choice.pool) {
-            if (choice.overloaded) {
-                attempts.lastReason = "queue-full";
+            if (!choice.refusal.empty()) {
+                attempts.lastReason = choice.refusal;
                 break;
             }
             if (m_stopping) {
@@ -199,6 +199,9 @@
             result.text = "sent before, without a clear answer";
             co_return result;
         }
+        if (attemptOutcome == AttemptOutcome::GiveUp) {
+            break;
+        }
         ++attempts.count;
         if (m_stopping && attemptOutcome != AttemptOutcome::Retry) {
             break;
@@ -224,14 +227,22 @@
 Duration StatementPath::expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
 {
     const bool crossesRegion = m_directory.distance(pool.member().failure_domain()) > 1;
-    return pool.expectedWait(job.rank()) + pool.expectedReply(crossesRegion ? farReplyTime : nearReplyTime, now);
+    return pool.expectedWait(job.rank(), now) + pool.expectedReply(crossesRegion ? farReplyTime : nearReplyTime, now);
 }
 
-bool StatementPath::isOverloaded(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
+std::string_view StatementPath::overload(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
 {
+    const auto left = job.deadline - now;
+    if (pool.expectedWait(job.rank(), now) == Duration::zero()) {
+        // Only measurements justify a refusal while a connection is free.
+        return pool.expectedReply(Duration::zero(), now) > left ? "deadline-unreachable" : std::string_view();
+    }
+    const auto expected = expectedTime(job, pool, now);
+    if (expected > left) {
+        return "deadline-unreachable";
+    }
     const auto target = job.route.latencyTarget == Duration::zero() ? job.route.statementTimeout : job.route.latencyTarget;
-    return pool.expectedWait(job.rank()) != Duration::zero()
-        && expectedTime(job, pool, now) > std::chrono::duration_cast<Duration>(target * maxLatencyTargetShare);
+    return expected > std::chrono::duration_cast<Duration>(target * maxLatencyTargetShare) ? "queue-full" : std::string_view();
 }
 
 bool StatementPath::mayWaitForDirectory(const SessionJob &job, Attempts &attempts) const
@@ -304,24 +315,24 @@
         primary.verifies = needsLease && !leased;
         if (primary.pool && ((!needsLease && !mayAcknowledge) || attempts.excluded.contains(primary.pool->member().id()))) {
             primary.pool = nullptr;
-        } else if (primary.pool && isOverloaded(job, *primary.pool, now)) {
-            primary.pool = nullptr;
-            primary.overloaded = true;
+        } else if (primary.pool) {
+            primary.refusal = overload(job, *primary.pool, now);
+            primary.pool = primary.refusal.empty() ? primary.pool : nullptr;
         }
         return primary;
     }
     const auto required = requiredPosition(job, service);
     Choice best;
     Duration bestCost {};
-    bool overloaded = false;
+    std::string_view refusal;
     for (const auto &[id, pool] : service.pools()) {
         const bool isPrimary = pool == primary.pool;
         const bool leasedPrimary = isPrimary && leased;
         if (pool->member().draining() || attempts.excluded.contains(id) || (!leasedPrimary && !required)) {
             continue;
         }
-        if (isOverloaded(job, *pool, now)) {
-            overloaded = true;
+        if (const auto reason = overload(job, *pool, now); !reason.empty()) {
+            refusal = reason;
             continue;
         }
         auto cost = expectedTime(job, *pool, now) + (m_directory.distance(pool->member().failure_domain()) > 1 ? crossRegionCost : Duration::zero());
@@ -333,10 +344,10 @@
         }
     }
     primary.verifies = !leased;
-    if (!best.pool && !overloaded && primary.pool && !attempts.excluded.contains(primary.pool->member().id())) {
+    if (!best.pool && refusal.empty() && primary.pool && !attempts.excluded.contains(primary.pool->member().id())) {
         return primary; // it is draining or its position is unknown, but no other database can run the statement
     }
-    best.overloaded = !best.pool && overloaded;
+    best.refusal = best.pool ? std::string_view() : refusal;
     return best;
 }
 
@@ -349,10 +360,15 @@
         const auto part = std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptShare);
         limit = std::min(job.deadline, Clock::now() + part);
     }
-    auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : limit);
+    // With a connection that comes too late for the answer, a write would run without its caller learning so.
+    const auto lastStart = limit - pool->expectedReply(Duration::zero(), Clock::now());
+    auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : lastStart);
     if (!connection) {
         attempts.excluded.insert(pool->member().id());
         attempts.lastReason = "no-connection";
+        if (limit == job.deadline && Clock::now() >= lastStart) {
+            co_return AttemptOutcome::GiveUp;
+        }
         countRetry("no-connection");
         co_return AttemptOutcome::Retry;
     }
