Answer reads that a planned stop interrupts instead of sending them on

Callers saw their connection closed without an answer when the process exited: a read arrived 3.9 s after SIGTERM on an open session and was cut off 5.43 s after SIGTERM, at the exit.

200 ms before the exit the stop ends all waits, once each 40 ms tick. A forwarded read took that for the silence of its holder and was forwarded to the next one, with up to seven more holders; a local read was sent to the next database in the same way. Statements that began late in the stop also got their full time, far beyond the exit.

An interrupted statement is now final: it is refused as not run (reads) or reported as unknown (writes). From SIGTERM on no deadline lies after the interrupt, and holders learn the shortened time. Once waiting statements are refused, a statement whose latency target does not fit before the interrupt is refused at once with the time to come back.

--- a/packages/sessions/include/waxwing/sessions/session_server.h
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -55,9 +55,18 @@
         m_path.stop();
     }
 
-    /// @brief Interrupts running statements, so that their callers get an answer before the process exits.
+    /// @brief Announces a planned stop: statements of other proxies are declined, and no statement runs past the given time.
+    /// @param end time at which interrupt() is called
+    void announceStop(TimePoint end)
+    {
+        m_path.setEnd(end);
+        m_forwarded.stop();
+    }
+
+    /// @brief Interrupts running statements and refuses further ones, so that all callers get an answer before the process exits.
     void interrupt()
     {
+        m_path.interrupt();
         m_directory.interrupt();
         m_forwarder.interrupt();
     }
--- a/packages/sessions/include/waxwing/sessions/statement_backend.h
+++ b/packages/sessions/include/waxwing/sessions/statement_backend.h
@@ -41,6 +41,12 @@
         return m_path.isStopping();
     }
 
+    /// @brief Returns the deadline of a statement, or the time at which the planned stop interrupts it if that is earlier.
+    TimePoint limitDeadline(TimePoint deadline) const
+    {
+        return m_path.limitDeadline(deadline);
+    }
+
     SessionDirectory &directory()
     {
         return m_directory;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,6 +34,33 @@
         return m_stopping;
     }
 
+    /// @brief Sets the time at which running statements are interrupted by a planned stop.
+    void setEnd(TimePoint end)
+    {
+        m_end = end;
+    }
+
+    /// @brief Returns the deadline of a statement, or the time at which the planned stop interrupts it if that is earlier.
+    TimePoint limitDeadline(TimePoint deadline) const
+    {
+        return m_end ? std::min(deadline, *m_end) : deadline;
+    }
+
+    /// @brief Tells whether a statement that begins now has the time of its latency target before the planned stop interrupts it.
+    bool hasTimeFor(const SessionJob &job) const;
+
+    /// @brief From now on no statement is sent to a database, neither a new one nor one whose attempt was interrupted.
+    void interrupt()
+    {
+        m_interrupted = true;
+    }
+
+    /// @brief Tells whether interrupt() was called.
+    bool isInterrupted() const
+    {
+        return m_interrupted;
+    }
+
     /// @brief Number of statements accepted since the start.
     std::uint64_t statements() const
     {
@@ -96,6 +124,8 @@
     SessionDirectory &m_directory;
     std::uint64_t m_statements = 0;
     bool m_stopping = false;
+    bool m_interrupted = false;
+    std::optional<TimePoint> m_end; ///< see setEnd()
 };
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -324,7 +324,7 @@
     job.text = statement.text;
     job.writes = statement.kind == SessionStatement::Kind::Write;
     job.receivedAt = m_receivedAt;
-    job.deadline = m_receivedAt + route.statementTimeout - std::min(answerMargin, route.statementTimeout / 4);
+    job.deadline = m_backend.limitDeadline(m_receivedAt + route.statementTimeout - std::min(answerMargin, route.statementTimeout / 4));
     if (statement.kind == SessionStatement::Kind::Execute) {
         const auto known = m_state.prepared.find(statement.name);
         if (known == m_state.prepared.end()) {
--- a/packages/sessions/src/waxwing/sessions/planned_stop.cpp
+++ b/packages/sessions/src/waxwing/sessions/planned_stop.cpp
@@ -24,7 +24,7 @@
 {
     log::write(log::Level::Info, "stopping", {{"sessions", m_server.sessions()}});
     m_begunAt = now;
-    m_server.forwarded().stop();
+    m_server.announceStop(Clock::now() + m_limit - exitMargin - answerMargin);
 }
 
 bool PlannedStop::advance(TimePoint now)
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -40,6 +40,9 @@
 
 asio::awaitable<StatementResult> StatementBackend::run(const SessionJob &job, SessionTransaction &transaction)
 {
+    if (!m_path.hasTimeFor(job)) {
+        co_return refuse(job, "stopping", 0);
+    }
     auto *service = m_directory.service(job.route.service);
     StatementResult result;
     if (service != nullptr && !service->holdsConnections()) {
@@ -64,7 +67,7 @@
     auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
     message.set_idle_ms(idleMilliseconds());
     asio::steady_timer pause(co_await asio::this_coro::executor);
-    while (Clock::now() < job.deadline) {
+    while (!m_path.isInterrupted() && Clock::now() < job.deadline) {
         const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
         if (nearest == nullptr) {
             if (m_path.isStopping() || Clock::now() - job.receivedAt >= linkConnectTimeout) {
@@ -105,7 +108,7 @@
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
     }
-    co_return refuse(job, reason, tried.size());
+    co_return refuse(job, m_path.isInterrupted() ? "stopping" : reason, tried.size());
 }
 
 StatementResult StatementBackend::handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number)
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -139,6 +139,12 @@
     m_directory.endWaits();
 }
 
+bool StatementPath::hasTimeFor(const SessionJob &job) const
+{
+    const auto needed = job.route.latencyTarget == Duration::zero() ? job.route.statementTimeout : job.route.latencyTarget;
+    return !m_interrupted && (!m_stopping || !m_end || Clock::now() + needed <= *m_end);
+}
+
 asio::awaitable<StatementResult> StatementPath::run(const SessionJob &job)
 {
     Attempts attempts;
@@ -146,7 +152,7 @@
     ++m_statements;
     auto *service = m_directory.service(job.route.service);
     asio::steady_timer pause(co_await asio::this_coro::executor);
-    while (Clock::now() < job.deadline) {
+    while (!m_interrupted && Clock::now() < job.deadline) {
         if (service == nullptr) {
             if (m_stopping) {
                 break;
