Send a configuration that is under way only after a doubling time

Callers of a deployment whose proxies have links of 2 Mbit/s were no longer served after a change of 1,100 routes, and members of control exceeded 256 MB.

Cause: a renewal states the version that the proxy has in force, and control took that for what it had sent. Until a document of 300 KB had crossed the link, each renewal (every 150 to 400 ms, also those that came through other members) was answered with another copy. The queues grew in control, and leases, statements and answers waited behind them.

ContentDelivery records for each proxy what it holds and what is under way. Content is sent again after 2 s, then after twice the time, up to 8 s; a restarted proxy gets it at once, and a newer version waits for the one under way. A proxy renews at once when a configuration came into force, so that the next one need not wait for its interval. The content of a grant is used even when a relayed grant for the same renewal came first; such a copy was thrown away, which the next copy made up for.

Before: configurationUnderWayIsNotSentWithEachRenewal failed with Expected less or equal than: 1 Actual : 40 copies for 40 renewals within a few milliseconds; it passes now.

--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -36,7 +36,8 @@
     SessionDirectory(const boost::asio::any_io_executor &executor, Options options);
 
     /// @brief Applies a grant or push of control.
-    /// @param sentAt time at which the renewal that the grant answers was sent; TimePoint() for a push
+    /// @param sentAt time at which the renewal that the grant answers was sent; TimePoint() for a push and for an unknown renewal,
+    /// which extend no lease
     void apply(const wire::PoolGrant &grant, TimePoint sentAt);
 
     /// @brief Closes surplus connections and opens missing ones; call it periodically.
--- /dev/null
+++ b/programs/control/content_delivery.cpp
@@ -0,0 +1,40 @@
+#include "content_delivery.h"
+
+#include <algorithm>
+
+namespace waxwing::control
+{
+
+ContentDelivery::ContentDelivery()
+    : ContentDelivery(Options())
+{
+}
+
+ContentDelivery::ContentDelivery(const Options &options)
+    : m_options(options)
+    , m_repetition(options.firstRepetition)
+{
+}
+
+void ContentDelivery::reset()
+{
+    *this = ContentDelivery(m_options);
+}
+
+void ContentDelivery::confirm(std::uint64_t version)
+{
+    if (version <= m_held) {
+        return;
+    }
+    m_held = version;
+    m_repetition = m_options.firstRepetition;
+}
+
+void ContentDelivery::recordSent(std::uint64_t version, TimePoint now)
+{
+    m_sent = std::max(m_sent, version);
+    m_repeatAt = now + m_repetition;
+    m_repetition = std::min(2 * m_repetition, m_options.maxRepetition);
+}
+
+} // namespace waxwing::control
--- /dev/null
+++ b/programs/control/content_delivery.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <waxwing/support/time.h>
+
+#include <cstdint>
+
+namespace waxwing::control
+{
+
+/// @brief Decides when versioned content is sent to one receiver, which states the version that it holds from time to time. No I/O.
+///
+/// Content that was sent counts as under way until the receiver states its version or a time has passed. The time doubles with
+/// each repetition, so that a receiver behind a slow link gets a bounded number of copies.
+class ContentDelivery
+{
+public:
+    struct Options
+    {
+        Duration firstRepetition = 2s; ///< content may have been lost with its connection
+        Duration maxRepetition = 8s;
+    };
+
+    ContentDelivery();
+    explicit ContentDelivery(const Options &options);
+
+    /// @brief Forgets everything: the receiver is another process.
+    void reset();
+
+    /// @brief Records a version that the receiver states. A lower one than before is ignored, since messages may overtake each other.
+    void confirm(std::uint64_t version);
+
+    /// @brief Records that content was sent.
+    /// @param version number of the content
+    void recordSent(std::uint64_t version, TimePoint now);
+
+    /// @brief Returns whether content must be sent: the receiver lacks it and nothing is under way.
+    /// @param version number of the latest content
+    bool isDue(std::uint64_t version, TimePoint now) const
+    {
+        return m_held < version && (!isUnderWay() || now >= m_repeatAt);
+    }
+
+    /// @brief Latest version that the receiver stated; 0 for none.
+    std::uint64_t held() const
+    {
+        return m_held;
+    }
+
+    /// @brief Latest version that was sent; 0 for none.
+    std::uint64_t sent() const
+    {
+        return m_sent;
+    }
+
+    const Options &options() const
+    {
+        return m_options;
+    }
+
+private:
+    bool isUnderWay() const
+    {
+        return m_held < m_sent;
+    }
+
+    Options m_options;
+    std::uint64_t m_held = 0;
+    std::uint64_t m_sent = 0;
+    Duration m_repetition;
+    TimePoint m_repeatAt;
+};
+
+} // namespace waxwing::control
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -222,7 +222,7 @@
     if (known && std::exchange(m_directoryChanged, false)) {
         ++m_directoryCounter;
     }
-    pushUpdates();
+    pushUpdates(now);
 }
 
 void SessionControl::updateHolders(TimePoint now)
@@ -311,23 +311,24 @@
         applyConfig();
         ++m_directoryCounter;
     }
-    m_leases.grant(proxy, Clock::now());
+    const auto now = Clock::now();
+    m_leases.grant(proxy, now);
     wire::PoolEnvelope message;
     auto &content = *message.mutable_grant();
     content.set_sequence(sequence);
     content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_leases.options().lease).count()));
-    fillGrant(found->second, content);
+    fillGrant(found->second, content, now);
     m_ports.sendToProxy(proxy, message);
 }
 
-void SessionControl::fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant)
+void SessionControl::fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now)
 {
     grant.set_control_term(m_term);
     grant.set_config_version(m_machine.version());
     grant.set_share_permille(m_leases.share(proxy));
-    if (proxy.configVersion < m_machine.version()) {
+    if (proxy.configuration.isDue(m_machine.version(), now)) {
         grant.set_document(m_machine.document());
-        proxy.configVersion = m_machine.version();
+        proxy.configuration.recordSent(m_machine.version(), now);
     }
     if (m_directoryCounter != 0) {
         const auto version = (m_term << termShift) | m_directoryCounter;
@@ -373,18 +374,18 @@
     }
 }
 
-void SessionControl::pushUpdates()
+void SessionControl::pushUpdates(TimePoint now)
 {
     if (m_directoryCounter == 0) {
         return;
     }
     const auto version = (m_term << termShift) | m_directoryCounter;
     for (auto &[name, proxy] : m_leases.proxies()) {
-        if (proxy.directoryVersion == version && proxy.configVersion >= m_machine.version()) {
+        if (proxy.directoryVersion == version && !proxy.configuration.isDue(m_machine.version(), now)) {
             continue;
         }
         wire::PoolEnvelope message;
-        fillGrant(proxy, *message.mutable_grant());
+        fillGrant(proxy, *message.mutable_grant(), now);
         m_ports.sendToProxy(name, message);
     }
 }
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -96,10 +96,10 @@
     bool isDirectoryComplete(TimePoint now) const;
     void handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal);
     void grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence);
-    void fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant);
+    void fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
     void updateHolders(TimePoint now);
     void fillDirectory(wire::PoolGrant &grant) const;
-    void pushUpdates();
+    void pushUpdates(TimePoint now);
     void handleHeartbeat(const wire::PoolMember &member);
     void recordDatabase(const wire::PoolMember &member);
     void recordProxy(const std::string &proxy, bool gone, LogPort::Handler handler);
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -1,7 +1,12 @@
+#include "content_delivery.h"
 #include "testing/session_control_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+#include <string_view>
+#include <vector>
+
 using namespace waxwing;
 using namespace waxwing::control;
 using waxwing::control::testing::SessionControlFixture;
@@ -14,8 +19,28 @@
     CPPUNIT_TEST(statusListsServicesAndProxies);
     CPPUNIT_TEST(cutOffProxyIsReachedThroughAnotherMember);
     CPPUNIT_TEST(memberRelaysOnlyToTheLeaderThatTheProxyCannotReach);
+    CPPUNIT_TEST(configurationUnderWayIsNotSentWithEachRenewal);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr std::string_view smallConfig
+        = R"({"version":7,"routes":[{"name":"r1","host":"orders","path_prefix":"/","kind":"primary","timeout_ms":2000,"service":"s"}],)"
+          R"("services":[{"name":"s","max_conns":12,"sync_replicas":1}],"limits":{}})";
+
+    static bool storeConfig(SessionControlFixture &fixture, std::string_view document)
+    {
+        bool isStored = false;
+        fixture.control.storeConfig(std::string(document), [&](SessionControl::StoreOutcome outcome, const std::vector<std::string> &) {
+            isStored = outcome == SessionControl::StoreOutcome::Accepted;
+        });
+        return isStored;
+    }
+
+    /// Copies that may be sent within a time although nothing is confirmed.
+    static std::size_t maxCopies(TimePoint since, Duration firstRepetition)
+    {
+        return 1 + static_cast<std::size_t>((Clock::now() - since) / firstRepetition);
+    }
+
 public:
     // Guards against a stale read: a new leader of control does not know of a lease and promotes before it has ended.
     void proxyIsRecordedBeforeItGetsALease()
@@ -117,6 +142,44 @@
         fixture.control.handleMessage("core-2", message);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), referrals);
     }
+
+    // Guards against a slow link that fills with copies of the configuration, because each renewal that a proxy sends before the
+    // first copy has arrived is answered with another one, also through other members.
+    void configurationUnderWayIsNotSentWithEachRenewal()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        std::size_t copies = 0;
+        std::size_t grants = 0;
+        const auto count = [&](const wire::PoolGrant &grant) {
+            copies += grant.document().empty() ? 0 : 1;
+            grants += grant.sequence() != 0 ? 1 : 0;
+        };
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            if (message.has_grant()) {
+                count(message.grant());
+            }
+        };
+        const auto start = Clock::now();
+        CPPUNIT_ASSERT(storeConfig(fixture, smallConfig));
+        constexpr std::size_t renewals = 40;
+        wire::PoolEnvelope relayed;
+        relayed.mutable_relay()->set_proxy("p1");
+        relayed.mutable_relay()->mutable_content()->mutable_renewal()->set_proxy("p1");
+        relayed.mutable_relay()->mutable_content()->mutable_renewal()->set_incarnation(1);
+        relayed.mutable_relay()->mutable_content()->mutable_renewal()->set_sequence(1);
+        for (std::size_t i = 0; i < renewals / 2; ++i) {
+            fixture.renewLease("p1", false);
+            fixture.control.handleMessage("core-2", relayed);
+            fixture.control.tick();
+        }
+        for (const auto &[member, message] : fixture.memberMessages) {
+            count(message.relay().content().grant());
+        }
+        CPPUNIT_ASSERT_EQUAL(renewals, grants);
+        CPPUNIT_ASSERT(copies >= 1);
+        CPPUNIT_ASSERT_LESSEQUAL(maxCopies(start, ContentDelivery::Options().firstRepetition), copies);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
--- a/programs/control/session_leases.cpp
+++ b/programs/control/session_leases.cpp
@@ -44,9 +44,12 @@
     if (proxy.incarnation != 0 && proxy.incarnation != renewal.incarnation()) {
         m_unleasedAcknowledgementsUntil = std::max(m_unleasedAcknowledgementsUntil, now); // commits that the former process acknowledged are unknown
     }
+    if (proxy.incarnation != renewal.incarnation()) {
+        proxy.configuration.reset();
+    }
     // A restarted process has no lease, but the lease of its former process remains valid until its end.
     proxy.incarnation = renewal.incarnation();
-    proxy.configVersion = renewal.config_version();
+    proxy.configuration.confirm(renewal.config_version());
     proxy.directoryVersion = renewal.directory_version();
     proxy.link = renewal.link();
     proxy.failureDomain = renewal.failure_domain();
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "content_delivery.h"
+
 #include <waxwing/coordination/epoch_lease.h>
 #include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
@@ -30,7 +32,7 @@
     struct Proxy
     {
         std::uint64_t incarnation = 0;
-        std::uint64_t configVersion = 0; ///< in force at the proxy, or already sent to it
+        ContentDelivery configuration;
         std::uint64_t directoryVersion = 0; ///< in force at the proxy, or already sent to it
         std::string link; ///< IP:port for other proxies; empty if it accepts no forwarded statements
         std::string failureDomain;
--- a/programs/control/session_status.cpp
+++ b/programs/control/session_status.cpp
@@ -63,7 +63,7 @@
         boost::json::array proxies;
         for (const auto &[name, proxy] : leases.proxies()) {
             proxies.push_back({{"proxy", name},
-                               {"config_version", proxy.configVersion},
+                               {"config_version", proxy.configuration.held()},
                                {"directory_version", proxy.directoryVersion},
                                {"draining", proxy.draining},
                                {"demand", proxy.demand},
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -276,8 +276,11 @@
             for (const auto &address : body.grant().control()) {
                 m_control.learn(address);
             }
-            if (sentAt || body.grant().sequence() == 0) {
-                m_directory.apply(body.grant(), sentAt.value_or(TimePoint()));
+            // A relayed grant may overtake the direct one, whose content is still needed.
+            const auto before = m_directory.configVersion();
+            m_directory.apply(body.grant(), sentAt.value_or(TimePoint()));
+            if (m_directory.configVersion() != before) {
+                m_control.hurry(); // control sends a newer configuration only once this one is in force
             }
         } else if (body.has_withdraw()) {
             withdraw(from, body.withdraw());
