Limit the databases in the directory

Control could end for lack of memory, and its links fill with copies of the directory, when another writer sends heartbeats of ever new ids: each became an entry for 8 s, an entry of the log, and a part of every grant to every proxy.

Cause: nothing limited the directory.

It now holds at most 128 databases of a service, and 16,384 in all, which is above the 14,000 that the system is built for. A known database, and one that takes over the address of a known one, always has room.

PoolDirectoryTest::everNewIdsAreLimited failed before (expected 8 entries, actual 1001). Now PoolDirectoryTest (5 tests), SessionControlTest (6) and PrimarySupervisorTest pass. The memory of a process was not measured.

--- a/packages/coordination/include/waxwing/coordination/pool_directory.h
+++ b/packages/coordination/include/waxwing/coordination/pool_directory.h
@@ -3,6 +3,7 @@
 #include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,6 +22,10 @@
         /// Time without a heartbeat after which a database is removed. It spans several heartbeats, so that a lost one
         /// has no effect. A failed database is detected sooner by its connections.
         Duration expiry = 8s;
+        /// Most databases of one service, and of all. Heartbeats of others are not applied, so that a writer with ever new ids
+        /// can't exhaust the memory of control, or that of the proxies that receive the directory.
+        std::size_t maxPerService = 128;
+        std::size_t maxDatabases = 16'384;
     };
 
     struct Entry
@@ -32,7 +37,10 @@
     PoolDirectory();
     explicit PoolDirectory(const Options &options);
 
-    /// @brief Applies a heartbeat. One of an earlier incarnation, or with a lower or equal sequence number, is ignored.
+    /// @brief Tells whether a database is known, takes over the address of a known one, or there is room for one more of its service.
+    bool hasRoomFor(const wire::PoolMember &member) const;
+
+    /// @brief Applies a heartbeat of a database for which there is room. One of an earlier incarnation, or with a lower or equal sequence number, is ignored.
     /// @return true if anything but the sequence number changed
     bool applyHeartbeat(const wire::PoolMember &member, TimePoint now);
 
--- a/packages/coordination/src/waxwing/coordination/pool_directory.cpp
+++ b/packages/coordination/src/waxwing/coordination/pool_directory.cpp
@@ -1,5 +1,7 @@
 #include <waxwing/coordination/pool_directory.h>
 
+#include <algorithm>
+
 namespace waxwing
 {
 
@@ -27,6 +29,17 @@
 {
 }
 
+bool PoolDirectory::hasRoomFor(const wire::PoolMember &member) const
+{
+    if (m_entries.size() < m_options.maxPerService || m_entries.contains(member.id())) {
+        return true;
+    }
+    if (m_entries.size() < m_options.maxDatabases && members(member.service()).size() < m_options.maxPerService) {
+        return true;
+    }
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) { return item.second.member.address() == member.address(); });
+}
+
 bool PoolDirectory::applyHeartbeat(const wire::PoolMember &member, TimePoint now)
 {
     if (const auto deregistered = m_deregistered.find(member.id()); deregistered != m_deregistered.end()) {
@@ -37,6 +50,9 @@
     }
     const auto found = m_entries.find(member.id());
     if (found == m_entries.end()) {
+        if (!hasRoomFor(member)) {
+            return false;
+        }
         // A late heartbeat of a crashed database may arrive after a new database has taken over its address.
         for (const auto &[id, entry] : m_entries) {
             if (entry.member.address() == member.address() && entry.member.born_ms() > member.born_ms()) {
--- a/packages/coordination/src/waxwing/coordination/pool_directory_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/pool_directory_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+
 using namespace waxwing;
 
 namespace
@@ -27,6 +29,7 @@
     CPPUNIT_TEST(lateHeartbeatDoesNotReplaceSuccessor);
     CPPUNIT_TEST(lateHeartbeatDoesNotAddDeregisteredDatabase);
     CPPUNIT_TEST(silentDatabaseIsRemoved);
+    CPPUNIT_TEST(everNewIdsAreLimited);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +76,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.expire(TimePoint(4s)).size());
         CPPUNIT_ASSERT(directory.members("s").empty());
     }
+
+    // Guards against a directory that exhausts the memory of control because another writer sends heartbeats of ever new ids, and
+    // against shutting out the known databases or those of other services then.
+    void everNewIdsAreLimited()
+    {
+        constexpr std::size_t limit = 8;
+        PoolDirectory directory({.expiry = 3s, .maxPerService = limit, .maxDatabases = limit + 1});
+        CPPUNIT_ASSERT(directory.applyHeartbeat(member("a", "x", 10, 1), TimePoint(1s)));
+        for (std::size_t i = 0; i < 1'000; ++i) {
+            directory.applyHeartbeat(member("odd-" + std::to_string(i), "y" + std::to_string(i), 10, 1), TimePoint(1s));
+        }
+        CPPUNIT_ASSERT_EQUAL(limit, directory.entries().size());
+        CPPUNIT_ASSERT(directory.applyHeartbeat(member("a", "x", 11, 1), TimePoint(2s)));
+        CPPUNIT_ASSERT(directory.applyHeartbeat(member("successor", "y0", 11, 1), TimePoint(2s)));
+        CPPUNIT_ASSERT_EQUAL(limit, directory.entries().size());
+        auto other = member("b", "z", 10, 1);
+        other.set_service("t");
+        CPPUNIT_ASSERT(directory.applyHeartbeat(other, TimePoint(2s)));
+        other.set_id("c");
+        other.set_address("zz");
+        CPPUNIT_ASSERT(!directory.hasRoomFor(other));
+        CPPUNIT_ASSERT(!directory.applyHeartbeat(other, TimePoint(2s)));
+        directory.expire(TimePoint(4s));
+        CPPUNIT_ASSERT(directory.applyHeartbeat(other, TimePoint(4s)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PoolDirectoryTest);
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -424,6 +424,10 @@
         ignoreHeartbeat("not-usable");
         return;
     }
+    if (!m_directory.hasRoomFor(member)) {
+        ignoreHeartbeat("directory-full");
+        return;
+    }
     if (m_directory.applyHeartbeat(member, Clock::now())) {
         log::write(log::Level::Info, "database changed",
                    {{"database", member.id()},
