Give an added member of control time to reply

A member that control added counted as silent at once: the time of its last reply was set to the beginning of the leader's term, since the entry was appended before the list of members was renewed with the present time. Together with a time of silence from before its removal, it was removed 200 ms after it had been added.

The list is renewed once, with the time of the change.

RaftNodeTest::addedLearnerHasTimeToReply failed before (raft_node_test.cpp: `node.isActive(later, added)`, with a change 10 s after the election) and passes now, with the 145 other tests of coordination.

--- a/packages/coordination/include/waxwing/coordination/raft_node.h
+++ b/packages/coordination/include/waxwing/coordination/raft_node.h
@@ -325,7 +325,6 @@
 
     std::map<MemberId, Peer> m_peers; ///< leader only
     LogIndex m_termStartIndex = 0; ///< leader: index of the first entry of its term
-    TimePoint m_leaderSince;
     bool m_commitAnnouncementPending = false;
 
     RaftOutput m_output;
--- a/packages/coordination/src/waxwing/coordination/raft_node.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node.cpp
@@ -401,7 +401,6 @@
 {
     m_role = Role::Leader;
     m_leader = m_id;
-    m_leaderSince = now;
     m_votes.clear();
     m_peers.clear();
     updatePeers(now);
@@ -476,9 +475,6 @@
 void RaftNode::appendLocal(RaftEntry entry)
 {
     m_log.append(std::move(entry));
-    if (m_role == Role::Leader && m_log.membershipIndex() == m_log.lastIndex()) {
-        updatePeers(m_leaderSince);
-    }
 }
 
 void RaftNode::truncateFrom(LogIndex index)
--- a/packages/coordination/src/waxwing/coordination/raft_node_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_node_test.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(leaderWithLeaseRefusesVote);
     CPPUNIT_TEST(voteSurvivesRestart);
     CPPUNIT_TEST(membershipChangeWaitsForOwnEntry);
+    CPPUNIT_TEST(addedLearnerHasTimeToReply);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -256,6 +257,24 @@
         node.stored(start, first);
         CPPUNIT_ASSERT(!sends(node.takeOutput(start), [](const auto &reply) { return reply.append_reply().match_index() >= 2; }));
     }
+
+    // Guards against a learner that counts as silent from the moment at which it is added, because its time of silence starts
+    // with the leader's term, and that is removed again before it can reply.
+    void addedLearnerHasTimeToReply()
+    {
+        constexpr MemberId added = 3;
+        auto node = makeNode(1, {membershipEntry(1, {self})});
+        const auto elected = start + 2s;
+        node.tick(elected);
+        store(node, elected);
+        store(node, elected);
+        CPPUNIT_ASSERT(node.role() == RaftNode::Role::Leader);
+        const auto later = elected + 10s;
+        LogIndex index = 0;
+        CPPUNIT_ASSERT(node.changeMembership(later, {RaftMembershipChange::Kind::AddLearner, added, {}}, index) == RaftChangeError::None);
+        CPPUNIT_ASSERT(node.isActive(later, added));
+        CPPUNIT_ASSERT(!node.isActive(later + RaftOptions().electionTimeoutHigh, added));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RaftNodeTest);
