End a member's time of silence with its removal

A member of control that was down, removed and returned was removed again 200 ms after it had been added, and had to join once more.

Times of silence were erased only for members that are listed and active, so that one from before the removal counted when the member returned. They now end when the member is no longer listed.

--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -154,6 +154,7 @@
 std::optional<RaftMembershipChange> LogMembership::nextChange(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
                                                               const std::function<bool(MemberId)> &isActive, TimePoint now)
 {
+    std::erase_if(m_silentSince, [&membership](const auto &item) { return findMember(membership, item.first) == nullptr; });
     for (const auto &member : membership.members()) {
         if (member.id() == m_id || isActive(member.id())) {
             m_silentSince.erase(member.id());
--- a/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(memberFromAnyAddressJoinsAnOpenLog);
     CPPUNIT_TEST(caughtUpLearnerReplacesSilentVoter);
     CPPUNIT_TEST(replacedVoterAsksToJoinAgain);
+    CPPUNIT_TEST(silenceEndsWithRemoval);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +167,25 @@
         CPPUNIT_ASSERT(returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), false));
         CPPUNIT_ASSERT(!returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), true));
     }
+
+    // Guards against a member that returns after its removal and is removed again at once, because its earlier silence counts.
+    void silenceEndsWithRemoval()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true});
+        leader.start(1);
+        const auto without = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+        auto present = without;
+        *present.add_members() = member(4, "d", false).members(0);
+        const auto isActive = [](MemberId id) {
+            return id != 4;
+        };
+        CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isActive, TimePoint(1s)));
+        const auto change = leader.nextChange(present, isFalse, isActive, TimePoint(3s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 4);
+        CPPUNIT_ASSERT(!leader.nextChange(without, isFalse, isActive, TimePoint(4s)));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isActive, TimePoint(5s)));
+        CPPUNIT_ASSERT(leader.nextChange(present, isFalse, isActive, TimePoint(7s)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogMembershipTest);
