Let a removed member of control ask to join after it read of its removal

A member that was removed, returned, was added again and stopped while it received the log stayed outside for good if its own log ended with the removal: it belongs to a log that doesn't list it, and asked to join only if it was listed. It then counts neither as a voter nor as a spare until its disk is emptied.

In an open log, a member that no leader contacts asks to join whatever its own log says. The leader ignores requests of members that are listed.

LogMembershipTest::memberThatReadOfItsRemovalAsksToJoinAgain guards it.

--- a/packages/coordination/include/waxwing/coordination/log_membership.h
+++ b/packages/coordination/include/waxwing/coordination/log_membership.h
@@ -60,7 +60,7 @@
     std::vector<AddressedPacket> receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty, TimePoint now = {});
 
     /// @brief Tells whether this member should send join requests: it belongs to no log, or no leader contacts it although it is
-    /// a learner (a later leader may have replaced the entry that added it) or, in an open log, a voter.
+    /// a learner (a later leader may have replaced the entry that added it) or, in an open log, whatever its own log says.
     bool shouldJoin(const wire::RaftMembership &membership, bool hasLeader) const;
 
     /// @brief Join requests to all initial members and, in an open log, to all other known addresses.
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -103,8 +103,9 @@
     if (membership.members().empty()) {
         return true;
     }
-    // In an open log, a voter that could not be reached may have been replaced, which its own log doesn't show.
-    return !hasLeader && self != nullptr && (m_options.open || !self->voter());
+    // In an open log, a voter that could not be reached may have been replaced, which its own log doesn't show, and a member that
+    // was removed may have returned.
+    return !hasLeader && (m_options.open || (self != nullptr && !self->voter()));
 }
 
 std::vector<LogMembership::AddressedPacket> LogMembership::joinRequests() const
--- a/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(memberFromAnyAddressJoinsAnOpenLog);
     CPPUNIT_TEST(caughtUpLearnerReplacesSilentVoter);
     CPPUNIT_TEST(replacedVoterAsksToJoinAgain);
+    CPPUNIT_TEST(memberThatReadOfItsRemovalAsksToJoinAgain);
     CPPUNIT_TEST(silenceEndsWithRemoval);
     CPPUNIT_TEST_SUITE_END();
 
@@ -168,6 +169,16 @@
         CPPUNIT_ASSERT(!returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), true));
     }
 
+    // Guards against a member that never returns because its log ends with its own removal: it was added again and stopped while
+    // it received the log, before it reached the entry that added it.
+    void memberThatReadOfItsRemovalAsksToJoinAgain()
+    {
+        LogMembership returned("d", {"a", "b", "c"}, {.open = true, .mayBootstrap = false});
+        returned.start(4);
+        CPPUNIT_ASSERT(returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), false));
+        CPPUNIT_ASSERT(!returned.shouldJoin(voters({{1, "a"}, {2, "b"}, {3, "c"}}), true));
+    }
+
     // Guards against a member that returns after its removal and is removed again at once, because its earlier silence counts.
     void silenceEndsWithRemoval()
     {
