Let as many members of control vote as the required losses take

On a deployment that requires two losses to be borne, control had three voters, whatever its number of members: two lost disks are a majority, and the other members, which hold the whole log, never elect a leader. Nothing is served then, and no acknowledged configuration can be read back.

The number of voters was a constant. It now is two for each loss that `control.losses_to_bear` states, and one more, at least three:

- Learners are promoted until this number; not the one that would make an even number, since it bears no more losses than one voter less and each entry has to reach one more member.
Six members and two losses make five voters and a spare.
- A silent voter is replaced by a spare, which is promoted before the voter is removed.
Removing it first made the remaining voters need each other: with three voters, the removal waits for both others, although the log has a majority without one of them.
LogMembershipTest:: caughtUpLearnerReplacesSilentVoter stated the former order; it states the new one, and that the fourth voter does not stay.
- Without a spare, a silent voter stays if the number is odd: entries remain on as many disks as the requirement needs while members are down, and it votes at once when it returns.
If the number is even, the voter is removed, since the others bear the same without it.
- Leaders with a smaller requirement remove no voter that replies, so that voters don't come and go with the leader.

Deployments that bear one loss keep three voters.

--- a/packages/coordination/include/waxwing/coordination/log_membership.h
+++ b/packages/coordination/include/waxwing/coordination/log_membership.h
@@ -19,8 +19,10 @@
 /// member has replied to the current process that its disk is empty too. If a log exists already, the leader handles a join
 /// request from an initial address by removing the identity that had this address and adding the new one as a learner.
 ///
-/// An open log accepts members from any address and keeps the number of voters constant: additional members stay learners
-/// until a voter stops replying. A member that was removed while it could not be reached asks to join again with its old
+/// An open log accepts members from any address. Learners become voters until the required losses are borne, which takes two
+/// voters for each loss and one more; additional members stay learners until a voter stops replying. A voter that stops replying
+/// is removed only if a learner can replace it or if its removal costs no loss that can be borne: as long as its disk may return,
+/// it counts for entries that are stored on it. A member that was removed while it could not be reached asks to join again with its old
 /// identity and log.
 class LogMembership
 {
@@ -37,7 +39,7 @@
     {
         bool open = false; ///< members may join from any address; otherwise only from initial addresses
         bool mayBootstrap = true; ///< this member may form a new log; must be false once the system has run before
-        std::size_t voters = 3; ///< open only: a learner is promoted only while there are fewer voters
+        std::size_t lossesToBear = 1; ///< open only: members that may be lost at the same time
         /// Open only: a voter without replies for this long is replaced by a learner that has caught up. Longer than an
         /// election, and shorter than the 4 s within which a replacement VM must be in use.
         Duration silentVoterTimeout = 2s;
@@ -98,6 +100,7 @@
     bool isInitialAddress(const std::string &address) const;
     void handleJoin(const wire::RaftJoin &join, const wire::RaftMembership &membership, TimePoint now);
     void handleJoinReply(const wire::RaftJoinReply &reply);
+    std::size_t wantedVoters() const;
     std::optional<RaftMembershipChange> nextReplacement(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
                                                         TimePoint now) const;
 
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -13,6 +13,9 @@
 /// Bounds the memory that packets with forged senders can use.
 constexpr std::size_t maxRememberedAddresses = 1024;
 
+/// Fewer voters could not replace a voter whose disk is lost.
+constexpr std::size_t minVoters = 3;
+
 } // namespace
 
 LogMembership::LogMembership(std::string address, std::vector<std::string> initialMembers)
@@ -199,29 +202,49 @@
     };
     std::size_t voters = 0;
     MemberId silentVoter = 0;
-    MemberId caughtUpLearner = 0;
+    MemberId otherVoter = 0;
+    MemberId silentLearner = 0;
+    std::vector<MemberId> candidates;
     for (const auto &member : membership.members()) {
+        const bool silent = isSilent(member.id());
         if (member.voter()) {
             ++voters;
-            silentVoter = isSilent(member.id()) ? member.id() : silentVoter;
+            silentVoter = silent ? member.id() : silentVoter;
+            otherVoter = member.id() != m_id ? member.id() : otherVoter;
         } else if (isCaughtUp(member.id())) {
-            caughtUpLearner = member.id();
-        } else if (isSilent(member.id())) {
-            return RaftMembershipChange {RaftMembershipChange::Kind::Remove, member.id(), {}};
+            candidates.push_back(member.id());
+        } else if (silent) {
+            silentLearner = member.id();
         }
     }
-    if (caughtUpLearner == 0) {
-        return std::nullopt;
-    }
-    if (voters < m_options.voters) {
-        return RaftMembershipChange {RaftMembershipChange::Kind::Promote, caughtUpLearner, {}};
+    const auto wanted = wantedVoters();
+    const bool even = voters % 2 == 0;
+    // An even number of voters bears no more losses than one voter less, and each entry has to reach one more member.
+    const bool missing = voters < wanted && (even || candidates.size() > 1 || voters < minVoters);
+    // The replacement votes before the silent voter is removed: without both of them, the loss of one more voter would stop a log
+    // that has a majority.
+    const bool replaceable = silentVoter != 0 && !even && voters <= wanted;
+    if (!candidates.empty() && (missing || replaceable)) {
+        return RaftMembershipChange {RaftMembershipChange::Kind::Promote, candidates.front(), {}};
     }
-    if (silentVoter != 0) {
+    if (silentVoter != 0 && (even || voters > wanted)) {
         return RaftMembershipChange {RaftMembershipChange::Kind::Remove, silentVoter, {}};
     }
+    if (even && voters > wanted) {
+        // The silent voter has returned before it was removed.
+        return RaftMembershipChange {RaftMembershipChange::Kind::Remove, otherVoter, {}};
+    }
+    if (silentLearner != 0) {
+        return RaftMembershipChange {RaftMembershipChange::Kind::Remove, silentLearner, {}};
+    }
     return std::nullopt;
 }
 
+std::size_t LogMembership::wantedVoters() const
+{
+    return std::max(2 * m_options.lossesToBear + 1, minVoters);
+}
+
 void LogMembership::learnAddress(MemberId id, const std::string &address)
 {
     if (!address.empty() && (m_addresses.size() < maxRememberedAddresses || m_addresses.contains(id))) {
--- a/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
@@ -55,6 +55,10 @@
     CPPUNIT_TEST(openLogIsNotFormedTwice);
     CPPUNIT_TEST(memberFromAnyAddressJoinsAnOpenLog);
     CPPUNIT_TEST(caughtUpLearnerReplacesSilentVoter);
+    CPPUNIT_TEST(returnedVoterMakesRoomForItsReplacement);
+    CPPUNIT_TEST(learnersVoteUntilRequiredLossesAreBorne);
+    CPPUNIT_TEST(silentVoterStaysUntilReplaced);
+    CPPUNIT_TEST(smallerRequirementRemovesNoActiveVoter);
     CPPUNIT_TEST(replacedVoterAsksToJoinAgain);
     CPPUNIT_TEST(memberThatReadOfItsRemovalAsksToJoinAgain);
     CPPUNIT_TEST(silenceEndsWithRemoval);
@@ -138,8 +142,8 @@
         CPPUNIT_ASSERT(!change); // the join request has expired
     }
 
-    // Guards against a lost voter that stays in the quorum for good, and against a fourth voter, which would not increase the
-    // number of tolerable losses.
+    // Guards against a lost voter that stays in the quorum for good, against a fourth voter that stays, which would not increase
+    // the number of tolerable losses, and against a removal before the replacement votes: two voters would need each other.
     void caughtUpLearnerReplacesSilentVoter()
     {
         LogMembership leader("a", {"a", "b", "c"}, {.open = true});
@@ -154,10 +158,76 @@
         CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
         CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isActive, TimePoint(2s)));
         auto change = leader.nextChange(present, isTrue, isActive, TimePoint(5s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Promote && change->id == 4);
+        present.mutable_members(3)->set_voter(true);
+        change = leader.nextChange(present, isTrue, isActive, TimePoint(5s));
         CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 3);
         present.mutable_members()->DeleteSubrange(2, 1);
-        change = leader.nextChange(present, isTrue, isActive, TimePoint(5s));
-        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Promote && change->id == 4);
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isActive, TimePoint(5s)));
+    }
+
+    // Guards against an additional voter that stays when the silent one returns before it was removed.
+    void returnedVoterMakesRoomForItsReplacement()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true});
+        leader.start(1);
+        auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}});
+        const auto change = leader.nextChange(present, isTrue, isTrue, TimePoint(5s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 4);
+        present.mutable_members()->DeleteSubrange(3, 1);
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(5s)));
+    }
+
+    // Guards against a deployment that requires two losses to be borne and whose spare members never vote, so that two lost
+    // disks are a majority of the voters for good.
+    void learnersVoteUntilRequiredLossesAreBorne()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true, .lossesToBear = 2});
+        leader.start(1);
+        auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+        *present.add_members() = member(4, "d", false).members(0);
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s))); // four voters bear no more than three
+        *present.add_members() = member(5, "e", false).members(0);
+        *present.add_members() = member(6, "f", false).members(0);
+        for (int index = 3; index < 5; ++index) {
+            const auto change = leader.nextChange(present, isTrue, isTrue, TimePoint(1s));
+            CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Promote);
+            CPPUNIT_ASSERT_EQUAL(present.members(index).id(), change->id);
+            present.mutable_members(index)->set_voter(true);
+        }
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
+    }
+
+    // Guards against a log that shrinks while members are down: an entry would be stored on so few disks that the loss of those
+    // that may be lost takes it.
+    void silentVoterStaysUntilReplaced()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true, .lossesToBear = 2});
+        leader.start(1);
+        auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}, {5, "e"}});
+        const auto isActive = [](MemberId id) {
+            return id <= 3;
+        };
+        CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isActive, TimePoint(1s)));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isActive, TimePoint(10s)));
+        present.mutable_members()->DeleteSubrange(4, 1);
+        const auto change = leader.nextChange(present, isFalse, isActive, TimePoint(10s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 4); // three bear what four do
+    }
+
+    // Guards against voters that come and go when leaders with different settings follow one another.
+    void smallerRequirementRemovesNoActiveVoter()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true, .lossesToBear = 1});
+        leader.start(1);
+        const auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}, {5, "e"}});
+        const auto isActive = [](MemberId id) {
+            return id != 5;
+        };
+        CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isTrue, TimePoint(1s)));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isActive, TimePoint(2s)));
+        const auto change = leader.nextChange(present, isFalse, isActive, TimePoint(5s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 5);
     }
 
     // Guards against a voter that was replaced while it was disconnected and never becomes a member again after its return.
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -133,6 +133,7 @@
         }
         options.membership.open = true;
         options.membership.mayBootstrap = settings.mayForm;
+        options.membership.lossesToBear = settings.lossesToBear;
         options.snapshotIntervalEntries = snapshotIntervalEntries;
         options.raft.heartbeatInterval = raftHeartbeatInterval;
         options.raft.electionTimeoutLow = minElectionTimeout;
