Let an open transaction wait for its connection during a planned stop

Callers with a transaction that was open at SIGTERM were told "not run: stopping" by its first statement whenever no connection was idle at that moment, although open transactions have half of the stop to end. From the removal by the load balancer on, every statement that could not be sent immediately was refused, the first one of a transaction as well. That statement may now wait for a connection, up to its deadline, which lies before the interrupt of the stop.

--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -25,7 +25,8 @@
     /// @brief Runs a single statement, or begins a transaction with its first statement.
     boost::asio::awaitable<StatementResult> run(const SessionJob &job);
 
-    /// @brief From now on refuses statements that can't be sent immediately, including those that are already waiting.
+    /// @brief From now on refuses statements that can't be sent immediately, including those that are already waiting. The first
+    /// statement of a transaction may wait, because the transaction was open before.
     void stop();
 
     /// @brief Tells whether stop() was called.
@@ -103,6 +104,12 @@
         std::string_view lastReason = "no-database";
     };
 
+    /// Tells whether a statement is refused if it can't be sent immediately.
+    bool refusesToWait(const SessionJob &job) const
+    {
+        return m_stopping && !job.begins;
+    }
+
     Choice choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts) const;
     bool isPrimaryUnreachable(const SessionJob &job, const ServiceState &service, Attempts &attempts) const;
     Duration expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -173,7 +173,7 @@
                 attempts.lastReason = "queue-full";
                 break;
             }
-            if (m_stopping) {
+            if (refusesToWait(job)) {
                 break;
             }
             if (!attempts.excluded.empty()) {
@@ -202,7 +202,7 @@
             co_return result;
         }
         ++attempts.count;
-        if (m_stopping && attemptOutcome != AttemptOutcome::Retry) {
+        if (refusesToWait(job) && attemptOutcome != AttemptOutcome::Retry) {
             break;
         }
         if (attemptOutcome == AttemptOutcome::RetryLater) {
@@ -324,7 +324,7 @@
         const auto part = std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptShare);
         limit = std::min(job.deadline, Clock::now() + part);
     }
-    auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : limit);
+    auto connection = co_await pool->acquire(*job.session, job.rank(), refusesToWait(job) ? Clock::now() : limit);
     if (!connection) {
         attempts.excluded.insert(pool->member().id());
         attempts.lastReason = "no-connection";
