Answer requests that arrive while an idle session is being closed

Callers saw their connection closed without an answer around a planned stop and 2.3 s after a proxy had lost its lease, although the proxy had read the whole request. closeIfIdle() shut the socket down and the session then discarded what its pending read still delivered. Two ways lead there: a read that had completed, but whose completion was queued behind the timer that closes idle sessions (the socket then shows no bytes to read), and bytes that arrived between the shutdown and the end of the pending read.

The session now cancels its pending read instead of shutting the socket down. A read that has already completed delivers its request, which is answered as any other.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -35,9 +35,9 @@
     /// @brief Serves the caller until the connection ends.
     boost::asio::awaitable<void> serve();
 
-    /// @brief Closes the connection if it has no open transaction and no outstanding request; used by a planned stop.
-    /// @return true if it was closed
-    bool closeIfIdle();
+    /// @brief Closes the connection if it has no open transaction and no outstanding request; used by a planned stop. A request that
+    /// arrives before the connection is closed is answered, and the connection stays open.
+    void closeIfIdle();
 
     /// @brief Rolls back the open transaction unless a request is outstanding; its next statement is refused. Used by a planned
     /// stop and when a transaction is idle for too long.
@@ -61,6 +61,7 @@
         std::string failure; ///< reason for an abort between two statements; sent as the answer to the next one
     };
 
+    bool isIdle() const;
     boost::asio::awaitable<bool> readLine(std::string &line);
     boost::asio::awaitable<bool> send(std::string bytes);
     boost::asio::awaitable<std::string> handle(SessionRequest request);
@@ -95,6 +96,7 @@
     TimePoint m_acceptedAt = Clock::now();
     TimePoint m_receivedAt; ///< time of the last bytes from the caller
     bool m_requestOutstanding = false;
+    bool m_closing = false; ///< closeIfIdle() has cancelled the pending read
     bool m_ended = false;
 };
 
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -4,7 +4,9 @@
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/sessions/client_session.h>
 #include <waxwing/sessions/statement_log.h>
+#include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -42,6 +44,14 @@
 // A stopping proxy has been removed from the load balancer, so the caller's next connection reaches another proxy.
 constexpr Duration otherProxyRetryDelay = 20ms;
 
+/// @param received bytes that were read before the close; 0 if they are still in the socket
+void recordCancelledClosing(std::size_t received)
+{
+    static auto &counter = Metrics::instance().counter("waxwing_session_closings_cancelled_total");
+    counter.add();
+    log::write(log::Level::Info, "closing of a session cancelled", {{"received_bytes", received}});
+}
+
 } // namespace
 
 ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend)
@@ -58,8 +68,7 @@
     std::string line;
     while (!m_ended) {
         const bool received = co_await readLine(line);
-        // A request that arrives while the session is being closed is discarded; the caller sees a closed connection.
-        if (!received || m_ended) {
+        if (!received) {
             break;
         }
         m_requestOutstanding = true;
@@ -70,7 +79,7 @@
         std::string answer = co_await handle(std::move(request));
         const bool sent = co_await send(std::move(answer));
         m_requestOutstanding = false;
-        if (!sent || (m_backend.isStopping() && closeIfIdle())) {
+        if (!sent || (m_backend.isStopping() && isIdle())) {
             break;
         }
     }
@@ -102,9 +111,17 @@
         std::array<char, readBytes> chunk {};
         auto [error, size] = co_await m_socket.async_read_some(asio::buffer(chunk), useTuple);
         m_timer.cancel();
+        const bool closing = std::exchange(m_closing, false);
+        if (error == asio::error::operation_aborted && closing && !isIdle()) {
+            recordCancelledClosing(0);
+            continue;
+        }
         if (error) {
             co_return false;
         }
+        if (closing) {
+            recordCancelledClosing(size);
+        }
         m_receivedAt = Clock::now();
         m_lines.add(std::string_view(chunk.data(), size));
     }
@@ -303,16 +320,23 @@
     m_transaction.failure = "rolled back: " + std::string(reason);
 }
 
-bool ClientSession::closeIfIdle()
+bool ClientSession::isIdle() const
 {
     boost::system::error_code ignored;
     const bool awaitsStart = m_database.empty() && Clock::now() - m_acceptedAt < startGracePeriod;
-    if (awaitsStart || m_requestOutstanding || m_transactionState != TransactionState::Idle || !m_lines.isEmpty() || m_socket.available(ignored) != 0) {
-        return false;
+    return !awaitsStart && !m_requestOutstanding && m_transactionState == TransactionState::Idle && m_lines.isEmpty() && m_socket.available(ignored) == 0;
+}
+
+void ClientSession::closeIfIdle()
+{
+    if (!isIdle()) {
+        return;
     }
-    m_ended = true;
-    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-    return true;
+    // The pending read is cancelled instead of shutting down the socket: a shutdown would let the read take a request that can't be
+    // answered any more. A read that has already completed still delivers its request.
+    m_closing = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
 }
 
 std::optional<SessionJob> ClientSession::makeJob(const SessionStatement &statement, const PoolRoute &route) const
