--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -175,7 +175,7 @@
                 attempts.lastReason = choice.refusal;
                 break;
             }
-            if (m_stopping) {
+            if (refusesToWait(job)) {
                 break;
             }
             if (!attempts.excluded.empty()) {
@@ -209,7 +209,7 @@
             break;
         }
         ++attempts.count;
-        if (m_stopping && attemptOutcome != AttemptOutcome::Retry) {
+        if (refusesToWait(job) && attemptOutcome != AttemptOutcome::Retry) {
             break;
         }
         if (attemptOutcome == AttemptOutcome::RetryLater) {
@@ -368,7 +368,7 @@
     }
     // With a connection that comes too late for the answer, a write would run without its caller learning so.
     const auto lastStart = limit - pool->expectedReply(Duration::zero(), Clock::now());
-    auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : lastStart);
+    auto connection = co_await pool->acquire(*job.session, job.rank(), refusesToWait(job) ? Clock::now() : lastStart);
     if (!connection) {
         attempts.excluded.insert(pool->member().id());
         attempts.lastReason = "no-connection";
