Decline statements that wait at a replaced holder

A statement that waited for a connection at a holder waited on when control named another holder: setLimits(0) closed the idle connections and left the queue, and a statement that looked for a database again did not see that its proxy holds no connections any more. Its caller was refused at the deadline. A proxy that had become the holder itself still looked for one to forward to.

A limit of 0 ends the waits of a pool, and a statement at a proxy that holds no connections any more is declined (`holder-replaced`), which only happens where nothing that may persist was sent. The caller's proxy then asks the next holder, or runs the statement itself. It looks for a holder for 250 ms from the moment when none was left, and not from the arrival of the statement, since the former holder may learn of the next one first. The event `statement declined` and the retry reason replace the refusal that the caller doesn't get.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -56,7 +56,7 @@
 
     /// @brief Changes the number of connections.
     /// @param share number of connections that stay open while idle
-    /// @param limit maximum number of connections
+    /// @param limit maximum number of connections; with 0, waiting statements get none
     void setLimits(std::size_t share, std::size_t limit);
 
     /// @brief Closes connections beyond the share that have been idle for too long.
--- a/packages/sessions/include/waxwing/sessions/statement_result.h
+++ b/packages/sessions/include/waxwing/sessions/statement_result.h
@@ -23,6 +23,8 @@
 
     SessionError error = SessionError::None;
     std::string text; ///< reason for an error, sent to the caller
+    /// The statement provably did not run, for a reason of this proxy only; another one may run it now.
+    bool declined = false;
     PoolReply reply; ///< valid if there is no error
     std::string database; ///< id of the database of the last attempt
     unsigned retries = 0; ///< attempts before the last one
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -72,7 +72,7 @@
 
 asio::awaitable<DatabasePool::ConnectionPointer> DatabasePool::acquire(const SessionState &session, int rank, TimePoint deadline)
 {
-    if (m_closed) {
+    if (m_closed || m_options.limit == 0) {
         co_return nullptr;
     }
     if (m_waiting.empty()) {
@@ -235,6 +235,9 @@
         m_idle.erase(m_idle.begin());
         --m_count;
     }
+    if (m_options.limit == 0) {
+        endWaits();
+    }
     openMore();
 }
 
--- a/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -129,6 +129,9 @@
     auto result = co_await m_path.run(job);
     --m_running;
     auto content = encodeForwardAnswer(result);
+    if (result.declined) {
+        content.set_result(wire::PoolForwardAnswer::DECLINED);
+    }
     if (begins) {
         auto &transaction = m_transactions[key];
         transaction.busy = false;
@@ -139,7 +142,11 @@
             m_transactions.erase(key);
         }
     }
-    countForwarded(result.error == SessionError::None ? "done" : "not-done");
+    if (result.declined) {
+        countForwarded("declined");
+    } else {
+        countForwarded(result.error == SessionError::None ? "done" : "not-done");
+    }
     answer(proxy, message, std::move(content));
 }
 
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace waxwing
@@ -40,13 +41,20 @@
 
 asio::awaitable<StatementResult> StatementBackend::run(const SessionJob &job, SessionTransaction &transaction)
 {
-    auto *service = m_directory.service(job.route.service);
     StatementResult result;
-    if (service != nullptr && !service->holdsConnections()) {
-        result = co_await forward(job, *service, transaction);
-        co_return result;
+    bool again = true;
+    // Control may name or replace holders, this proxy among them, while the statement waits.
+    while (again) {
+        auto *service = m_directory.service(job.route.service);
+        if (service != nullptr && !service->holdsConnections()) {
+            result = co_await forward(job, *service, transaction);
+            again = result.declined && service->holdsConnections();
+            continue;
+        }
+        result = co_await m_path.run(job);
+        service = m_directory.service(job.route.service);
+        again = result.declined && service != nullptr && !service->holdsConnections();
     }
-    result = co_await m_path.run(job);
     if (result.transaction) {
         transaction.open = std::move(result.transaction);
         transaction.database = result.database;
@@ -60,6 +68,7 @@
         return m_directory.distance(domain);
     };
     std::set<std::string> tried;
+    std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
     auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
     message.set_idle_ms(idleMilliseconds());
@@ -70,9 +79,17 @@
             reason = "no-primary"; // the holders learn of the next primary at the same time as this proxy
             break;
         }
+        if (service.holdsConnections()) {
+            StatementResult result;
+            result.error = SessionError::Busy;
+            result.declined = true;
+            co_return result;
+        }
         const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
         if (nearest == nullptr) {
-            if (m_path.isStopping() || Clock::now() - job.receivedAt >= linkConnectTimeout) {
+            // A holder that declines may have learned of the next one a little earlier than this proxy.
+            withoutHolderSince = withoutHolderSince.value_or(now);
+            if (m_path.isStopping() || now - *withoutHolderSince >= linkConnectTimeout) {
                 break;
             }
             tried.clear();
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -54,6 +54,7 @@
 constexpr Duration ageMargin = 100ms;
 // A rollback needs no slot, so its answer takes only a round trip.
 constexpr Duration rollbackTimeout = 500ms;
+constexpr std::string_view holderReplacedReason = "holder-replaced";
 // Retry delay that is sent to callers; a change of primary takes about this long.
 constexpr Duration retryAfter = 300ms;
 
@@ -160,6 +161,10 @@
             service = m_directory.service(job.route.service);
             continue;
         }
+        if (!service->holdsConnections()) {
+            attempts.lastReason = holderReplacedReason;
+            break;
+        }
         const auto choice = choose(job, *service, attempts);
         if (isPrimaryUnreachable(job, *service, attempts)) {
             break;
@@ -562,15 +567,20 @@
     StatementResult result;
     result.error = SessionError::Busy;
     result.queued = now - job.receivedAt;
+    result.declined = attempts.lastReason == holderReplacedReason;
     result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
-    Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
+    if (result.declined) {
+        countRetry(attempts.lastReason);
+    } else {
+        Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
+    }
     boost::json::array pools;
     if (service != nullptr) {
         for (const auto &[id, pool] : service->pools()) {
             pools.emplace_back(pool->describe());
         }
     }
-    log::write(log::Level::Info, "statement refused",
+    log::write(log::Level::Info, result.declined ? "statement declined" : "statement refused",
                {{"request", job.id},
                 {"service", job.route.service},
                 {"reason", attempts.lastReason},
