Decline at holders that have lost the primary or control

A holder that was cut off from the primary accepted the statements of other proxies in the first 400 ms of each and sent them into the silence: writes became unknown and transactions failed, although the next holder reached the primary. A holder without a lease for acknowledgements refused them, and nobody asked the next holder.

A holder with another one beside it now declines a statement that needs the primary as soon as the primary counts as silent, and declines instead of refusing when it has lost control or knows no directory. It declines only what provably did not run.

ForwardingTest::holderWithoutThePrimaryDeclines with the former limit of 400 ms for each statement:

- Expected: COMPLETE sig-i-1|I - Actual : ERROR INDOUBT no answer in time|I

--- a/packages/sessions/include/waxwing/sessions/session_job.h
+++ b/packages/sessions/include/waxwing/sessions/session_job.h
@@ -22,6 +22,7 @@
     bool begins = false; ///< first statement of a transaction, which is begun together with it
     bool readOnly = false; ///< the transaction was begun as read-only
     bool commits = false; ///< commit of a transaction that has run no statement
+    bool forwarded = false; ///< another proxy forwarded it and can ask the next holder
     TimePoint receivedAt; ///< reference time for the required freshness
     TimePoint deadline;
 
--- a/packages/sessions/src/waxwing/sessions/forward_codec.cpp
+++ b/packages/sessions/src/waxwing/sessions/forward_codec.cpp
@@ -80,6 +80,7 @@
     job.begins = message.kind() == wire::PoolForward::BEGIN;
     job.readOnly = message.read_only();
     job.commits = message.commits();
+    job.forwarded = true;
     job.receivedAt = now;
     job.deadline = now + std::chrono::milliseconds(message.remaining_ms());
     return job;
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -68,6 +68,8 @@
         return m_directory.distance(domain);
     };
     std::set<std::string> tried;
+    std::set<std::string> declined;
+    auto declinedUnder = m_directory.directoryVersion();
     std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
     auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
@@ -92,7 +94,11 @@
             if (m_path.isStopping() || now - *withoutHolderSince >= linkConnectTimeout) {
                 break;
             }
-            tried.clear();
+            // Holders decline again until the directory changes.
+            if (std::exchange(declinedUnder, m_directory.directoryVersion()) != m_directory.directoryVersion()) {
+                declined.clear();
+            }
+            tried = declined;
             pause.expires_after(holderPollInterval);
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
@@ -122,7 +128,11 @@
             }
             co_return result;
         } else {
-            reason = answer.status == StatementForwarder::Status::Answered ? "holder-declined" : "holder-not-connected";
+            const bool answered = answer.status == StatementForwarder::Status::Answered;
+            reason = answered ? "holder-declined" : "holder-not-connected";
+            if (answered) {
+                declined.insert(holder.proxy);
+            }
         }
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -55,6 +55,9 @@
 // A rollback needs no slot, so its answer takes only a round trip.
 constexpr Duration rollbackTimeout = 500ms;
 constexpr std::string_view holderReplacedReason = "holder-replaced";
+constexpr std::string_view primaryOutOfReachReason = "primary-out-of-reach";
+constexpr std::string_view noLeaseReason = "no-lease";
+constexpr std::string_view noDirectoryReason = "no-directory";
 // Retry delay that is sent to callers; a change of primary takes about this long.
 constexpr Duration retryAfter = 300ms;
 
@@ -106,6 +109,12 @@
     return exchange;
 }
 
+/// Tells whether a refusal is due to this proxy only, so that another holder may run the statement.
+bool isLocal(std::string_view reason)
+{
+    return reason == primaryOutOfReachReason || reason == noLeaseReason || reason == noDirectoryReason;
+}
+
 /// Returns the first failed reply, because the statement then ran without that command or not at all; otherwise the last one.
 PoolReply &decisiveReply(std::vector<PoolReply> &replies)
 {
@@ -253,7 +262,7 @@
 bool StatementPath::mayWaitForDirectory(const SessionJob &job, Attempts &attempts) const
 {
     const auto now = Clock::now();
-    attempts.lastReason = "no-directory";
+    attempts.lastReason = noDirectoryReason;
     return m_start.expectedRest(now) <= job.deadline - now;
 }
 
@@ -264,7 +273,7 @@
     const auto &lease = m_directory.lease();
     if (service.hasPrimary() && now >= lease.expiresAt() + EpochLease::acknowledgementGrace) {
         // Cut off from control: only another proxy can know the primary.
-        attempts.lastReason = "no-lease";
+        attempts.lastReason = noLeaseReason;
         return lease.expiresAt() == TimePoint() && m_start.expectedRest(now) <= left;
     }
     service.primaryChange().begin(now);
@@ -278,10 +287,11 @@
     // the primary.
     const auto now = Clock::now();
     const auto primary = service.primary();
-    if (!job.needsPrimary() || !primary || now - job.receivedAt < primarySilenceTimeout || !primary->isSilent(now, primarySilenceTimeout)) {
+    const bool declines = job.forwarded && service.holders().size() > 1; // the next holder may reach the primary at once
+    if (!job.needsPrimary() || !primary || (now - job.receivedAt < primarySilenceTimeout && !declines) || !primary->isSilent(now, primarySilenceTimeout)) {
         return false;
     }
-    attempts.lastReason = "primary-out-of-reach";
+    attempts.lastReason = primaryOutOfReachReason;
     return true;
 }
 
@@ -567,7 +577,7 @@
     StatementResult result;
     result.error = SessionError::Busy;
     result.queued = now - job.receivedAt;
-    result.declined = attempts.lastReason == holderReplacedReason;
+    result.declined = attempts.lastReason == holderReplacedReason || (job.forwarded && isLocal(attempts.lastReason));
     result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
     if (result.declined) {
         countRetry(attempts.lastReason);
