--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace waxwing
@@ -43,13 +44,20 @@
     if (!m_path.hasTimeFor(job)) {
         co_return refuse(job, "stopping", 0);
     }
-    auto *service = m_directory.service(job.route.service);
     StatementResult result;
-    if (service != nullptr && !service->holdsConnections()) {
-        result = co_await forward(job, *service, transaction);
-        co_return result;
+    bool again = true;
+    // Control may name or replace holders, this proxy among them, while the statement waits.
+    while (again) {
+        auto *service = m_directory.service(job.route.service);
+        if (service != nullptr && !service->holdsConnections()) {
+            result = co_await forward(job, *service, transaction);
+            again = result.declined && service->holdsConnections();
+            continue;
+        }
+        result = co_await m_path.run(job);
+        service = m_directory.service(job.route.service);
+        again = result.declined && service != nullptr && !service->holdsConnections();
     }
-    result = co_await m_path.run(job);
     if (result.transaction) {
         transaction.open = std::move(result.transaction);
         transaction.database = result.database;
@@ -63,6 +71,9 @@
         return m_directory.distance(domain);
     };
     std::set<std::string> tried;
+    std::set<std::string> declined;
+    auto declinedUnder = m_directory.directoryVersion();
+    std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
     auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
     message.set_idle_ms(idleMilliseconds());
@@ -73,12 +84,24 @@
             reason = "no-primary"; // the holders learn of the next primary at the same time as this proxy
             break;
         }
+        if (service.holdsConnections()) {
+            StatementResult result;
+            result.error = SessionError::Busy;
+            result.declined = true;
+            co_return result;
+        }
         const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
         if (nearest == nullptr) {
-            if (m_path.isStopping() || Clock::now() - job.receivedAt >= linkConnectTimeout) {
+            // A holder that declines may have learned of the next one a little earlier than this proxy.
+            withoutHolderSince = withoutHolderSince.value_or(now);
+            if (m_path.isStopping() || now - *withoutHolderSince >= linkConnectTimeout) {
                 break;
             }
-            tried.clear();
+            // Holders decline again until the directory changes.
+            if (std::exchange(declinedUnder, m_directory.directoryVersion()) != m_directory.directoryVersion()) {
+                declined.clear();
+            }
+            tried = declined;
             pause.expires_after(holderPollInterval);
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
@@ -108,7 +131,11 @@
             }
             co_return result;
         } else {
-            reason = answer.status == StatementForwarder::Status::Answered ? "holder-declined" : "holder-not-connected";
+            const bool answered = answer.status == StatementForwarder::Status::Answered;
+            reason = answered ? "holder-declined" : "holder-not-connected";
+            if (answered) {
+                declined.insert(holder.proxy);
+            }
         }
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -54,6 +54,10 @@
 constexpr Duration ageMargin = 100ms;
 // A rollback needs no slot, so its answer takes only a round trip.
 constexpr Duration rollbackTimeout = 500ms;
+constexpr std::string_view holderReplacedReason = "holder-replaced";
+constexpr std::string_view primaryOutOfReachReason = "primary-out-of-reach";
+constexpr std::string_view noLeaseReason = "no-lease";
+constexpr std::string_view noDirectoryReason = "no-directory";
 // Retry delay that is sent to callers; a change of primary takes about this long.
 constexpr Duration retryAfter = 300ms;
 
@@ -105,6 +109,12 @@
     return exchange;
 }
 
+/// Tells whether a refusal is due to this proxy only, so that another holder may run the statement.
+bool isLocal(std::string_view reason)
+{
+    return reason == primaryOutOfReachReason || reason == noLeaseReason || reason == noDirectoryReason;
+}
+
 /// Returns the first failed reply, because the statement then ran without that command or not at all; otherwise the last one.
 PoolReply &decisiveReply(std::vector<PoolReply> &replies)
 {
@@ -166,6 +176,10 @@
             service = m_directory.service(job.route.service);
             continue;
         }
+        if (!service->holdsConnections()) {
+            attempts.lastReason = holderReplacedReason;
+            break;
+        }
         const auto choice = choose(job, *service, attempts);
         if (isPrimaryUnreachable(job, *service, attempts)) {
             break;
@@ -254,7 +268,7 @@
 bool StatementPath::mayWaitForDirectory(const SessionJob &job, Attempts &attempts) const
 {
     const auto now = Clock::now();
-    attempts.lastReason = "no-directory";
+    attempts.lastReason = noDirectoryReason;
     return m_start.expectedRest(now) <= job.deadline - now;
 }
 
@@ -265,7 +279,7 @@
     const auto &lease = m_directory.lease();
     if (service.hasPrimary() && now >= lease.expiresAt() + EpochLease::acknowledgementGrace) {
         // Cut off from control: only another proxy can know the primary.
-        attempts.lastReason = "no-lease";
+        attempts.lastReason = noLeaseReason;
         return lease.expiresAt() == TimePoint() && m_start.expectedRest(now) <= left;
     }
     service.primaryChange().begin(now);
@@ -279,10 +293,11 @@
     // the primary.
     const auto now = Clock::now();
     const auto primary = service.primary();
-    if (!job.needsPrimary() || !primary || now - job.receivedAt < primarySilenceTimeout || !primary->isSilent(now, primarySilenceTimeout)) {
+    const bool declines = job.forwarded && service.holders().size() > 1; // the next holder may reach the primary at once
+    if (!job.needsPrimary() || !primary || (now - job.receivedAt < primarySilenceTimeout && !declines) || !primary->isSilent(now, primarySilenceTimeout)) {
         return false;
     }
-    attempts.lastReason = "primary-out-of-reach";
+    attempts.lastReason = primaryOutOfReachReason;
     return true;
 }
 
@@ -568,15 +583,20 @@
     StatementResult result;
     result.error = SessionError::Busy;
     result.queued = now - job.receivedAt;
+    result.declined = attempts.lastReason == holderReplacedReason || (job.forwarded && isLocal(attempts.lastReason));
     result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
-    Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
+    if (result.declined) {
+        countRetry(attempts.lastReason);
+    } else {
+        Metrics::instance().counter("waxwing_session_refusals_total", "reason", attempts.lastReason).add();
+    }
     boost::json::array pools;
     if (service != nullptr) {
         for (const auto &[id, pool] : service->pools()) {
             pools.emplace_back(pool->describe());
         }
     }
-    log::write(log::Level::Info, "statement refused",
+    log::write(log::Level::Info, result.declined ? "statement declined" : "statement refused",
                {{"request", job.id},
                 {"service", job.route.service},
                 {"reason", attempts.lastReason},
