Send configurations compressed

A change of 1,100 routes occupies the link of a proxy with 2 Mbit/s for more than a second, although each proxy gets one copy; statements, answers and leases wait behind it.

Routes resemble each other, so that a document shrinks to a fraction. Control compresses each version once and keeps the result; proxies state that they take it, and others get the plain document as before. Compression serves the first copy of a large change as well, which differences to the version in force would not, and needs no state beside the version.

Before: copyOfALargeConfigurationPassesASlowLinkWithinARenewal failed with Expected less than: 50000 Actual : 157781 bytes for 1,400 routes, where 50,000 bytes cross the link in the 200 ms between renewals while a proxy searches for the leader.

--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -1,11 +1,13 @@
 #include <waxwing/platform/control_calls.h>
 #include <waxwing/sessions/session_directory.h>
+#include <waxwing/state/compression.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/invariant.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -20,6 +22,7 @@
 // Share of the drain limit during which this proxy sends new statements to a draining database. The rest covers the delay of the
 // announcement and the queueing of a statement.
 constexpr int drainLimitPercent = 80;
+constexpr std::size_t maxDocumentBytes = 16U << 20; // four times what control accepts
 
 std::vector<StatementHolder> decodeHolders(const wire::PoolServiceView &view)
 {
@@ -69,10 +72,16 @@
 
 void SessionDirectory::applyDocument(const wire::PoolGrant &grant)
 {
-    if (grant.document().empty() || grant.config_version() <= configVersion()) {
+    const bool isCompressed = !grant.compressed_document().empty();
+    if ((grant.document().empty() && !isCompressed) || grant.config_version() <= configVersion()) {
         return;
     }
-    auto decoded = platform::decodeConfig(grant.document());
+    const auto document = isCompressed ? decompress(grant.compressed_document(), maxDocumentBytes) : std::optional(grant.document());
+    if (!document) {
+        log::write(log::Level::Error, "configuration refused", {{"version", grant.config_version()}, {"problem", "not decompressed"}});
+        return;
+    }
+    auto decoded = platform::decodeConfig(*document);
     if (!decoded.errors.empty()) {
         // Control validates with the same code, so this error means that the versions of control and proxy differ.
         log::write(log::Level::Error, "configuration refused", {{"version", grant.config_version()}, {"problem", decoded.errors.front()}});
--- a/programs/control/sent_traffic.cpp
+++ b/programs/control/sent_traffic.cpp
@@ -61,9 +61,9 @@
     auto size = message.ByteSizeLong();
     if (message.has_grant()) {
         const auto &grant = message.grant();
-        if (!grant.document().empty()) {
-            add(Kind::Document, grant.document().size());
-            size -= grant.document().size();
+        if (const auto document = grant.document().size() + grant.compressed_document().size(); document != 0) {
+            add(Kind::Document, document);
+            size -= document;
         }
         if (grant.has_directory()) {
             std::size_t directory = 0;
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -3,6 +3,7 @@
 #include "session_status.h"
 
 #include <waxwing/platform/control_calls.h>
+#include <waxwing/state/compression.h>
 #include <waxwing/state/message_bytes.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
@@ -327,7 +328,11 @@
     grant.set_config_version(m_machine.version());
     grant.set_share_permille(m_leases.share(proxy));
     if (proxy.configuration.isDue(m_machine.version(), now)) {
-        grant.set_document(m_machine.document());
+        if (proxy.takesCompressed && !compressedDocument().empty()) {
+            grant.set_compressed_document(compressedDocument());
+        } else {
+            grant.set_document(m_machine.document());
+        }
         proxy.configuration.recordSent(m_machine.version(), now);
     }
     if (m_directoryCounter != 0) {
@@ -340,6 +345,15 @@
     }
 }
 
+const std::string &SessionControl::compressedDocument()
+{
+    if (m_compressedVersion != m_machine.version()) {
+        m_compressedDocument = compress(m_machine.document());
+        m_compressedVersion = m_machine.version();
+    }
+    return m_compressedDocument;
+}
+
 void SessionControl::fillDirectory(wire::PoolGrant &grant) const
 {
     grant.set_has_directory(true);
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -97,6 +97,7 @@
     void handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal);
     void grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence);
     void fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
+    const std::string &compressedDocument();
     void updateHolders(TimePoint now);
     void fillDirectory(wire::PoolGrant &grant) const;
     void pushUpdates(TimePoint now);
@@ -115,6 +116,8 @@
     std::map<std::string, std::string> m_relayMembers; ///< by proxy: the member that relays messages to a proxy out of reach of this leader
     PrimarySupervisor m_supervisor;
     PoolConfig m_config; ///< decoded from the document of the state machine
+    std::string m_compressedDocument; ///< see compressedDocument()
+    std::uint64_t m_compressedVersion = 0; ///< of m_compressedDocument
     bool m_active = false;
     bool m_activating = false;
     bool m_entryApplied = false;
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -1,8 +1,12 @@
 #include "content_delivery.h"
 #include "testing/session_control_fixture.h"
 
+#include <waxwing/sessions/session_directory.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +24,7 @@
     CPPUNIT_TEST(cutOffProxyIsReachedThroughAnotherMember);
     CPPUNIT_TEST(memberRelaysOnlyToTheLeaderThatTheProxyCannotReach);
     CPPUNIT_TEST(configurationUnderWayIsNotSentWithEachRenewal);
+    CPPUNIT_TEST(copyOfALargeConfigurationPassesASlowLinkWithinARenewal);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::string_view smallConfig
@@ -180,6 +185,45 @@
         CPPUNIT_ASSERT(copies >= 1);
         CPPUNIT_ASSERT_LESSEQUAL(maxCopies(start, ContentDelivery::Options().firstRepetition), copies);
     }
+
+    // Guards against callers that wait for seconds, because a change of many routes occupies the link of their proxy.
+    void copyOfALargeConfigurationPassesASlowLinkWithinARenewal()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        std::string routes;
+        constexpr int routeCount = 1'400;
+        for (int i = 0; i < routeCount; ++i) {
+            const auto name = std::to_string(i);
+            routes += (i == 0 ? "" : ",") + (R"({"name":"r)" + name) + R"(","host":"orders-)" + name + R"(","path_prefix":"/area-)" + name
+                + R"(/","kind":"primary","timeout_ms":2000,"service":"s"})";
+        }
+        const auto document = R"({"version":7,"routes":[)" + routes + R"(],"services":[{"name":"s","max_conns":12,"sync_replicas":1}],"limits":{}})";
+        CPPUNIT_ASSERT(storeConfig(fixture, document));
+        std::map<std::string, wire::PoolGrant> grants;
+        fixture.onProxyMessage = [&](const std::string &proxy, const wire::PoolEnvelope &message) {
+            if (message.has_grant() && message.grant().sequence() != 0) {
+                grants[proxy] = message.grant();
+            }
+        };
+        fixture.renewLease("former-version", false);
+        wire::PoolEnvelope message;
+        message.mutable_renewal()->set_proxy("p1");
+        message.mutable_renewal()->set_incarnation(1);
+        message.mutable_renewal()->set_sequence(1);
+        message.mutable_renewal()->set_takes_compressed(true);
+        fixture.control.handleMessage("p1", message);
+        constexpr std::size_t bytesPerSecond = 2'000'000 / 8;
+        constexpr std::size_t renewalsPerSecond = 5; // while a proxy searches for the leader
+        CPPUNIT_ASSERT_LESS(bytesPerSecond / renewalsPerSecond, grants.at("p1").ByteSizeLong());
+        CPPUNIT_ASSERT_EQUAL(document, grants.at("former-version").document());
+        for (const auto &[proxy, grant] : grants) {
+            SessionDirectory directory(fixture.context.get_executor(), {.proxy = proxy});
+            directory.apply(grant, Clock::now());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), directory.configVersion());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(routeCount), directory.config()->routes.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
--- a/programs/control/session_leases.cpp
+++ b/programs/control/session_leases.cpp
@@ -50,6 +50,7 @@
     // A restarted process has no lease, but the lease of its former process remains valid until its end.
     proxy.incarnation = renewal.incarnation();
     proxy.configuration.confirm(renewal.config_version());
+    proxy.takesCompressed = renewal.takes_compressed();
     proxy.directoryVersion = renewal.directory_version();
     proxy.link = renewal.link();
     proxy.failureDomain = renewal.failure_domain();
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -33,6 +33,7 @@
     {
         std::uint64_t incarnation = 0;
         ContentDelivery configuration;
+        bool takesCompressed = false; ///< it understands a compressed configuration
         std::uint64_t directoryVersion = 0; ///< in force at the proxy, or already sent to it
         std::string link; ///< IP:port for other proxies; empty if it accepts no forwarded statements
         std::string failureDomain;
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -220,6 +220,7 @@
         renewal.set_draining(m_stop.isBegun());
         renewal.set_demand(measureDemand(now));
         renewal.set_link(m_settings.linkListen);
+        renewal.set_takes_compressed(true);
         renewal.set_unreachable_leader(m_control.unreachableLeader());
         for (const auto &[name, service] : m_directory.services()) {
             const auto primary = service->primary();
