Refuse a number that is "nan" where a range is given

A database, or another program at its address, that reports "nan" as its lag was taken for a replica with a lag: the value passed the range check and was cast to an integer, which has no defined result. Such a replica could count as fresh, or as far behind. The same held for numbers on the command line.

Cause: the check asked whether the value lies below or above the range, which is false for "nan".

It now asks whether the value lies within the range.

--- a/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(weightOfReplyTimeDecays);
     CPPUNIT_TEST(drainLimitStartsWithTheFirstAnnouncement);
     CPPUNIT_TEST(transactionsQueueBehindSingleStatements);
+    CPPUNIT_TEST(addressWithoutMeaningIsRetriedAfterAPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +103,17 @@
         CPPUNIT_ASSERT(transaction.rank() < lowerSingle.rank());
     }
 
+    // Guards against a proxy that is busy with a database whose address can't be parsed: each attempt fails at once.
+    void addressWithoutMeaningIsRetriedAfterAPause()
+    {
+        const auto pool = make();
+        pool->setLimits(2, 2);
+        pool->warm(2);
+        m_context.run();
+        CPPUNIT_ASSERT_MESSAGE(pool->describe(), pool->describe().find("open 0/2") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(pool->describe(), pool->describe().find("failures 2") != std::string::npos);
+    }
+
 private:
     std::shared_ptr<DatabasePool> make()
     {
--- a/packages/support/include/waxwing/support/option_table.h
+++ b/packages/support/include/waxwing/support/option_table.h
@@ -23,7 +23,8 @@
 {
     Number value {};
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < low || value > high) {
+    const bool isInRange = value >= low && value <= high; // not for "nan"
+    if (error != std::errc() || end != text.data() + text.size() || !isInRange) {
         return false;
     }
     target = value;
