Name the damage of a log whose record has no index

An operator whose log begins with a record without an index was told of "entry 0 directly after entry". The start is still refused, as for every log with an inconsistent middle; the message now says that the first entry of a log has index 1.

RaftFuzzTest::entryWithoutIndexIsNamed failed before (actual "found entry 0 directly after entry"). SessionsMachineTest::unreadableCommandChangesNothing, for commands of other versions, damaged ones and texts that are not UTF-8, passed before and after.

--- a/packages/coordination/src/waxwing/coordination/raft_fuzz_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_fuzz_test.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(damagedRecordsAreHarmless);
     CPPUNIT_TEST(damagedSnapshotsAreHarmless);
     CPPUNIT_TEST(damagedJoinPacketsAreHarmless);
+    CPPUNIT_TEST(entryWithoutIndexIsNamed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -163,6 +164,23 @@
         });
     }
 
+    // Guards against an error message that names an entry which no log has, so that an operator looks for the wrong damage.
+    void entryWithoutIndexIsNamed()
+    {
+        wire::RaftRecord record;
+        record.mutable_entry()->set_term(1);
+        for (const bool isFirst : {true, false}) {
+            RaftReplay replay;
+            if (!isFirst) {
+                wire::RaftRecord before;
+                before.mutable_entry()->set_index(1);
+                replay.add(before.SerializeAsString());
+            }
+            replay.add(record.SerializeAsString());
+            CPPUNIT_ASSERT_EQUAL(std::string("found entry 0, but the first entry of a log has index 1"), replay.problem());
+        }
+    }
+
     // Guards against a crash caused by a snapshot with a valid checksum and damaged content.
     void damagedSnapshotsAreHarmless()
     {
--- a/packages/coordination/src/waxwing/coordination/raft_replay.cpp
+++ b/packages/coordination/src/waxwing/coordination/raft_replay.cpp
@@ -38,12 +38,16 @@
 void RaftReplay::addEntry(wire::RaftEntry &entry)
 {
     const LogIndex index = entry.index();
+    if (index == 0) {
+        m_problem = "found entry 0, but the first entry of a log has index 1";
+        return;
+    }
     if (m_firstIndex == 0 || index < m_firstIndex) {
         m_entries.clear();
         m_firstIndex = index;
     }
     const auto next = m_firstIndex + m_entries.size();
-    if (index == 0 || index > next) {
+    if (index > next) {
         m_problem = "found entry " + std::to_string(index) + " directly after entry " + std::to_string(next - 1);
         return;
     }
--- a/packages/state/src/waxwing/state/sessions_machine_test.cpp
+++ b/packages/state/src/waxwing/state/sessions_machine_test.cpp
@@ -1,7 +1,12 @@
+#include <waxwing/state/message_bytes.h>
 #include <waxwing/state/sessions_machine.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <span>
+#include <string>
+#include <string_view>
+
 using namespace waxwing;
 
 namespace
@@ -41,6 +46,7 @@
     CPPUNIT_TEST(epochIsNeverReused);
     CPPUNIT_TEST(primaryOfAnEarlierEpochIsRefused);
     CPPUNIT_TEST(snapshotHoldsEverything);
+    CPPUNIT_TEST(unreadableCommandChangesNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +117,25 @@
         copy.applyCommand(7, proxy);
         CPPUNIT_ASSERT(copy.proxies().empty());
     }
+
+    // Guards against a member that ends at each start, or differs from the others, because the log holds a command that it can't
+    // read: bytes of another kind, a text that is not UTF-8, or a command of a later version.
+    void unreadableCommandChangesNothing()
+    {
+        SessionsMachine machine;
+        machine.applyCommand(1, setDocument(7, "a"));
+        const auto before = machine.snapshot();
+        wire::SessionsCommand member;
+        member.mutable_set_member()->mutable_member()->set_id("\xff\xfe");
+        for (const auto &command : {std::string("\xff\xff\xff"), member.SerializeAsString(), std::string("\x7a\x02\x08\x01"), std::string()}) {
+            wire::SessionsResult result;
+            CPPUNIT_ASSERT(decodeMessage(machine.apply(2, std::as_bytes(std::span(command))), result));
+            CPPUNIT_ASSERT(!result.accepted());
+            CPPUNIT_ASSERT(machine.snapshot() == before);
+        }
+        SessionsMachine restored;
+        CPPUNIT_ASSERT(!restored.restore(std::as_bytes(std::span(std::string_view("\xff\xff")))));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionsMachineTest);
