Drop silent databases that no promotion considers any more

The leader of control kept each database that ever fell silent until it lost its leadership: its memory grew with every database that crashed and came back under another id, and with every entry of another writer.

Cause: entries older than 60 s were passed over in a change of primary, but never removed.

They are removed when the next database falls silent.

--- a/programs/control/primary_change.cpp
+++ b/programs/control/primary_change.cpp
@@ -36,8 +36,6 @@
 constexpr Duration maxOrderTimeout = 2s;
 constexpr unsigned maxOrderTimeoutDoublings = 3;
 constexpr Duration promotionTimeout = 4s; // a promotion takes 300 to 1,000 ms after the order
-// A database without heartbeats for this long holds no commits that the others lack: replicas receive commits within a second.
-constexpr Duration silentDatabaseRetention = 60s;
 
 /// Returns whether a database is a replica that has paused replication until a term.
 /// @param term the pause lasts at least until this term
@@ -346,13 +344,13 @@
         choice.add({member.id(), member.draining(), known ? std::optional(found->second.status->received) : std::nullopt});
     }
     if (const auto service = m_services.find(name); service != m_services.end()) {
-        for (const auto &item : service->second.silentDatabases) {
+        for (const auto &item : service->second.silentDatabases.entries()) {
             const auto &silentMember = item.second.member;
             // It has returned, or another database uses its address, which means that its log no longer exists.
             const bool superseded = std::any_of(present.begin(), present.end(), [&silentMember](const auto &member) {
                 return member.id() == silentMember.id() || member.address() == silentMember.address();
             });
-            if (!superseded && silentMember.id() != previous && Clock::now() - item.second.lastHeartbeat < silentDatabaseRetention) {
+            if (!superseded && silentMember.id() != previous && Clock::now() - item.second.lastHeartbeat < SilentDatabases::retention) {
                 choice.addMissing();
             }
         }
--- a/programs/control/primary_supervisor.cpp
+++ b/programs/control/primary_supervisor.cpp
@@ -95,7 +95,7 @@
 
 void PrimarySupervisor::addSilentDatabase(const PoolDirectory::Entry &entry)
 {
-    m_services[entry.member.service()].silentDatabases[entry.member.id()] = entry;
+    m_services[entry.member.service()].silentDatabases.add(entry, Clock::now());
 }
 
 std::vector<wire::PoolMember> PrimarySupervisor::members(const std::string &name) const
--- a/programs/control/primary_supervisor.h
+++ b/programs/control/primary_supervisor.h
@@ -5,6 +5,7 @@
 #include "epoch_withdrawal.h"
 #include "session_control_ports.h"
 #include "session_leases.h"
+#include "silent_databases.h"
 
 #include <waxwing/coordination/pool_directory.h>
 #include <waxwing/coordination/primary_choice.h>
@@ -88,7 +89,7 @@
         unsigned unansweredOrders = 0; ///< consecutive promotion orders without an answer
         std::map<std::string, Report> reports; ///< by proxy, for the current epoch
         EpochWithdrawal withdrawal;
-        std::map<std::string, PoolDirectory::Entry> silentDatabases; ///< by id; removed without having announced that they leave
+        SilentDatabases silentDatabases;
     };
 
     bool isCurrent(std::uint64_t generation) const
