Check the voters of logs whose members are replaced and return

A log could bear fewer losses than required for the rest of its life, although enough members run, and no test noticed.

The properties of the other runs hold, and 5 s after the last event:

- with enough running members, as many voters as the losses take, all of them running, so that these losses are borne;
- with fewer, the largest odd number that they allow.
Voters that are down stay if no running member could replace them;
- no membership change starts in the following 3 s.

--- a/tools/log-check/log_check.cpp
+++ b/tools/log-check/log_check.cpp
@@ -23,11 +23,12 @@
 namespace
 {
 
-constexpr const char *usage = "Usage: waxwing-log-check [--seeds N] [--first-seed N] [--jobs N] [--trace]\n"
+constexpr const char *usage = "Usage: waxwing-log-check [--seeds N] [--first-seed N] [--jobs N] [--open] [--trace]\n"
                               "Simulates the replicated log with faults, one run a seed, and checks its properties.\n"
                               "  --seeds N       number of runs (default 1000)\n"
                               "  --first-seed N  seed of the first run (default 1)\n"
                               "  --jobs N        threads (default 1)\n"
+                              "  --open          members join from any address, are replaced and return; checks the number of voters\n"
                               "  --trace         print the events of each run\n"
                               "  --help, --version\n"
                               "Exit codes: 0 no violation, 1 violation, 2 wrong arguments.\n";
@@ -37,6 +38,7 @@
     std::uint64_t seeds = 1000;
     std::uint64_t firstSeed = 1;
     std::uint64_t jobs = 1;
+    bool open = false;
     bool trace = false;
 };
 
@@ -102,13 +104,10 @@
 int runLogCheck(int argc, char **argv)
 {
     Arguments arguments;
-    const option options[] = {{"seeds", required_argument, nullptr, 's'},
-                              {"first-seed", required_argument, nullptr, 'f'},
-                              {"jobs", required_argument, nullptr, 'j'},
-                              {"trace", no_argument, nullptr, 't'},
-                              {"help", no_argument, nullptr, 'h'},
-                              {"version", no_argument, nullptr, 'v'},
-                              {nullptr, 0, nullptr, 0}};
+    const option options[] = {{"seeds", required_argument, nullptr, 's'}, {"first-seed", required_argument, nullptr, 'f'},
+                              {"jobs", required_argument, nullptr, 'j'},  {"open", no_argument, nullptr, 'o'},
+                              {"trace", no_argument, nullptr, 't'},       {"help", no_argument, nullptr, 'h'},
+                              {"version", no_argument, nullptr, 'v'},     {nullptr, 0, nullptr, 0}};
     int choice = 0;
     while ((choice = getopt_long(argc, argv, "", options, nullptr)) != -1) {
         bool valid = true;
@@ -122,6 +121,9 @@
         case 'j':
             valid = parseNumber(optarg, arguments.jobs) && arguments.jobs > 0;
             break;
+        case 'o':
+            arguments.open = true;
+            break;
         case 't':
             arguments.trace = true;
             break;
@@ -147,7 +149,7 @@
         threads.emplace_back([&] {
             for (auto number = next.fetch_add(1); number < arguments.seeds; number = next.fetch_add(1)) {
                 const auto seed = arguments.firstSeed + number;
-                totals.add(seed, simulateLog({seed, arguments.trace}));
+                totals.add(seed, simulateLog({seed, arguments.trace, arguments.open}));
             }
         });
     }
--- a/tools/log-check/log_simulation.cpp
+++ b/tools/log-check/log_simulation.cpp
@@ -25,6 +25,8 @@
 constexpr std::int64_t millisecond = 1'000'000;
 constexpr std::int64_t faultPhase = 12'000 * millisecond;
 constexpr std::int64_t recoveryPhase = 8'000 * millisecond; ///< time for progress after the last fault
+constexpr std::int64_t membershipPhase = 5'000 * millisecond; ///< open logs: time after the last fault until the voters are checked
+constexpr std::size_t seedCount = 3; ///< open logs: members that form the log
 constexpr std::int64_t clockBase = 1'000'000'000 * millisecond;
 constexpr std::size_t logComparisonInterval = 500; ///< events
 
@@ -85,6 +87,16 @@
         m_managed = m_random.chance(0.4);
         m_leaderCrash = m_random.chance(0.3) ? 0.3 : 0;
         m_proposalMean = static_cast<double>(m_random.between(5, 100) * millisecond);
+        if (options.open) {
+            m_open = true;
+            m_managed = true;
+            m_losses = m_random.between(1, 2);
+            // The limits of the other runs are so tight that a learner may not catch up within the time that is checked.
+            m_raft.retainedEntries = m_random.between(200, 1000);
+            m_raft.snapshotChunkBytes = m_random.between(100, 400);
+            m_raft.maxInFlightEntries = m_random.between(64, 512);
+            m_raft.maxLearnerLagEntries = RaftOptions().maxLearnerLagEntries;
+        }
     }
 
     LogSimulationResult run()
@@ -94,9 +106,17 @@
             runUntil(faultPhase);
             m_faults = false;
             heal();
+            if (m_open) {
+                runUntil(faultPhase + membershipPhase);
+                checkVoters();
+                m_settled = true;
+            }
             runUntil(faultPhase + recoveryPhase);
             compareLogs();
             checkProgress();
+            if (m_open) {
+                checkVoters();
+            }
         } catch (const Violation &violation) {
             m_result.violation = "at " + std::to_string(m_now / 1000) + " us: " + violation.what();
         }
@@ -153,7 +173,7 @@
 
     void begin()
     {
-        const auto members = m_random.between(1, 5);
+        const auto members = m_open ? m_random.between(seedCount, 8) : m_random.between(1, 5);
         m_members.resize(members + (m_managed ? 0 : m_random.between(0, 2)));
         wire::RaftMembership membership;
         for (std::size_t i = 0; i < m_members.size(); ++i) {
@@ -176,7 +196,7 @@
     void start(std::size_t place)
     {
         auto &member = m_members[place];
-        if (member.process) {
+        if (member.process || member.gone) {
             return;
         }
         if (m_now > 0 && m_faults && m_random.chance(0.1)) {
@@ -217,10 +237,16 @@
         process->node.emplace(member.id, m_raft, process->store->takeState(), m_random.between(0, UINT64_MAX), localTime(*process));
         if (m_managed) {
             std::vector<std::string> addresses;
-            for (std::size_t i = 0; i < m_members.size(); ++i) {
-                addresses.push_back(std::to_string(i));
+            for (std::size_t i = 0; i < m_members.size() && (!m_open || addresses.size() < seedCount); ++i) {
+                if (!m_members[i].gone) {
+                    addresses.push_back(std::to_string(i));
+                }
             }
-            process->membership.emplace(std::to_string(place), addresses);
+            LogMembership::Options rules;
+            rules.open = m_open;
+            rules.mayBootstrap = !m_open || m_committedMembershipIndex == 0;
+            rules.lossesToBear = m_losses;
+            process->membership.emplace(std::to_string(place), addresses, rules);
             process->membership->start(member.id);
         }
         const auto number = process->number;
@@ -391,7 +417,7 @@
     /// The same steps as LogHost::maintainMembership().
     void upkeep(std::size_t place, std::uint64_t number)
     {
-        onProcess(place, number, [this](SimulatedProcess &process) {
+        onProcess(place, number, [this, place](SimulatedProcess &process) {
             auto &node = *process.node;
             auto &membership = *process.membership;
             const auto now = localTime(process);
@@ -405,9 +431,11 @@
             } else if (node.role() == RaftNode::Role::Leader) {
                 LogIndex index = 0;
                 const auto change = membership.nextChange(
-                    node.log().membership(), [&](MemberId id) { return node.isCaughtUp(now, id); }, [&](MemberId id) { return node.isActive(now, id); });
+                    node.log().membership(), [&](MemberId id) { return node.isCaughtUp(now, id); }, [&](MemberId id) { return node.isActive(now, id); }, now);
                 if (change && node.changeMembership(now, *change, index) == RaftChangeError::None) {
                     count("managed membership change " + std::to_string(static_cast<int>(change->kind)));
+                    trace(std::string(raftChangeKindName(change->kind)) + " id " + std::to_string(change->id) + " at index " + std::to_string(index));
+                    noteManagedChange(place, *change);
                 }
             }
         });
@@ -416,6 +444,25 @@
         }
     }
 
+    void noteManagedChange(std::size_t leader, const RaftMembershipChange &change)
+    {
+        if (m_settled) {
+            throw Violation("membership: a change was started although nothing had happened for " + std::to_string(membershipPhase / millisecond) + " ms");
+        }
+        if (!m_open || !m_faults || !m_random.chance(0.15)) {
+            return;
+        }
+        const auto changed = std::find_if(m_members.begin(), m_members.end(), [&change](const auto &member) { return member.id == change.id; });
+        const auto place = changed == m_members.end() || m_random.chance(0.4) ? leader : static_cast<std::size_t>(changed - m_members.begin());
+        schedule(static_cast<std::int64_t>(m_random.between(0, 60)) * millisecond, [this, place] {
+            if (m_faults && m_random.chance(0.4)) {
+                loseDisk(place);
+            } else if (m_faults) {
+                stopForSeconds(place, "kill during a membership change");
+            }
+        });
+    }
+
     static bool isEmpty(const RaftNode &node)
     {
         return node.term() == 0 && node.log().lastIndex() == 0;
@@ -430,12 +477,12 @@
         }
         auto delay = static_cast<std::int64_t>(m_random.between(50'000, static_cast<std::uint64_t>(m_delay)));
         if (m_faults && m_random.chance(m_longDelay)) {
-            delay += static_cast<std::int64_t>(m_random.between(50, 3000)) * millisecond;
+            delay = latePacketDelay(delay);
         }
         schedule(delay, [this, place, packet = std::move(packet.packet)] {
             if (m_members[place].process) {
                 onProcess(place, m_members[place].process->number, [this, packet](SimulatedProcess &process) {
-                    for (auto &reply : process.membership->receive(packet, process.node->log().membership(), isEmpty(*process.node))) {
+                    for (auto &reply : process.membership->receive(packet, process.node->log().membership(), isEmpty(*process.node), localTime(process))) {
                         deliverJoin(std::move(reply));
                     }
                 });
@@ -445,6 +492,13 @@
 
     // Network
 
+    /// In open logs a late packet counts as a fault, so that it arrives before the faults end.
+    std::int64_t latePacketDelay(std::int64_t delay)
+    {
+        const auto late = delay + static_cast<std::int64_t>(m_random.between(50, 3000)) * millisecond;
+        return m_open ? std::max(delay, std::min(late, faultPhase - m_now)) : late;
+    }
+
     void deliver(std::size_t from, wire::RaftMessage message)
     {
         const auto target = std::find_if(m_members.begin(), m_members.end(), [&message](const auto &member) { return member.id == message.to(); });
@@ -459,7 +513,7 @@
         for (int i = 0; i < copies; ++i) {
             auto delay = static_cast<std::int64_t>(m_random.between(50'000, static_cast<std::uint64_t>(m_delay)));
             if (m_faults && m_random.chance(m_longDelay)) {
-                delay += static_cast<std::int64_t>(m_random.between(50, 3000)) * millisecond;
+                delay = latePacketDelay(delay);
             }
             schedule(delay, [this, place, message] { arrive(place, message); });
         }
@@ -604,9 +658,69 @@
         });
     }
 
+    bool isRunning(MemberId id) const
+    {
+        return std::any_of(m_members.begin(), m_members.end(), [id](const auto &member) { return member.id == id && member.process; });
+    }
+
+    std::size_t runningVoters(const wire::RaftMembership &membership) const
+    {
+        return static_cast<std::size_t>(std::count_if(membership.members().begin(), membership.members().end(),
+                                                      [this](const auto &member) { return member.voter() && isRunning(member.id()); }));
+    }
+
+    /// @param added voters that may be added although they don't run
+    bool hasRunningMajority(std::size_t added = 0) const
+    {
+        const auto holds = [&](const wire::RaftMembership &membership) {
+            return runningVoters(membership) > (voterCount(membership) + added) / 2;
+        };
+        return m_committedMembershipIndex != 0 && holds(m_committedMembership) && std::all_of(m_members.begin(), m_members.end(), [&](const auto &member) {
+                   return !member.process || member.process->node->log().lastIndex() == 0 || holds(member.process->node->log().membership());
+               });
+    }
+
+    std::vector<SimulatedMember>::const_iterator readyLeader() const
+    {
+        return std::find_if(m_members.begin(), m_members.end(), [this](const auto &member) {
+            return member.process && member.process->node->role() == RaftNode::Role::Leader && member.process->node->canRead(localTime(*member.process));
+        });
+    }
+
+    /// Open logs: the number of voters is the largest odd one, up to the one that bears the required losses, that the running
+    /// members allow. Voters that don't run stay where no running member can replace them.
+    void checkVoters()
+    {
+        if (!m_majorityRuns) {
+            return;
+        }
+        const auto leader = readyLeader();
+        if (leader == m_members.end()) {
+            traceMembers();
+            throw Violation("membership: no leader with a lease");
+        }
+        const auto &membership = leader->process->node->log().membership();
+        const auto wanted = 2 * m_losses + 1;
+        const auto voters = voterCount(membership);
+        const auto running
+            = static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [](const auto &member) { return member.process != nullptr; }));
+        const auto votersThatRun = runningVoters(membership);
+        const bool everyoneVotes = votersThatRun == running && (voters % 2 == 1 || voters == running);
+        const bool largest = votersThatRun == voters && voters % 2 == 1 && (voters == wanted || running == voters + 1);
+        if (voters > wanted || (!everyoneVotes && !largest) || (running >= wanted && votersThatRun != wanted)) {
+            traceMembers();
+            throw Violation("membership: " + std::to_string(votersThatRun) + " of " + std::to_string(voters) + " voters run, " + std::to_string(running)
+                            + " members run, and " + std::to_string(wanted) + " voters are wanted");
+        }
+        count(running >= wanted ? "enough members at the end" : "too few members at the end");
+    }
+
     void traceMembers() const
     {
         for (const auto &member : m_members) {
+            if (!member.process) {
+                continue;
+            }
             const auto &node = *member.process->node;
             trace("member id " + std::to_string(member.id) + " role " + std::to_string(static_cast<int>(node.role())) + " term " + std::to_string(node.term())
                   + " last " + std::to_string(node.log().lastIndex()) + "/" + std::to_string(node.log().lastTerm()) + " commit "
@@ -618,6 +732,7 @@
     void checkProgress()
     {
         bool expected = m_managed || (m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership));
+        expected = expected && (!m_open || m_majorityRuns);
         LogIndex last = 0;
         for (const auto &member : m_members) {
             expected
@@ -627,14 +742,12 @@
             count("majority lost for good");
             return;
         }
-        const auto leader = std::find_if(m_members.begin(), m_members.end(), [this](const auto &member) {
-            return member.process->node->role() == RaftNode::Role::Leader && member.process->node->canRead(localTime(*member.process));
-        });
+        const auto leader = readyLeader();
         if (leader == m_members.end()) {
             traceMembers();
             throw Violation("progress: no leader with a lease after all faults have ended");
         }
-        if (m_managed
+        if (m_managed && !m_open
             && (voterCount(leader->process->node->log().membership()) != m_members.size()
                 || !hasOnlyPresentMembers(leader->process->node->log().membership()))) {
             traceMembers();
@@ -643,7 +756,7 @@
         last = leader->process->node->commitIndex();
         for (const auto &member : m_members) {
             // Entries of the last moments may still be on their way.
-            if (findMember(leader->process->node->log().membership(), member.id) != nullptr
+            if (member.process && findMember(leader->process->node->log().membership(), member.id) != nullptr
                 && member.process->applied + m_raft.maxInFlightEntries + 200 < last) {
                 throw Violation("progress: member " + std::to_string(member.id) + " is still behind");
             }
@@ -672,7 +785,11 @@
     {
         schedule(static_cast<std::int64_t>(m_random.exponential(m_faultMean)) + 1, [this] {
             if (m_faults) {
-                injectFault();
+                if (m_open) {
+                    injectOpenFault();
+                } else {
+                    injectFault();
+                }
                 scheduleFault();
             }
         });
@@ -722,6 +839,69 @@
         }
     }
 
+    /// Kills, wipes, replaces and cuts off members of an open log.
+    void injectOpenFault()
+    {
+        const auto place = m_random.between(0, m_members.size() - 1);
+        switch (m_random.between(0, 10)) {
+        case 0:
+        case 1:
+        case 2:
+            stopForSeconds(place, "kill");
+            break;
+        case 3:
+            stopForSeconds(place, "kill of two");
+            stopForSeconds(m_random.between(0, m_members.size() - 1), "kill of two");
+            break;
+        case 4:
+        case 5:
+            loseDisk(place);
+            break;
+        case 6:
+            replace(place);
+            break;
+        case 7:
+            for (std::size_t i = 0; i < m_members.size(); ++i) {
+                crashAndRestart(i, "crash of all");
+            }
+            break;
+        case 8:
+            cutNetwork();
+            break;
+        case 9:
+            if (m_members[place].process) {
+                count("pause");
+                m_members[place].process->pausedUntil = std::min(faultPhase, m_now + static_cast<std::int64_t>(m_random.between(10, 3000)) * millisecond);
+            }
+            break;
+        default:
+            crashAndRestart(place, "crash");
+            break;
+        }
+    }
+
+    void stopForSeconds(std::size_t place, const std::string &kind)
+    {
+        count(kind);
+        crash(place, m_random.chance(0.5));
+        schedule(static_cast<std::int64_t>(m_random.between(1, 6000)) * millisecond, [this, place] { start(place); });
+    }
+
+    /// A member at a new address and with an empty disk takes the place of another one.
+    void replace(std::size_t place)
+    {
+        if (!mayLoseDisk(place)) {
+            return;
+        }
+        count("replacement");
+        m_lostDisks[m_members[place].id] = m_now;
+        crash(place);
+        m_members[place].id = 0;
+        m_members[place].gone = true;
+        m_members.emplace_back();
+        schedule(static_cast<std::int64_t>(m_random.between(1, 1000)) * millisecond, [this, added = m_members.size() - 1] { start(added); });
+    }
+
     void crashAndRestart(std::size_t place, const std::string &kind)
     {
         count(kind);
@@ -730,9 +910,9 @@
         schedule(static_cast<std::int64_t>(m_random.between(1, longest)) * millisecond, [this, place] { start(place); });
     }
 
-    void loseDisk(std::size_t place)
+    /// Without a majority of the old disks the log stops for good; such runs would test little.
+    bool mayLoseDisk(std::size_t place)
     {
-        // Without a majority of the old disks the log stops for good; such runs would test little.
         const auto id = m_members[place].id;
         m_members[place].id = 0;
         bool majority = m_committedMembershipIndex != 0 && hasLivingMajority(m_committedMembership);
@@ -743,7 +923,21 @@
                 = majority && (!member.process || member.process->node->log().lastIndex() == 0 || hasLivingMajority(member.process->node->log().membership()));
         }
         m_members[place].id = id;
-        if (majority) {
+        return majority && !m_members[place].gone && (!m_open || lostDisks() < std::min(m_losses, (voterCount(m_committedMembership) - 1) / 2));
+    }
+
+    /// Disks that were lost and count as losses that must be borne: the member that replaces them has had no time to catch up.
+    std::size_t lostDisks() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_lostDisks.begin(), m_lostDisks.end(), [this](const auto &item) {
+            return m_now - item.second < membershipPhase || isVoter(m_committedMembership, item.first);
+        }));
+    }
+
+    void loseDisk(std::size_t place)
+    {
+        if (mayLoseDisk(place)) {
+            m_lostDisks[m_members[place].id] = m_now;
             crash(place);
             m_members[place].disk = std::make_unique<MemoryDisk>();
             m_members[place].id = 0;
@@ -835,6 +1029,28 @@
             }
             start(place);
         }
+        if (m_open) {
+            for (auto kept = m_random.between(0, 2); kept > 0; --kept) {
+                keepStopped(m_random.between(0, m_members.size() - 1));
+            }
+            m_majorityRuns = hasRunningMajority(m_stoppedLearner ? 1 : 0);
+        }
+    }
+
+    /// Stops a member for good unless the others would be no majority. A learner that stops may be about to become a voter.
+    void keepStopped(std::size_t place)
+    {
+        auto &member = m_members[place];
+        const auto id = std::exchange(member.id, 0);
+        const bool stopsLearner = m_stoppedLearner || !isVoter(m_committedMembership, id);
+        const bool possible = hasRunningMajority(stopsLearner ? 1 : 0);
+        member.id = id;
+        if (possible && member.process) {
+            m_stoppedLearner = stopsLearner;
+            count("stopped for good");
+            crash(place);
+            member.gone = true;
+        }
     }
 
     Random m_random;
@@ -849,6 +1065,12 @@
     double m_faultMean = 0;
     double m_proposalMean = 0;
     bool m_managed = false; ///< the members form the log and replace lost disks by LogMembership
+    bool m_open = false; ///< managed runs in which members join from any address
+    std::size_t m_losses = 1; ///< open only: losses of members to be borne
+    std::map<MemberId, std::int64_t> m_lostDisks; ///< time of each loss, by the identity that was on the disk
+    bool m_majorityRuns = false; ///< open only: a majority of the voters runs after the last fault
+    bool m_stoppedLearner = false; ///< open only: a member that didn't vote was stopped for good
+    bool m_settled = false; ///< open only: the voters have been checked
     double m_leaderCrash = 0; ///< probability that a new leader crashes within a few messages
 
     std::int64_t m_now = 0;
--- a/tools/log-check/simulated_member.h
+++ b/tools/log-check/simulated_member.h
@@ -40,6 +40,7 @@
 {
     std::unique_ptr<MemoryDisk> disk = std::make_unique<MemoryDisk>();
     MemberId id = 0; ///< identity on the disk
+    bool gone = false; ///< never starts again
     std::unique_ptr<SimulatedProcess> process;
 };
 
