Tell refused callers when their cause is expected to end

Every refusal said "retry after 300 ms", whatever its cause, also for a primary that had been missing for minutes and for a trouble of this proxy alone, and all callers that were refused together returned together.

RetryAdvice takes the expected end of the cause: the rest of the change of primary, the shortest expected wait for a connection, or 20 ms where another proxy can serve the caller. A holder sends its advice along, and it reaches the caller unchanged; when all holders decline, the last one's advice counts.

With the former constant the new tests fail:

ForwardingTest::adviceOfTheHolderIsPassedOn SessionPathTest::adviceFollowsTheCause - Expression: SessionCaller::retryAfter(answer) >= ...maxExpected... - ERROR BUSY not run, retry after 300 ms: no-primary|I

forwarding_test (14), session_path_test (31) and sessions_test (15) pass, one run each.

--- a/packages/sessions/include/waxwing/sessions/statement_backend.h
+++ b/packages/sessions/include/waxwing/sessions/statement_backend.h
@@ -50,7 +50,8 @@
     boost::asio::awaitable<StatementResult> forward(const SessionJob &job, ServiceState &service, SessionTransaction &transaction);
     boost::asio::awaitable<StatementResult> continueAtHolder(ForwardedTransaction open, const SessionJob &job, wire::PoolForward::Kind kind);
     StatementResult handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number);
-    StatementResult refuse(const SessionJob &job, std::string_view reason, std::size_t tried) const;
+    /// @param expected expected time until the statement can be served
+    StatementResult refuse(const SessionJob &job, std::string_view reason, std::size_t tried, Duration expected);
     std::uint32_t idleMilliseconds() const;
 
     SessionDirectory &m_directory;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <waxwing/sessions/interruption.h>
+#include <waxwing/sessions/retry_advice.h>
 #include <waxwing/sessions/session_directory.h>
 #include <waxwing/sessions/session_job.h>
 #include <waxwing/sessions/statement_result.h>
@@ -34,6 +35,12 @@
         return m_stopping;
     }
 
+    /// @brief Advice for callers that are refused.
+    RetryAdvice &advice()
+    {
+        return m_advice;
+    }
+
     /// @brief Number of statements accepted since the start.
     std::uint64_t statements() const
     {
@@ -96,10 +103,13 @@
                                  StatementResult &result) const;
     AttemptOutcome evaluateReply(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts, PoolReply &reply,
                                  StatementResult &result) const;
-    StatementResult refuse(const SessionJob &job, const ServiceState *service, const Attempts &attempts) const;
+    StatementResult refuse(const SessionJob &job, const ServiceState *service, const Attempts &attempts);
+    /// Expected time until a statement that is refused for this reason can be served.
+    Duration expectedTimeToServe(const SessionJob &job, const ServiceState *service, std::string_view reason, TimePoint now) const;
 
     SessionDirectory &m_directory;
     Interruption m_start; ///< from the start of the process until its directory and lease arrive
+    RetryAdvice m_advice;
     std::uint64_t m_statements = 0;
     bool m_stopping = false;
 };
--- a/packages/sessions/include/waxwing/sessions/statement_result.h
+++ b/packages/sessions/include/waxwing/sessions/statement_result.h
@@ -25,6 +25,7 @@
     std::string text; ///< reason for an error, sent to the caller
     /// The statement provably did not run, for a reason of this proxy only; another one may run it now.
     bool declined = false;
+    Duration retryAfter {}; ///< with a refusal: when the caller should retry
     PoolReply reply; ///< valid if there is no error
     std::string database; ///< id of the database of the last attempt
     unsigned retries = 0; ///< attempts before the last one
--- a/packages/sessions/src/waxwing/sessions/forward_codec.cpp
+++ b/packages/sessions/src/waxwing/sessions/forward_codec.cpp
@@ -91,6 +91,7 @@
     wire::PoolForwardAnswer answer;
     answer.set_error(static_cast<std::uint32_t>(result.error));
     answer.set_text(result.text);
+    answer.set_retry_after_ms(milliseconds(result.retryAfter));
     answer.set_database(result.database);
     answer.set_retries(result.retries);
     answer.set_queued_ms(milliseconds(result.queued));
@@ -117,6 +118,7 @@
     }
     result.error = static_cast<SessionError>(answer.error());
     result.text = answer.text();
+    result.retryAfter = std::chrono::milliseconds(answer.retry_after_ms());
     result.database = answer.database();
     result.retries = answer.retries();
     result.queued = std::chrono::milliseconds(answer.queued_ms());
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -27,8 +27,6 @@
 // Links to newly assigned holders are connected within a round trip between regions.
 constexpr Duration linkConnectTimeout = 250ms;
 constexpr Duration holderPollInterval = 25ms;
-// Retry delay that is sent to callers: control assigns a new holder after the old lease has expired and a push was sent.
-constexpr Duration retryAfter = 300ms;
 
 } // namespace
 
@@ -72,12 +70,14 @@
     auto declinedUnder = m_directory.directoryVersion();
     std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
+    auto expected = RetryAdvice::otherProxy;
     auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
     message.set_idle_ms(idleMilliseconds());
     asio::steady_timer pause(co_await asio::this_coro::executor);
     while (Clock::now() < job.deadline) {
         const auto now = Clock::now();
         if (job.needsPrimary() && !service.hasPrimary() && service.primaryChange().expectedRest(now) > job.deadline - now) {
+            expected = service.primaryChange().expectedRest(now);
             reason = "no-primary"; // the holders learn of the next primary at the same time as this proxy
             break;
         }
@@ -132,12 +132,13 @@
             reason = answered ? "holder-declined" : "holder-not-connected";
             if (answered) {
                 declined.insert(holder.proxy);
+                expected = std::max<Duration>(RetryAdvice::otherProxy, std::chrono::milliseconds(answer.content.retry_after_ms()));
             }
         }
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
     }
-    co_return refuse(job, reason, tried.size());
+    co_return refuse(job, reason, tried.size(), expected);
 }
 
 StatementResult StatementBackend::handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number)
@@ -155,13 +156,14 @@
     return result;
 }
 
-StatementResult StatementBackend::refuse(const SessionJob &job, std::string_view reason, std::size_t tried) const
+StatementResult StatementBackend::refuse(const SessionJob &job, std::string_view reason, std::size_t tried, Duration expected)
 {
     StatementResult result;
     result.error = SessionError::Busy;
-    result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(reason);
-    Metrics::instance().counter("waxwing_session_refusals_total", "reason", reason).add();
     const auto now = Clock::now();
+    result.retryAfter = m_path.advice().after(expected, job, now);
+    result.text = "not run, retry after " + std::to_string(toMilliseconds(result.retryAfter).count()) + " ms: " + std::string(reason);
+    Metrics::instance().counter("waxwing_session_refusals_total", "reason", reason).add();
     log::write(log::Level::Info, "statement not passed on",
                {{"request", job.id},
                 {"service", job.route.service},
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -17,6 +17,7 @@
 #include <boost/json/array.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace waxwing
@@ -57,9 +58,16 @@
 constexpr std::string_view holderReplacedReason = "holder-replaced";
 constexpr std::string_view primaryOutOfReachReason = "primary-out-of-reach";
 constexpr std::string_view noLeaseReason = "no-lease";
+constexpr std::string_view noPrimaryReason = "no-primary";
+constexpr std::string_view notPrimaryReason = "not-primary";
+constexpr std::string_view leaseLostReason = "lease-lost";
+constexpr std::string_view queueFullReason = "queue-full";
+constexpr std::string_view deadlineUnreachableReason = "deadline-unreachable";
+constexpr std::string_view noConnectionReason = "no-connection";
+constexpr std::string_view stoppingReason = "stopping";
 constexpr std::string_view noDirectoryReason = "no-directory";
-// Retry delay that is sent to callers; a change of primary takes about this long.
-constexpr Duration retryAfter = 300ms;
+// Expected time until the next attempt succeeds where nothing tells it, such as after a lost answer.
+constexpr Duration usualRetryDelay = 300ms;
 
 /// Encoded commands of one exchange with a database, and their number.
 struct Exchange
@@ -143,6 +151,7 @@
 StatementPath::StatementPath(SessionDirectory &directory)
     : m_directory(directory)
     , m_start(usualStart)
+    , m_advice(std::hash<std::string>()(directory.options().proxy) ^ static_cast<std::uint64_t>(Clock::now().time_since_epoch().count()))
 {
     m_start.begin(Clock::now());
 }
@@ -233,7 +242,7 @@
         }
     }
     if (m_stopping) {
-        attempts.lastReason = "stopping";
+        attempts.lastReason = stoppingReason;
     }
     co_return refuse(job, service, attempts);
 }
@@ -249,14 +258,14 @@
     const auto left = job.deadline - now;
     if (pool.expectedWait(job.rank(), now) == Duration::zero()) {
         // Only measurements justify a refusal while a connection is free.
-        return pool.expectedReply(Duration::zero(), now) > left ? "deadline-unreachable" : std::string_view();
+        return pool.expectedReply(Duration::zero(), now) > left ? deadlineUnreachableReason : std::string_view();
     }
     const auto expected = expectedTime(job, pool, now);
     if (expected > left) {
-        return "deadline-unreachable";
+        return deadlineUnreachableReason;
     }
     const auto target = job.route.latencyTarget == Duration::zero() ? job.route.statementTimeout : job.route.latencyTarget;
-    return expected > std::chrono::duration_cast<Duration>(target * maxLatencyTargetShare) ? "queue-full" : std::string_view();
+    return expected > std::chrono::duration_cast<Duration>(target * maxLatencyTargetShare) ? queueFullReason : std::string_view();
 }
 
 bool StatementPath::mayWaitForDirectory(const SessionJob &job, Attempts &attempts) const
@@ -277,7 +286,7 @@
         return lease.expiresAt() == TimePoint() && m_start.expectedRest(now) <= left;
     }
     service.primaryChange().begin(now);
-    attempts.lastReason = "no-primary";
+    attempts.lastReason = noPrimaryReason;
     return service.primaryChange().expectedRest(now) <= left;
 }
 
@@ -380,11 +389,11 @@
     auto connection = co_await pool->acquire(*job.session, job.rank(), m_stopping ? Clock::now() : lastStart);
     if (!connection) {
         attempts.excluded.insert(pool->member().id());
-        attempts.lastReason = "no-connection";
+        attempts.lastReason = noConnectionReason;
         if (limit == job.deadline && Clock::now() >= lastStart) {
             co_return AttemptOutcome::GiveUp;
         }
-        countRetry("no-connection");
+        countRetry(noConnectionReason);
         co_return AttemptOutcome::Retry;
     }
     // The directory may have changed while the statement waited.
@@ -440,8 +449,8 @@
         if (begun && job.begins) {
             co_return failBegunTransaction(result, "the primary may have been replaced; nothing is kept");
         }
-        attempts.lastReason = "lease-lost";
-        countRetry("lease-lost");
+        attempts.lastReason = leaseLostReason;
+        countRetry(leaseLostReason);
         co_return AttemptOutcome::AwaitPrimary;
     }
     if (choice.after) {
@@ -561,8 +570,8 @@
         countRetry("replica-lagging");
         return AttemptOutcome::Retry;
     case SessionError::ReadOnly:
-        attempts.lastReason = "not-primary";
-        countRetry("not-primary");
+        attempts.lastReason = notPrimaryReason;
+        countRetry(notPrimaryReason);
         return AttemptOutcome::AwaitPrimary;
     default:
         result.error = reply.error;
@@ -571,14 +580,36 @@
     }
 }
 
-StatementResult StatementPath::refuse(const SessionJob &job, const ServiceState *service, const Attempts &attempts) const
+Duration StatementPath::expectedTimeToServe(const SessionJob &job, const ServiceState *service, std::string_view reason, TimePoint now) const
+{
+    if (service == nullptr || reason == noLeaseReason || reason == holderReplacedReason || reason == stoppingReason) {
+        return RetryAdvice::otherProxy;
+    }
+    if (reason == noPrimaryReason || reason == notPrimaryReason || reason == leaseLostReason || reason == primaryOutOfReachReason) {
+        return service->primaryChange().expectedRest(now);
+    }
+    if (reason == queueFullReason || reason == deadlineUnreachableReason || reason == noConnectionReason) {
+        const auto primary = service->primary();
+        auto shortest = primary ? primary->expectedWait(job.rank(), now) : Duration::max();
+        if (!job.needsPrimary()) {
+            for (const auto &[id, pool] : service->pools()) {
+                shortest = std::min(shortest, pool->expectedWait(job.rank(), now));
+            }
+        }
+        return shortest == Duration::max() ? usualRetryDelay : shortest;
+    }
+    return usualRetryDelay;
+}
+
+StatementResult StatementPath::refuse(const SessionJob &job, const ServiceState *service, const Attempts &attempts)
 {
     const auto now = Clock::now();
     StatementResult result;
     result.error = SessionError::Busy;
     result.queued = now - job.receivedAt;
     result.declined = attempts.lastReason == holderReplacedReason || (job.forwarded && isLocal(attempts.lastReason));
-    result.text = "not run, retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
+    result.retryAfter = m_advice.after(expectedTimeToServe(job, service, attempts.lastReason, now), job, now);
+    result.text = "not run, retry after " + std::to_string(toMilliseconds(result.retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
     if (result.declined) {
         countRetry(attempts.lastReason);
     } else {
