Don't report an unanswered read as not run

A read that was sent to a database or a holder and got no answer was refused with "not run", which is not known. Nothing of a read is kept, so the promise to the caller holds, but the text did not. It says "no answer, nothing is kept" now as soon as one attempt of the read was left unanswered, and such a read is not declined at a holder, since its caller's proxy would report it as not run. Writes, commits and begun transactions were read through as well: they end as unknown, or aborted where the rollback is certain, and are unchanged.

--- a/packages/sessions/include/waxwing/sessions/retry_advice.h
+++ b/packages/sessions/include/waxwing/sessions/retry_advice.h
@@ -4,6 +4,8 @@
 #include <waxwing/support/time.h>
 
 #include <cstdint>
+#include <string>
+#include <string_view>
 
 namespace waxwing
 {
@@ -31,6 +33,10 @@
     /// @param expected expected time until the statement can be served
     Duration after(Duration expected, const SessionJob &job, TimePoint now);
 
+    /// @brief Text of a refusal for its caller.
+    /// @param mayHaveRun whether a read was sent and not answered, so that only its result is missing
+    static std::string text(Duration retryAfter, std::string_view reason, bool mayHaveRun);
+
 private:
     Random m_random;
 };
--- a/packages/sessions/include/waxwing/sessions/statement_backend.h
+++ b/packages/sessions/include/waxwing/sessions/statement_backend.h
@@ -51,7 +51,8 @@
     boost::asio::awaitable<StatementResult> continueAtHolder(ForwardedTransaction open, const SessionJob &job, wire::PoolForward::Kind kind);
     StatementResult handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number);
     /// @param expected expected time until the statement can be served
-    StatementResult refuse(const SessionJob &job, std::string_view reason, std::size_t tried, Duration expected);
+    /// @param mayHaveRun whether a holder got the statement and did not answer
+    StatementResult refuse(const SessionJob &job, std::string_view reason, std::size_t tried, Duration expected, bool mayHaveRun);
     std::uint32_t idleMilliseconds() const;
 
     SessionDirectory &m_directory;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -81,6 +81,7 @@
         unsigned count = 0;
         bool sent = false; ///< the statement was sent to a database at least once
         bool mayHavePersisted = false; ///< the last attempt may have run something that persists
+        bool mayHaveRun = false; ///< a statement that persists nothing was sent and not answered
         std::string_view lastReason = "no-database";
     };
 
--- a/packages/sessions/src/waxwing/sessions/retry_advice.cpp
+++ b/packages/sessions/src/waxwing/sessions/retry_advice.cpp
@@ -27,4 +27,10 @@
     return bounded + part * std::clamp(job.route.priority, 0, priorities - 1) + m_random.upTo(spread);
 }
 
+std::string RetryAdvice::text(Duration retryAfter, std::string_view reason, bool mayHaveRun)
+{
+    const std::string promise = mayHaveRun ? "no answer, nothing is kept" : "not run";
+    return promise + ", retry after " + std::to_string(toMilliseconds(retryAfter).count()) + " ms: " + std::string(reason);
+}
+
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -71,6 +71,7 @@
     std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
     auto expected = RetryAdvice::otherProxy;
+    bool mayHaveRun = false;
     auto message = encodeForward(job, job.begins ? wire::PoolForward::BEGIN : wire::PoolForward::SINGLE);
     message.set_idle_ms(idleMilliseconds());
     asio::steady_timer pause(co_await asio::this_coro::executor);
@@ -116,6 +117,7 @@
                 co_return handleNoAnswer(job, holder, number);
             }
             reason = "holder-silent";
+            mayHaveRun = true;
         } else if (answer.status == StatementForwarder::Status::Answered && answer.content.result() == wire::PoolForwardAnswer::ANSWERED) {
             bool readable = false;
             auto result = decodeForwardAnswer(answer.content, readable);
@@ -138,7 +140,7 @@
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
     }
-    co_return refuse(job, reason, tried.size(), expected);
+    co_return refuse(job, reason, tried.size(), expected, mayHaveRun);
 }
 
 StatementResult StatementBackend::handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number)
@@ -156,13 +158,13 @@
     return result;
 }
 
-StatementResult StatementBackend::refuse(const SessionJob &job, std::string_view reason, std::size_t tried, Duration expected)
+StatementResult StatementBackend::refuse(const SessionJob &job, std::string_view reason, std::size_t tried, Duration expected, bool mayHaveRun)
 {
     StatementResult result;
     result.error = SessionError::Busy;
     const auto now = Clock::now();
     result.retryAfter = m_path.advice().after(expected, job, now);
-    result.text = "not run, retry after " + std::to_string(toMilliseconds(result.retryAfter).count()) + " ms: " + std::string(reason);
+    result.text = RetryAdvice::text(result.retryAfter, reason, mayHaveRun);
     Metrics::instance().counter("waxwing_session_refusals_total", "reason", reason).add();
     log::write(log::Level::Info, "statement not passed on",
                {{"request", job.id},
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -502,6 +502,7 @@
         result.text = status == DatabaseConnection::RunStatus::TimedOut ? "no answer in time" : "connection lost";
         return AttemptOutcome::Finished;
     }
+    attempts.mayHaveRun = attempts.mayHaveRun || wasSent;
     if (wasSent && !choice.primary) {
         attempts.excluded.insert(choice.pool->member().id());
     }
@@ -607,9 +608,9 @@
     StatementResult result;
     result.error = SessionError::Busy;
     result.queued = now - job.receivedAt;
-    result.declined = attempts.lastReason == holderReplacedReason || (job.forwarded && isLocal(attempts.lastReason));
+    result.declined = !attempts.mayHaveRun && (attempts.lastReason == holderReplacedReason || (job.forwarded && isLocal(attempts.lastReason)));
     result.retryAfter = m_advice.after(expectedTimeToServe(job, service, attempts.lastReason, now), job, now);
-    result.text = "not run, retry after " + std::to_string(toMilliseconds(result.retryAfter).count()) + " ms: " + std::string(attempts.lastReason);
+    result.text = RetryAdvice::text(result.retryAfter, attempts.lastReason, attempts.mayHaveRun);
     if (result.declined) {
         countRetry(attempts.lastReason);
     } else {
