Publish a directory only when it differs, and holders at most each 200 ms

Cause: each applied entry of the replicated log counted as a change of the directory, also the record of another proxy, a stored configuration or a database whose record changed nothing; and each change of holders was sent to every proxy within 20 ms. 'holders changed' was logged for all services when those of one had changed.

A directory gets a new number when its content differs, apart from the fields that change with each heartbeat. If only holders differ, the next number waits until 200 ms after the one before; changes of primaries and databases go at once, as before, and a lease still comes with each primary change that was applied. Only services whose holders changed are logged.

Before: entryThatLeavesTheDirectoryAsItIsSendsNone failed with Expected: Actual : after twenty proxies were recorded, and holdersThatChangeOftenAreSentTogether with Expected less or equal than: 2 Actual : 23 directories for twenty proxies that drained and returned. restartOfAProxyChangesOnlyServicesThatItHolds shows what already held: the holders of other services stay when a proxy restarts.

--- a/programs/control/connection_holders.cpp
+++ b/programs/control/connection_holders.cpp
@@ -69,9 +69,20 @@
             nextHolders.emplace(service, std::move(chosen));
         }
     }
-    const bool changed = nextHolders != m_holders;
+    m_changedServices.clear();
+    for (const auto &[service, holders] : nextHolders) {
+        const auto previous = m_holders.find(service);
+        if (previous == m_holders.end() || previous->second != holders) {
+            m_changedServices.push_back(service);
+        }
+    }
+    for (const auto &[service, holders] : m_holders) {
+        if (!nextHolders.contains(service)) {
+            m_changedServices.push_back(service);
+        }
+    }
     m_holders = std::move(nextHolders);
-    return changed;
+    return !m_changedServices.empty();
 }
 
 std::vector<ConnectionHolders::Holder> ConnectionHolders::chooseHolders(const std::string &service, std::span<const Proxy> proxies, std::size_t connections,
--- a/programs/control/connection_holders.h
+++ b/programs/control/connection_holders.h
@@ -64,6 +64,12 @@
     /// @brief Returns the holders of a service; empty while every proxy holds its own share.
     std::span<const Holder> holders(std::string_view service) const;
 
+    /// @brief Services whose holders differ after the last update(), which may include services that have none any more.
+    const std::vector<std::string> &changedServices() const
+    {
+        return m_changedServices;
+    }
+
 private:
     std::size_t usableConnections(std::size_t limit) const;
     bool usesHolders(std::size_t connections, std::size_t proxies, bool previous) const;
@@ -72,6 +78,7 @@
 
     Options m_options;
     std::map<std::string, std::vector<Holder>, std::less<>> m_holders; ///< by service; no entry while every proxy holds its own share
+    std::vector<std::string> m_changedServices;
 };
 
 } // namespace waxwing::control
--- a/programs/control/connection_holders_test.cpp
+++ b/programs/control/connection_holders_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(drainingHolderIsReplacedAndTheOthersStay);
     CPPUNIT_TEST(singleProxyDoesNotSwitchTheMode);
     CPPUNIT_TEST(connectionsStayWithinTheLimit);
+    CPPUNIT_TEST(restartOfAProxyChangesOnlyServicesThatItHolds);
     CPPUNIT_TEST_SUITE_END();
 
     using Limits = std::map<std::string, std::size_t, std::less<>>;
@@ -145,6 +146,37 @@
             }
         }
     }
+
+    // Guards against connections of all services that move, and a directory of all services that is sent, because one proxy restarts.
+    void restartOfAProxyChangesOnlyServicesThatItHolds()
+    {
+        constexpr int proxyCount = 40;
+        constexpr int serviceCount = 8;
+        const auto limits = makeLimits(serviceCount, 20);
+        const auto proxies = makeProxies(proxyCount, 5);
+        ConnectionHolders holders;
+        holders.update(proxies, limits);
+        const auto heldServices = [&](const std::string &proxy) {
+            std::set<std::string> held;
+            for (const auto &[service, limit] : limits) {
+                const auto chosen = holders.holders(service);
+                if (std::any_of(chosen.begin(), chosen.end(), [&](const auto &holder) { return holder.proxy == proxy; })) {
+                    held.insert(service);
+                }
+            }
+            return held;
+        };
+        for (int i = 0; i < proxyCount; ++i) {
+            auto present = proxies;
+            const auto held = heldServices(present[static_cast<std::size_t>(i)].name);
+            present.erase(present.begin() + i);
+            CPPUNIT_ASSERT_EQUAL(!held.empty(), holders.update(present, limits));
+            const auto changed = holders.changedServices();
+            CPPUNIT_ASSERT(held == std::set<std::string>(changed.begin(), changed.end()));
+            CPPUNIT_ASSERT(!holders.update(proxies, limits));
+            CPPUNIT_ASSERT(holders.changedServices().empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionHoldersTest);
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -22,6 +22,10 @@
 // A new leader knows every database after one heartbeat interval, plus a quarter of it for the transfer.
 constexpr double directoryCollectionIntervals = 1.25;
 
+// Shortest time between directories in which only holders differ. While proxies restart one after another, each sends the
+// directory to all others.
+constexpr Duration holdersInterval = 200ms;
+
 // Proxies ask every 200 ms while they know no leader.
 constexpr Duration maxWaitingAge = 1s;
 
@@ -151,6 +155,7 @@
     m_term = m_ports.log.term();
     m_activeSince = Clock::now();
     m_directoryCounter = 0;
+    m_directoryContent = {};
     m_directory.clear();
     m_leases.reset(m_activeSince, m_machine.proxies());
     m_departingProxies.clear();
@@ -220,8 +225,8 @@
     updateHolders(now);
     m_supervisor.tick(now, isDirectoryComplete(now));
     const bool known = isDirectoryComplete(now) || !m_machine.members().empty();
-    if (known && std::exchange(m_directoryChanged, false)) {
-        ++m_directoryCounter;
+    if (known && m_directoryChanged) {
+        numberDirectory(now);
     }
     pushUpdates(now);
 }
@@ -244,12 +249,13 @@
     }
     if (!pending && m_holders.update(proxies, limits)) {
         m_directoryChanged = true;
-        for (const auto &[name, limit] : limits) {
+        for (const auto &name : m_holders.changedServices()) {
             const auto holders = m_holders.holders(name);
+            const auto limit = limits.find(name);
             log::write(log::Level::Info, "holders changed",
                        {{"service", name},
                         {"proxies", proxies.size()},
-                        {"limit", limit},
+                        {"limit", limit == limits.end() ? 0 : limit->second},
                         {"holders", holders.size()},
                         {"connections", holders.empty() ? 0 : holders.front().connections}});
         }
@@ -307,12 +313,12 @@
     if (found == m_leases.proxies().end() || found->second.incarnation != incarnation) {
         return;
     }
+    const auto now = Clock::now();
     // A lease must not be granted with a directory that lacks a primary change which was already applied.
     if (m_directoryCounter != 0 && std::exchange(m_entryApplied, false)) {
         applyConfig();
-        ++m_directoryCounter;
+        numberDirectory(now);
     }
-    const auto now = Clock::now();
     m_leases.grant(proxy, now);
     wire::PoolEnvelope message;
     auto &content = *message.mutable_grant();
@@ -388,6 +394,37 @@
     }
 }
 
+void SessionControl::numberDirectory(TimePoint now)
+{
+    wire::PoolGrant directory;
+    fillDirectory(directory);
+    for (auto &view : *directory.mutable_services()) {
+        for (auto &member : *view.mutable_members()) {
+            // These differ with each heartbeat and don't concern proxies that know the database.
+            member.clear_sequence();
+            member.clear_warm_up_ms();
+        }
+    }
+    DirectoryContent content {.whole = directory.SerializeAsString()};
+    for (auto &view : *directory.mutable_services()) {
+        view.clear_holders();
+    }
+    content.withoutHolders = directory.SerializeAsString();
+    m_directoryChanged = false;
+    if (m_directoryCounter != 0) {
+        if (content.whole == m_directoryContent.whole) {
+            return;
+        }
+        if (content.withoutHolders == m_directoryContent.withoutHolders && now - m_directoryNumberedAt < holdersInterval) {
+            m_directoryChanged = true; // a later tick() numbers it
+            return;
+        }
+    }
+    m_directoryContent = std::move(content);
+    m_directoryNumberedAt = now;
+    ++m_directoryCounter;
+}
+
 void SessionControl::pushUpdates(TimePoint now)
 {
     if (m_directoryCounter == 0) {
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -85,6 +85,13 @@
     }
 
 private:
+    /// Serialized directory, without what changes with each heartbeat.
+    struct DirectoryContent
+    {
+        std::string whole;
+        std::string withoutHolders;
+    };
+
     void handleProxy(const std::string &proxy, const wire::PoolEnvelope &message);
     void forwardProxy(const std::string &proxy, const wire::PoolEnvelope &message);
     void handleRelay(const std::string &from, const wire::PoolRelay &relay);
@@ -100,6 +107,7 @@
     const std::string &compressedDocument();
     void updateHolders(TimePoint now);
     void fillDirectory(wire::PoolGrant &grant) const;
+    void numberDirectory(TimePoint now);
     void pushUpdates(TimePoint now);
     void handleHeartbeat(const wire::PoolMember &member);
     void recordDatabase(const wire::PoolMember &member);
@@ -128,6 +136,8 @@
     std::uint64_t m_generation = 0; ///< counts leaderships, so that results of requests of an earlier one are ignored
     std::uint64_t m_term = 0;
     std::uint32_t m_directoryCounter = 0; ///< number of the directory within this leadership
+    DirectoryContent m_directoryContent; ///< of the directory with this number
+    TimePoint m_directoryNumberedAt;
     TimePoint m_activeSince;
 };
 
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,8 @@
     CPPUNIT_TEST(memberRelaysOnlyToTheLeaderThatTheProxyCannotReach);
     CPPUNIT_TEST(configurationUnderWayIsNotSentWithEachRenewal);
     CPPUNIT_TEST(copyOfALargeConfigurationPassesASlowLinkWithinARenewal);
+    CPPUNIT_TEST(entryThatLeavesTheDirectoryAsItIsSendsNone);
+    CPPUNIT_TEST(holdersThatChangeOftenAreSentTogether);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::string_view smallConfig
@@ -224,6 +227,91 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(routeCount), directory.config()->routes.size());
         }
     }
+
+    // Guards against a directory that is sent to all proxies for each entry of the log, such as the record of another proxy.
+    void entryThatLeavesTheDirectoryAsItIsSendsNone()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        auto &database = fixture.addDatabase("a", true);
+        fixture.renewLease("p1", false);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.primary() == "a"; }));
+        fixture.control.tick();
+        std::size_t directories = 0;
+        std::map<std::string, std::uint64_t> versions;
+        fixture.onProxyMessage = [&](const std::string &proxy, const wire::PoolEnvelope &message) {
+            if (message.has_grant()) {
+                directories += proxy == "p1" && message.grant().has_directory() ? 1 : 0;
+                versions[proxy] = message.grant().directory_version();
+            }
+        };
+        fixture.renewLease("p1", false);
+        const auto version = versions.at("p1");
+        CPPUNIT_ASSERT(version != 0);
+        directories = 0;
+        wire::PoolEnvelope renewal;
+        renewal.mutable_renewal()->set_proxy("p1");
+        renewal.mutable_renewal()->set_incarnation(1);
+        renewal.mutable_renewal()->set_directory_version(version);
+        for (int i = 2; i < 22; ++i) {
+            renewal.mutable_renewal()->set_sequence(++fixture.sequence);
+            fixture.control.handleMessage("p1", renewal);
+            fixture.renewLease("p" + std::to_string(i), false); // recorded in the log
+            fixture.sendHeartbeat(database, true, false);
+            fixture.control.tick();
+        }
+        CPPUNIT_ASSERT_EQUAL(version, versions.at("p21"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), directories);
+        fixture.sendHeartbeat(database, true, true);
+        fixture.control.tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directories);
+    }
+
+    // Guards against a directory for each of many proxies that restart one after another, which fills the links of all others.
+    void holdersThatChangeOftenAreSentTogether()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        CPPUNIT_ASSERT(storeConfig(fixture, smallConfig));
+        std::string holder;
+        std::set<std::uint64_t> versions;
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            if (!message.has_grant() || !message.grant().has_directory()) {
+                return;
+            }
+            versions.insert(message.grant().directory_version());
+            for (const auto &view : message.grant().services()) {
+                holder = view.holders().empty() ? std::string() : view.holders(0).proxy();
+            }
+        };
+        const auto renew = [&](const std::string &proxy, bool draining) {
+            wire::PoolEnvelope message;
+            message.mutable_renewal()->set_proxy(proxy);
+            message.mutable_renewal()->set_incarnation(1);
+            message.mutable_renewal()->set_link(proxy + ":1");
+            message.mutable_renewal()->set_draining(draining);
+            fixture.control.handleMessage(proxy, message);
+        };
+        constexpr int proxyCount = 20;
+        for (int i = 0; i < proxyCount; ++i) {
+            renew("p" + std::to_string(i), false);
+        }
+        fixture.addDatabase("a", true);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.primary() == "a" && !holder.empty(); }));
+        versions.clear();
+        const auto start = Clock::now();
+        for (int i = 0; i < proxyCount; ++i) {
+            const auto proxy = "p" + std::to_string(i);
+            renew(proxy, true);
+            fixture.control.tick();
+            renew(proxy, false);
+            fixture.control.tick();
+        }
+        CPPUNIT_ASSERT_LESSEQUAL(maxCopies(start, 200ms) + 1, versions.size());
+        const auto former = holder;
+        renew(former, true);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return holder != former; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
