Bound in bytes what a link queues for one peer

The memory of a process grows with what its peers don't take: the limits of a link count messages (10,000 for each peer, 16,384 in the ring), and a message may have hundreds of kilobytes.

The link thread counts the bytes that ZeroMQ holds for each peer; a frame counts until ZeroMQ releases it. A message is not sent while 2 MB wait for its peer, and one of 8 KB or more (a configuration, a directory) while 1 MB does, so that answers and leases are not dropped because of large messages. Dropped messages are given to the failure handler as messages that were not sent, counted as peer-queue-full and logged at most each 5 s for a peer.

--- a/packages/transport/src/waxwing/transport/link_thread.cpp
+++ b/packages/transport/src/waxwing/transport/link_thread.cpp
@@ -1,6 +1,7 @@
 #include "link_thread.h"
 
 #include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
 #include <sys/eventfd.h>
@@ -33,6 +34,26 @@
 // Messages read from one socket before the other sockets are served.
 constexpr int maxMessagesPerRound = 256;
 constexpr auto pollTimeout = 200ms;
+// Bytes that may wait for one peer when a further message is queued. 1 MB takes 4 s on a link of 2 Mbit/s. Large messages
+// (configurations, directories) have the lower bound, so that small ones (answers, leases) are not dropped because of them.
+constexpr std::size_t maxQueuedBytes = std::size_t(2) << 20;
+constexpr std::size_t maxQueuedBytesForLarge = std::size_t(1) << 20;
+constexpr std::size_t largeMessageBytes = std::size_t(8) << 10;
+constexpr std::size_t maxIdleQueues = 1024;
+constexpr Duration dropReportInterval = 5s;
+
+/// Frame whose bytes count as queued until ZeroMQ releases it.
+struct CountedFrame
+{
+    std::string content;
+    std::shared_ptr<std::atomic<std::size_t>> queuedBytes; // see LinkThread::PeerQueue
+
+    static void release(void *, void *hint)
+    {
+        const std::unique_ptr<CountedFrame> frame(static_cast<CountedFrame *>(hint));
+        frame->queuedBytes->fetch_sub(frame->content.size(), std::memory_order_relaxed);
+    }
+};
 
 void countDrop(std::string_view reason)
 {
@@ -200,26 +221,70 @@
         m_dialed.erase(item.peer.id);
         return;
     }
+    if (!admits(item)) {
+        countDrop("peer-queue-full");
+        item.kind = Item::Kind::NotSent;
+        deliver(std::move(item));
+        return;
+    }
     bool sent = false;
+    const auto size = item.frame.size();
+    std::array<zmq::message_t, 2> parts = {zmq::message_t(item.peer.id), makeFrame(item.peer, std::move(item.frame))};
     try {
         if (item.peer.kind == LinkPeer::Kind::Accepted) {
-            const std::array<zmq::const_buffer, 2> parts = {zmq::buffer(item.peer.id), zmq::buffer(item.frame)};
             sent = zmq::send_multipart(m_router, parts, zmq::send_flags::dontwait).has_value();
         } else {
-            sent = dialed(item.peer.id).send(zmq::buffer(item.frame), zmq::send_flags::dontwait).has_value();
+            sent = dialed(item.peer.id).send(parts[1], zmq::send_flags::dontwait).has_value();
         }
     } catch (const zmq::error_t &) {
         sent = false; // The ROUTER socket has no such peer.
     }
     if (sent) {
-        countBytes("sent", item.frame.size());
+        countBytes("sent", size);
     } else {
         countDrop("not-connected");
         item.kind = Item::Kind::NotSent;
+        item.frame = parts[1].to_string();
         deliver(std::move(item));
     }
 }
 
+bool LinkThread::admits(const Item &item)
+{
+    const auto found = m_queues.find({item.peer.kind, item.peer.id});
+    if (found == m_queues.end()) {
+        return true;
+    }
+    auto &queue = found->second;
+    const auto bytes = queue.bytes->load(std::memory_order_relaxed);
+    if (bytes < (item.frame.size() >= largeMessageBytes ? maxQueuedBytesForLarge : maxQueuedBytes)) {
+        return true;
+    }
+    ++queue.dropped;
+    if (const auto now = Clock::now(); now >= queue.nextReportAt) {
+        log::write(log::Level::Warning, "messages to a peer dropped", {{"peer", item.peer.id}, {"queued_bytes", bytes}, {"messages", queue.dropped}});
+        queue.dropped = 0;
+        queue.nextReportAt = now + dropReportInterval;
+    }
+    return false;
+}
+
+zmq::message_t LinkThread::makeFrame(const LinkPeer &peer, std::string &&content)
+{
+    if (m_queues.size() > maxIdleQueues) {
+        std::erase_if(m_queues, [](const auto &item) { return item.second.bytes->load(std::memory_order_relaxed) == 0; });
+    }
+    auto &queue = m_queues[{peer.kind, peer.id}];
+    if (!queue.bytes) {
+        queue.bytes = std::make_shared<std::atomic<std::size_t>>(0);
+    }
+    auto frame = std::make_unique<CountedFrame>(CountedFrame {std::move(content), queue.bytes});
+    queue.bytes->fetch_add(frame->content.size(), std::memory_order_relaxed);
+    auto *data = frame->content.data();
+    const auto size = frame->content.size();
+    return {data, size, &CountedFrame::release, frame.release()};
+}
+
 void LinkThread::receiveAccepted()
 {
     for (int i = 0; i < maxMessagesPerRound; ++i) {
--- a/packages/transport/src/waxwing/transport/link_thread.h
+++ b/packages/transport/src/waxwing/transport/link_thread.h
@@ -1,16 +1,20 @@
 #pragma once
 
 #include <waxwing/support/bounded_ring.h>
+#include <waxwing/support/time.h>
 #include <waxwing/transport/link_peer.h>
 #include <waxwing/transport/message_link.h>
 
 #include <zmq.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace waxwing
 {
@@ -65,10 +69,20 @@
     }
 
 private:
+    /// What ZeroMQ holds for one peer.
+    struct PeerQueue
+    {
+        std::shared_ptr<std::atomic<std::size_t>> bytes; ///< shared with the frames, which outlive the entry; lowered by ZeroMQ's thread
+        std::size_t dropped = 0; ///< messages since the last log line
+        TimePoint nextReportAt;
+    };
+
     void applyCommon(zmq::socket_t &socket);
     zmq::socket_t &dialed(const std::string &address);
     void sendPending();
     void sendOne(Item &&item);
+    bool admits(const Item &item);
+    zmq::message_t makeFrame(const LinkPeer &peer, std::string &&content);
     void receiveAccepted();
     void receiveDialed(const std::string &address, zmq::socket_t &socket);
     void answerAuthentication();
@@ -80,6 +94,7 @@
     zmq::socket_t m_authentication;
     zmq::socket_t m_router;
     std::map<std::string, zmq::socket_t> m_dialed;
+    std::map<std::pair<LinkPeer::Kind, std::string>, PeerQueue> m_queues;
     BoundedRing<Item> m_outbound;
     BoundedRing<Item> m_inbound;
     std::atomic<bool> m_stopped {false};
--- a/packages/transport/src/waxwing/transport/message_link_test.cpp
+++ b/packages/transport/src/waxwing/transport/message_link_test.cpp
@@ -1,9 +1,12 @@
+#include <waxwing/support/counter.h>
+#include <waxwing/support/metrics.h>
 #include <waxwing/transport/message_link.h>
 #include <waxwing/wire/waxwing.pb.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <zmq.hpp>
 
 #include <functional>
 #include <optional>
@@ -16,6 +19,7 @@
     CPPUNIT_TEST(messagesPassBothWaysWithKeys);
     CPPUNIT_TEST(unknownPeerIsReportedAsNotSent);
     CPPUNIT_TEST(otherKeyIsRefused);
+    CPPUNIT_TEST(queueOfAPeerThatDoesNotReadIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -111,6 +115,61 @@
         });
         CPPUNIT_ASSERT_EQUAL(0, received % 1000);
     }
+
+    // Guards against a process that exceeds its memory because a peer takes its messages too slowly, and against small messages
+    // that are dropped because of large ones.
+    void queueOfAPeerThatDoesNotReadIsBounded()
+    {
+        const auto address = freeAddress();
+        zmq::context_t context;
+        zmq::socket_t peer(context, zmq::socket_type::router);
+        peer.set(zmq::sockopt::linger, 0);
+        peer.set(zmq::sockopt::rcvhwm, 1);
+        peer.bind("tcp://" + address);
+        std::size_t largeNotSent = 0;
+        std::size_t smallNotSent = 0;
+        bool isEnd = false;
+        const auto countNotSent = [&](const LinkPeer &to, wire::Envelope &&message) {
+            if (to.kind == LinkPeer::Kind::Accepted) {
+                isEnd = true;
+            } else {
+                ++(message.has_raft() ? largeNotSent : smallNotSent);
+            }
+        };
+        auto link = std::move(MessageLink::start(
+                                  m_context, {.name = "sender"}, [](const LinkPeer &, wire::Envelope &&) {}, countNotSent)
+                                  .value());
+        const LinkPeer to {LinkPeer::Kind::Dialed, address};
+        zmq::message_t received;
+        runUntil([&] {
+            link.send(to, cancel(1));
+            return peer.recv(received, zmq::recv_flags::dontwait).has_value();
+        });
+        link.send({LinkPeer::Kind::Accepted, "nobody"}, cancel(0));
+        runUntil([&] { return isEnd; });
+        isEnd = false;
+        smallNotSent = 0;
+        auto &dropped = Metrics::instance().counter("waxwing_link_refusals_total", "reason", "peer-queue-full");
+        auto &notConnected = Metrics::instance().counter("waxwing_link_refusals_total", "reason", "not-connected");
+        const auto notConnectedBefore = notConnected.value();
+        wire::Envelope large;
+        large.mutable_raft()->set_message(std::string(1'000'000, 'x'));
+        constexpr int largeCount = 64; // more than the kernel buffers
+        constexpr int smallCount = 20;
+        for (int i = 0; i < largeCount; ++i) {
+            link.send(to, large);
+        }
+        for (int i = 0; i < smallCount; ++i) {
+            link.send(to, cancel(2));
+        }
+        link.send({LinkPeer::Kind::Accepted, "nobody"}, cancel(0));
+        runUntil([&] { return isEnd; });
+        CPPUNIT_ASSERT_MESSAGE("64 MB are queued for a peer that does not read", largeNotSent != 0);
+        // The kernel may close the connection meanwhile; only for that reason may a small message not be sent.
+        const auto lost = static_cast<std::size_t>(notConnected.value() - notConnectedBefore - 1);
+        CPPUNIT_ASSERT_EQUAL(largeNotSent + smallNotSent, static_cast<std::size_t>(dropped.value()) + lost);
+        CPPUNIT_ASSERT_LESSEQUAL(lost, smallNotSent);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageLinkTest);
