Ignore SIGHUP until a program handles reloads

A proxy or member of control ended by itself when its settings file changed while it was starting: it loaded its settings, started its log and only then handled SIGHUP, whose default action ends a process.

--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -7,6 +7,7 @@
 #include <getopt.h>
 
 #include <array>
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <string_view>
@@ -121,6 +122,10 @@
     }
     command.name = argv[optind++];
     command.arguments.assign(argv + optind, argv + argc);
+    if (command.name == "serve-sessions" || command.name == "serve") {
+        // A reload that is requested before it can be handled must not end the process.
+        std::signal(SIGHUP, SIG_IGN);
+    }
     if (command.name == "serve-sessions") {
         return serveSessionsCommand(settingsFile, checkSettings);
     }
--- a/programs/proxy/main.cpp
+++ b/programs/proxy/main.cpp
@@ -12,6 +12,7 @@
 #include <signal.h>
 
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <string>
 #include <string_view>
@@ -127,6 +128,8 @@
 
 int main(int argc, char **argv)
 {
+    // A reload that is requested before it can be handled must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     const auto line = parse(argc, argv);
     if (line.exitCode >= 0) {
         return line.exitCode;
--- a/scripts/waxwing_processes.py
+++ b/scripts/waxwing_processes.py
@@ -129,9 +129,16 @@
 
     def handles(self, number):
         """Tells whether the process has a handler for a signal."""
+        return self._has_signal("SigCgt:", number)
+
+    def survives(self, number):
+        """Tells whether the process handles or ignores a signal."""
+        return self._has_signal("SigCgt:", number) or self._has_signal("SigIgn:", number)
+
+    def _has_signal(self, field, number):
         with open(f"/proc/{self.pid}/status", encoding="ascii") as file:
-            caught = next(line for line in file if line.startswith("SigCgt:"))
-        return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
+            mask = next(line for line in file if line.startswith(field))
+        return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
 
     def memory_mb(self):
         return self._status_mb("VmRSS:")
