Send the directory that was numbered, not the present one

A proxy could keep holders that were never published: while a change of holders was held back for 200 ms, a proxy that joined got the changed holders under the number of the directory before, and when the change was taken back no new number was given. Such a proxy opened connections beyond the limit, or passed statements to proxies that hold none, until the next change.

Control keeps the directory that it numbered and sends that, which also saves composing it for each proxy. An applied change of primary is numbered before a lease is granted, as before.

SessionControlTest::directoryNumberStandsForOneContent failed with the present directory in grants: one number with 10 different holders (expected 1). It passes now, with the 11 tests of SessionControlTest.

--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -345,7 +345,7 @@
         const auto version = (m_term << termShift) | m_directoryCounter;
         grant.set_directory_version(version);
         if (proxy.directoryVersion != version) {
-            fillDirectory(grant);
+            grant.MergeFrom(m_numberedDirectory);
             proxy.directoryVersion = version;
         }
     }
@@ -360,8 +360,9 @@
     return m_compressedDocument;
 }
 
-void SessionControl::fillDirectory(wire::PoolGrant &grant) const
+wire::PoolGrant SessionControl::makeDirectory() const
 {
+    wire::PoolGrant grant;
     grant.set_has_directory(true);
     grant.set_holders_pending(m_holdersPending);
     for (const auto &address : m_ports.members()) {
@@ -392,12 +393,13 @@
             entry.set_connections(static_cast<std::uint32_t>(holder.connections));
         }
     }
+    return grant;
 }
 
 void SessionControl::numberDirectory(TimePoint now)
 {
-    wire::PoolGrant directory;
-    fillDirectory(directory);
+    auto directory = makeDirectory();
+    auto numbered = directory;
     for (auto &view : *directory.mutable_services()) {
         for (auto &member : *view.mutable_members()) {
             // These differ with each heartbeat and don't concern proxies that know the database.
@@ -421,6 +423,7 @@
         }
     }
     m_directoryContent = std::move(content);
+    m_numberedDirectory = std::move(numbered);
     m_directoryNumberedAt = now;
     ++m_directoryCounter;
 }
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -110,7 +110,7 @@
     void fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
     const std::string &compressedDocument();
     void updateHolders(TimePoint now);
-    void fillDirectory(wire::PoolGrant &grant) const;
+    wire::PoolGrant makeDirectory() const;
     void numberDirectory(TimePoint now);
     void pushUpdates(TimePoint now);
     void handleHeartbeat(const wire::PoolMember &member);
@@ -141,6 +141,7 @@
     std::uint64_t m_term = 0;
     std::uint32_t m_directoryCounter = 0; ///< number of the directory within this leadership
     DirectoryContent m_directoryContent; ///< of the directory with this number
+    wire::PoolGrant m_numberedDirectory; ///< the directory with this number, as it is sent
     TimePoint m_directoryNumberedAt;
     TimePoint m_activeSince;
     std::uint64_t m_ignoredHeartbeats = 0; ///< since the last log line about them
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(copyOfALargeConfigurationPassesASlowLinkWithinARenewal);
     CPPUNIT_TEST(entryThatLeavesTheDirectoryAsItIsSendsNone);
     CPPUNIT_TEST(holdersThatChangeOftenAreSentTogether);
+    CPPUNIT_TEST(directoryNumberStandsForOneContent);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::string_view smallConfig
@@ -356,6 +357,51 @@
         renew(former, true);
         CPPUNIT_ASSERT(fixture.runUntil([&] { return holder != former; }));
     }
+
+    // Guards against a proxy that keeps holders which were never published: it joined while a change of holders was held back, got
+    // them under the former number, and the change was taken back.
+    void directoryNumberStandsForOneContent()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        CPPUNIT_ASSERT(storeConfig(fixture, smallConfig));
+        std::map<std::uint64_t, std::set<std::string>> holdersByVersion;
+        std::string holder;
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            for (const auto &view : message.grant().services()) {
+                holder = view.holders().empty() ? std::string() : view.holders(0).proxy();
+                holdersByVersion[message.grant().directory_version()].insert(holder);
+            }
+        };
+        const auto renew = [&](const std::string &proxy, bool draining) {
+            wire::PoolEnvelope message;
+            auto &renewal = *message.mutable_renewal();
+            renewal.set_proxy(proxy);
+            renewal.set_incarnation(1);
+            renewal.set_link(proxy + ":1");
+            renewal.set_sequence(++fixture.sequence);
+            renewal.set_draining(draining);
+            fixture.control.handleMessage(proxy, message);
+            fixture.control.tick();
+        };
+        fixture.addDatabase("a", true);
+        constexpr int proxies = 12;
+        CPPUNIT_ASSERT(fixture.runUntil([&] {
+            for (int i = 0; i < proxies; ++i) {
+                renew("p" + std::to_string(i), false);
+            }
+            return !holder.empty();
+        }));
+        for (int i = 0; i < 50; ++i) {
+            const auto first = holder;
+            renew(first, true);
+            renew("joining-" + std::to_string(i), false);
+            renew(first, false);
+        }
+        for (const auto &[version, holders] : holdersByVersion) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(version), std::size_t(1), holders.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
