Send a configuration soon again that was not sent

A configuration that control could not send, since the connection to its proxy had ended or too much waited for it, counted as under way for 2 to 8 s, in which a restarted proxy had no routes. Nobody took the messages that the link reports as not sent.

Control takes them now; such a configuration is due again after 400 ms, and the times between repetitions begin anew.

Found by a review. A copy that is lost on a path which looks alive still waits for the repetition.

--- a/programs/control/content_delivery.cpp
+++ b/programs/control/content_delivery.cpp
@@ -37,4 +37,13 @@
     m_repetition = std::min(2 * m_repetition, m_options.maxRepetition);
 }
 
+void ContentDelivery::recordLost(std::uint64_t version, TimePoint now)
+{
+    if (version != m_sent || !isUnderWay()) {
+        return;
+    }
+    m_repeatAt = std::min(m_repeatAt, now + m_options.lossRepetition);
+    m_repetition = m_options.firstRepetition;
+}
+
 } // namespace waxwing::control
--- a/programs/control/content_delivery.h
+++ b/programs/control/content_delivery.h
@@ -18,6 +18,7 @@
     {
         Duration firstRepetition = 2s; ///< content may have been lost with its connection
         Duration maxRepetition = 8s;
+        Duration lossRepetition = 400ms; ///< content is known not to have left this process
     };
 
     ContentDelivery();
@@ -33,6 +34,9 @@
     /// @param version number of the content
     void recordSent(std::uint64_t version, TimePoint now);
 
+    /// @brief Records that content which recordSent() counted as under way was not sent after all.
+    void recordLost(std::uint64_t version, TimePoint now);
+
     /// @brief Returns whether content must be sent: the receiver lacks it and nothing is under way.
     /// @param version number of the latest content
     bool isDue(std::uint64_t version, TimePoint now) const
--- a/programs/control/content_delivery_test.cpp
+++ b/programs/control/content_delivery_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(newerContentWaitsForContentUnderWay);
     CPPUNIT_TEST(restartedReceiverGetsContentAtOnce);
     CPPUNIT_TEST(lateStatementOfAnOlderVersionSendsNothing);
+    CPPUNIT_TEST(lostContentIsSentAgainSoon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +67,22 @@
         delivery.confirm(1);
         CPPUNIT_ASSERT(!delivery.isDue(2, TimePoint(1000s)));
     }
+
+    // Guards against a proxy that waits for seconds for content which never left control, because its connection had ended.
+    void lostContentIsSentAgainSoon()
+    {
+        ContentDelivery delivery({.firstRepetition = 2s, .maxRepetition = 8s, .lossRepetition = 400ms});
+        delivery.recordSent(1, TimePoint(10s));
+        delivery.recordSent(2, TimePoint(20s));
+        delivery.recordLost(1, TimePoint(20s));
+        CPPUNIT_ASSERT(!delivery.isDue(2, TimePoint(21s)));
+        delivery.recordLost(2, TimePoint(21s));
+        CPPUNIT_ASSERT(!delivery.isDue(2, TimePoint(21'399ms)));
+        CPPUNIT_ASSERT(delivery.isDue(2, TimePoint(21'400ms)));
+        delivery.recordSent(2, TimePoint(21'400ms));
+        CPPUNIT_ASSERT(!delivery.isDue(2, TimePoint(23'399ms)));
+        CPPUNIT_ASSERT(delivery.isDue(2, TimePoint(23'400ms)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ContentDeliveryTest);
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -91,7 +91,13 @@
         // and then failed, which happens after a suspension. TCP timeouts of the kernel detect silent peers instead.
         options.heartbeat = Duration::zero();
         options.key = std::move(key);
-        auto link = MessageLink::start(m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); });
+        auto link = MessageLink::start(
+            m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); },
+            [this](const LinkPeer &to, wire::Envelope &&message) {
+                if (message.has_pool()) {
+                    m_control.handleNotSent(to.id, message.pool());
+                }
+            });
         if (!link) {
             return "can't listen on the link address " + m_settings.linkListen + ": " + link.error().message();
         }
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -97,6 +97,17 @@
     }
 }
 
+void SessionControl::handleNotSent(const std::string &to, const wire::PoolEnvelope &message)
+{
+    const auto &content = message.has_relay() ? message.relay().content() : message;
+    const auto proxy = m_leases.proxies().find(message.has_relay() ? message.relay().proxy() : to);
+    const auto &grant = content.grant();
+    const bool hasConfiguration = content.has_grant() && !(grant.document().empty() && grant.compressed_document().empty());
+    if (m_active && hasConfiguration && proxy != m_leases.proxies().end()) {
+        proxy->second.configuration.recordLost(grant.config_version(), Clock::now());
+    }
+}
+
 void SessionControl::sendToProxy(const std::string &proxy, const wire::PoolEnvelope &message)
 {
     const auto member = m_relayMembers.find(proxy);
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -65,6 +65,10 @@
     /// @return false if no leader is known, so that the database should try another member
     bool heartbeat(const wire::PoolMember &member);
 
+    /// @brief Handles a message to a proxy or member that provably was not sent.
+    /// @param to name of the proxy, or link address of the member
+    void handleNotSent(const std::string &to, const wire::PoolEnvelope &message);
+
     /// @brief Counts a heartbeat that names no database to use, and logs it unless one was logged within the last 5 s.
     /// @param reason value of the counter's label
     void ignoreHeartbeat(std::string_view reason);
