--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -65,6 +65,10 @@
     /// @return false if no leader is known, so that the database should try another member
     bool heartbeat(const wire::PoolMember &member);
 
+    /// @brief Handles a message to a proxy or member that provably was not sent.
+    /// @param to name of the proxy, or link address of the member
+    void handleNotSent(const std::string &to, const wire::PoolEnvelope &message);
+
     /// @brief Counts a heartbeat that names no database to use, and logs it unless one was logged within the last 5 s.
     /// @param reason value of the counter's label
     void ignoreHeartbeat(std::string_view reason);
@@ -110,7 +114,7 @@
     void fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
     const std::string &compressedDocument();
     void updateHolders(TimePoint now);
-    void fillDirectory(wire::PoolGrant &grant) const;
+    wire::PoolGrant makeDirectory() const;
     void numberDirectory(TimePoint now);
     void pushUpdates(TimePoint now);
     void handleHeartbeat(const wire::PoolMember &member);
@@ -141,6 +145,7 @@
     std::uint64_t m_term = 0;
     std::uint32_t m_directoryCounter = 0; ///< number of the directory within this leadership
     DirectoryContent m_directoryContent; ///< of the directory with this number
+    wire::PoolGrant m_numberedDirectory; ///< the directory with this number, as it is sent
     TimePoint m_directoryNumberedAt;
     TimePoint m_activeSince;
     std::uint64_t m_ignoredHeartbeats = 0; ///< since the last log line about them
