Let a database of the soak lead again after it stepped down

The soak reported callers that are not served 15 s after the last fault: a service had no primary for good.

The stand-in's promotion made it the primary and then a replica again, because it was the former primary as well. Databases of the users lead after each accepted promotion.

The check is unchanged.

--- a/scripts/soak_databases.py
+++ b/scripts/soak_databases.py
@@ -89,7 +89,7 @@
                 other.follow(self)
                 other.paused = 0
                 other.beat_now.set()
-        if former:
+        if former and former is not database:
             former.role = "replica"
         database.beat_now.set()
 
