--- a/programs/proxy/control_client_test.cpp
+++ b/programs/proxy/control_client_test.cpp
@@ -55,8 +55,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against proxies that never get a lease when the leader is a member that their seeds don't list (RECOVER on
-    // trouble-1 and trouble-2 of bainha-sul-grown: six members, three seeds).
+    // Guards against proxies that never get a lease when the leader is a member that their seeds don't list: six members have three
+    // seeds.
     void leaderThatNoSeedIsGetsTheRenewals()
     {
         Fixture fixture;
