--- a/review/standin.py
+++ b/review/standin.py
@@ -22,6 +22,7 @@
 HEARTBEAT_S = 1.2
 LAG_S = 0.06  # from receipt to application at a replica
 PROMOTE_S = 1.0
+LINK_S = 0.02  # one way from a database to another one in the next region
 HANDSHAKE_S = 0.012
 SLOTS = 3
 QUEUE = 24
@@ -49,7 +50,7 @@
         self.service, self.address, self.zone = service, address, zone
         self.id = f"i-{service.name}{number}"
         self.role, self.term, self.paused = "replica", 1, 0
-        self.log = []  # commits: (id of the statement that committed, writes)
+        self.log = []  # commits: (id of the statement that committed, writes, time)
         self.pending = []  # (time, length): what is applied when
         self.applied = 0
         self.running = self.deaf = False
@@ -60,6 +61,7 @@
         self.slots = asyncio.Semaphore(SLOTS)
         self.waiting = 0
         self.server = self.beats = None
+        self.cut_from = frozenset()  # callers that don't reach it; with a member of control among them, its heartbeats don't arrive either
         self.beat_now = asyncio.Event()
         self.acknowledged = asyncio.Event()  # the draining state has been acknowledged
 
@@ -99,6 +101,8 @@
     async def beat(self):
         target = random.randrange(len(self.service.members))
         while True:
+            while any(name.startswith("core") for name in self.cut_from):
+                await asyncio.sleep(0.1)
             self.sequence += 1
             state = self.state
             body = {"service": self.service.name, "address": self.address, "zone": self.zone, "version": "v1", "slots": SLOTS, "state": state,
@@ -144,7 +148,7 @@
 
     def read(self, item):
         value = f"initial-{item}"
-        for _, writes in self.log[:self.applied_now()]:
+        for _, writes, _ in self.log[:self.applied_now()]:
             value = writes.get(item, value)
         return value
 
@@ -152,10 +156,14 @@
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
+        caller = ""
         connection = {"state": "I", "plain": False, "writes": {}, "values": {}, "prepared": {}, "term": 0}
         try:
             while line := await reader.readline():
                 kind, _, rest = line.decode().rstrip("\r\n").partition(" ")
+                caller = rest.split(" ")[1] if kind == "STARTUP" else caller
+                while caller in self.cut_from:
+                    await asyncio.sleep(0.05)
                 if kind == "STARTUP":
                     answer = await self.startup(rest)
                 elif kind == "QUERY":
@@ -281,12 +289,16 @@
 
     async def commit(self, identifier, writes):
         """Waits until a replica has received the commit; without one the outcome stays unknown."""
-        term, entry = self.term, (identifier, writes)
+        term, entry = self.term, (identifier, writes, time.monotonic())
         self.log.append(entry)
+        self.service.commits[identifier] = term
         length = len(self.log)
         while self.running and self.term == term:
             for other in self.service.databases:
                 if other is not self and other.running and len(other.log) >= length and other.log[length - 1] is entry:
+                    await asyncio.sleep(LINK_S)
+                    if not self.running or self.term != term:
+                        return False
                     self.service.record.write("commit", identifier, "at", self.position_text(length), "received by", other.id)
                     return True
             if self.role != "primary":
@@ -301,9 +313,17 @@
         self.databases, self.primary = [], None
         self.term, self.starts = 1, {1: 0}
         self.token = 0
-        self.promoted = []  # (database, log) at each promotion
+        self.commits = {}  # id of the statement that committed -> term
+        self.promoted = []  # (database, new term, its log) at each promotion
+        self.on_order = lambda database: None  # called when the platform accepts an order that changes the primary
         self.work_s = lambda verb, rest: 0.005
 
+    def lost(self, acknowledged):
+        """Acknowledged commits that a database lacked when it was promoted later."""
+        return [f"the acknowledged commit {identifier} of term {self.commits[identifier]} isn't in the log of {database}, promoted to term {term}"
+                for database, term, log in self.promoted for identifier in acknowledged
+                if self.commits.get(identifier, term) < term and identifier not in log]
+
     def replicate(self):
         source = self.primary
         if source is None or not source.running or source.role != "primary":
@@ -312,8 +332,9 @@
             if database is source or not database.running or database.deaf or database.paused > database.term:
                 continue
             database.adopt()
-            if len(database.log) < len(source.log):
-                database.log.extend(source.log[len(database.log):])
+            arrived = [entry for entry in source.log[len(database.log):] if entry[2] + LINK_S <= time.monotonic()]
+            if arrived:
+                database.log.extend(arrived)
                 database.pending.append((time.monotonic() + LAG_S, len(database.log)))
 
     def promote(self, database, token):
@@ -325,7 +346,7 @@
         former, self.primary = self.primary, database
         former.role = "replica"
         database.role, database.term, database.paused = "primary", self.term, 0
-        self.promoted.append((database.id, [entry[0] for entry in database.log]))
+        self.promoted.append((database.id, self.term, {entry[0] for entry in database.log}))
         self.record.write("promoted", database.id, "term", self.term, "position", database.position_text(len(database.log)))
         for other in self.databases:
             if other.running and other is not database:
@@ -373,6 +394,7 @@
         if status == 200:
             service.token = token
             if database is not service.primary:
+                service.on_order(database)
                 asyncio.get_running_loop().call_later(PROMOTE_S, service.promote, database, token)
         return status
 
