--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 import standin  # noqa: E402
 
 CLIENTS = 12
-TURNS = 3  # proxies that are killed one after the other
+RESTART_S = (0.0, 0.4, 0.6)  # for each proxy that is killed: time until it is started again
 WORK_S = 0.36  # `work_ms` of consulta-status: mean 34, at most 360
 
 sent = []  # ids of the statements
@@ -53,20 +53,21 @@
     if not others:
         raise standin.CannotRun("every proxy holds connections")
     violations = []
-    for turn, proxy in enumerate(others[:TURNS]):
-        await restart_between(proxy, f"{turn}a", f"{turn}b", record, violations, trouble)
+    for turn, (proxy, delay) in enumerate(zip(others, RESTART_S)):
+        await restart_between(proxy, delay if trouble else None, f"{turn}a", f"{turn}b", record, violations)
     return violations
 
 
-async def restart_between(proxy, former, latter, record, violations, trouble):
+async def restart_between(proxy, delay, former, latter, record, violations):
     """Sends statements to a proxy, kills it while they run, and sends others to the process that is started in its place."""
     sent.clear()
     first = [asyncio.create_task(client(proxy, former, number, record, violations, 1)) for number in range(CLIENTS)]
     await standin.wait_until("the first statements are sent", lambda: len(sent) == CLIENTS, 5)
     await asyncio.sleep(0.03)
-    if trouble:
+    if delay is not None:
         record.write("SIGKILL of", proxy.name)
         proxy.kill()
+        await asyncio.sleep(delay)
         proxy.start()
     await standin.wait_until("the proxy is ready", lambda: standin.is_ready(proxy), 20)
     record.write(proxy.name, "is ready")
