Show commits that a new leader of control gives up

Case 5 of the review, rule LOST: review/5/run.sh lets one replica receive nothing, loses the other one for good, crashes the primary, and kills the leader of control, after which the next leader promotes the first replica.

--- a/review/standin.py
+++ b/review/standin.py
@@ -338,13 +338,13 @@
                 database.pending.append((time.monotonic() + LAG_S, len(database.log)))
 
     def promote(self, database, token):
-        if token < self.token or not database.running or database is self.primary:
+        if token < self.token or not database.running or database is self.primary and database.role == "primary":
             return
         self.token = token
         self.term += 1
         self.starts[self.term] = len(database.log)
         former, self.primary = self.primary, database
-        former.role = "replica"
+        former.role = "replica"  # at this moment, wherever it is
         database.role, database.term, database.paused = "primary", self.term, 0
         self.promoted.append((database.id, self.term, {entry[0] for entry in database.log}))
         self.record.write("promoted", database.id, "term", self.term, "position", database.position_text(len(database.log)))
@@ -393,13 +393,13 @@
         self.record.write("promote", body["id"], "by", headers["lease-holder"], "token", token, "answered", status)
         if status == 200:
             service.token = token
-            if database is not service.primary:
+            if database is not service.primary or database.role != "primary":
                 service.on_order(database)
                 asyncio.get_running_loop().call_later(PROMOTE_S, service.promote, database, token)
         return status
 
 
-async def http(address, method, path, body=None):
+async def http(address, method, path, body=None, redirects=True):
     """One request; returns the status, or 0 without an answer in a second."""
     writer = None
     try:
@@ -410,7 +410,7 @@
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n"
                          "Connection: close\r\n\r\n".encode() + data)
             status = int((await reader.readline()).split()[1])
-            if status == 307:
+            if status == 307 and redirects:
                 while line := (await reader.readline()).decode().strip():
                     if line.lower().startswith("location:"):
                         target = line.split("//", 1)[1]
@@ -607,6 +607,13 @@
         for proxy in self.proxies:
             await wait_until(f"{proxy.name} is ready", lambda proxy=proxy: is_ready(proxy), 20)
 
+    async def leader(self):
+        """The member of control that answers a read of the configuration itself."""
+        for member, process in zip(self.members, self.control):
+            if await http(member, "GET", "/waxwingtrestle/config/get", redirects=False) == 200:
+                return process
+        raise CannotRun("no member leads control")
+
     def end(self):
         for process in self.control + self.proxies:
             process.kill()
