End scripts of the review with 2 if they fail in themselves

Any error of a stand-in, and SIGTERM, end the processes that were started and exit with 2; shown by one run that was ended with SIGTERM.

--- a/review/standin.py
+++ b/review/standin.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -654,15 +655,16 @@
         async with asyncio.timeout(110):
             return await case(deploy, record, trouble)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         violations = asyncio.run(limited())
         for violation in violations:
             record.write("VIOLATION", violation)
             print("violation:", violation)
         code = 1 if violations else 0
-    except (CannotRun, TimeoutError) as error:
-        print("the case could not run:", error)
-        record.write("could not run:", error)
+    except (Exception, SystemExit) as error:
+        print("the case could not run:", type(error).__name__, error)
+        record.write("could not run:", type(error).__name__, error)
     finally:
         for deployment in deployments:
             deployment.end()
