Log what pooled connections are prepared with

The logs could not tell the hypotheses for statements that ran as others apart: nothing said which name stands for which shape on a connection, or whether a database refused a command of the preparation.

The event 'statement prepared' names both, 'preparation refused' and two counters tell the second. The commands of an exchange and their recording in the connection's state, which stood twice, are now StatementExchange.

--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -1,3 +1,5 @@
+#include "statement_exchange.h"
+
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/sessions/open_transaction.h>
 #include <waxwing/sessions/statement_path.h>
@@ -65,25 +67,15 @@
 asio::awaitable<StatementResult> OpenTransaction::run(const SessionJob &job)
 {
     m_writes = m_writes || job.writes;
-    const auto *prepared = job.prepared ? &*job.prepared : nullptr;
     while (true) {
-        std::string bytes;
-        std::size_t commands = 1;
-        const auto preparation = m_connection->state().compare(*job.session, prepared);
         // Within a session values are only added or changed, so its own connection never needs a DISCARD.
-        for (const auto &[name, value] : preparation.values) {
-            bytes += platform::encodeOwnStatement(platform::setText(name, value));
-            ++commands;
-        }
-        if (preparation.prepare) {
-            bytes += platform::encodeOwnStatement(platform::prepareText(ConnectionState::sharedName(*prepared), prepared->writes, prepared->shape));
-            ++commands;
-        }
-        m_connection->state().apply(preparation, prepared);
-        bytes += platform::encodeStatement(job.id, job.text);
+        StatementExchange exchange(m_connection->state(), database());
+        exchange.addPreparation(job);
+        exchange.add(platform::encodeStatement(job.id, job.text));
         const auto sentAt = Clock::now();
         m_pool->recordSent(sentAt);
-        auto answer = co_await m_connection->run(std::move(bytes), commands, job.deadline);
+        auto answer = co_await m_connection->run(exchange.bytes(), exchange.commands(), job.deadline);
+        exchange.reportRefusedPreparation(job, answer.replies);
         auto outcome = result(sentAt, job);
         if (answer.status != DatabaseConnection::RunStatus::Complete) {
             m_pool->recordNoReply(Clock::now());
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
@@ -0,0 +1,83 @@
+#include "statement_exchange.h"
+
+#include <waxwing/coordination/connection_state.h>
+#include <waxwing/platform/database_wire.h>
+#include <waxwing/protocol/pool_reply.h>
+#include <waxwing/support/counter.h>
+#include <waxwing/support/log.h>
+#include <waxwing/support/metrics.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing
+{
+
+namespace
+{
+
+constexpr std::string_view discardCommand = "discard";
+constexpr std::string_view setCommand = "set";
+constexpr std::string_view prepareCommand = "prepare";
+
+} // namespace
+
+StatementExchange::StatementExchange(ConnectionState &state, std::string database)
+    : m_state(state)
+    , m_database(std::move(database))
+{
+}
+
+void StatementExchange::add(std::string_view command)
+{
+    m_bytes += command;
+    ++m_commands;
+}
+
+void StatementExchange::addPreparation(const SessionJob &job)
+{
+    const auto *prepared = job.prepared ? &*job.prepared : nullptr;
+    const auto preparation = m_state.compare(*job.session, prepared);
+    const auto addOwn = [this](std::string_view kind, const std::string &text) {
+        add(platform::encodeOwnStatement(text));
+        m_preparation.push_back(kind);
+        Metrics::instance().counter("waxwing_session_preparations_total", "command", kind).add();
+    };
+    if (preparation.discard) {
+        addOwn(discardCommand, platform::discardText());
+    }
+    for (const auto &[name, value] : preparation.values) {
+        addOwn(setCommand, platform::setText(name, value));
+    }
+    if (preparation.prepare) {
+        const auto name = ConnectionState::sharedName(*prepared);
+        addOwn(prepareCommand, platform::prepareText(name, prepared->writes, prepared->shape));
+        log::write(log::Level::Info, "statement prepared",
+                   {{"request", job.id},
+                    {"service", job.route.service},
+                    {"database", m_database},
+                    {"name", name},
+                    {"writes", prepared->writes},
+                    {"shape", prepared->shape},
+                    {"forwarded", job.forwarded}});
+    }
+    m_state.apply(preparation, prepared);
+}
+
+void StatementExchange::reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const
+{
+    for (std::size_t i = 0; i < std::min(m_preparation.size(), replies.size()); ++i) {
+        if (replies[i].error == SessionError::None) {
+            continue;
+        }
+        Metrics::instance().counter("waxwing_session_preparations_refused_total", "command", m_preparation[i]).add();
+        log::write(log::Level::Warning, "preparation refused",
+                   {{"request", job.id},
+                    {"service", job.route.service},
+                    {"database", m_database},
+                    {"command", m_preparation[i]},
+                    {"error", static_cast<int>(replies[i].error)}});
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <waxwing/sessions/session_job.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing
+{
+
+class ConnectionState;
+struct PoolReply;
+
+/// @brief Commands that are sent to a database in one write: what brings the connection to the state of a session, and a statement.
+class StatementExchange
+{
+public:
+    /// @param state values and prepared statements of the connection
+    /// @param database id of the database, for the log
+    StatementExchange(ConnectionState &state, std::string database);
+
+    /// @brief Adds the commands that bring the connection to the state of the session, and records them in the state.
+    void addPreparation(const SessionJob &job);
+
+    /// @brief Adds an encoded command.
+    void add(std::string_view command);
+
+    /// @brief Logs and counts commands of the preparation that the database refused.
+    /// @param replies answers in the order of the commands
+    void reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const;
+
+    /// @brief Encoded commands.
+    const std::string &bytes() const
+    {
+        return m_bytes;
+    }
+
+    /// @brief Number of commands.
+    std::size_t commands() const
+    {
+        return m_commands;
+    }
+
+private:
+    ConnectionState &m_state;
+    std::string m_database;
+    std::string m_bytes;
+    std::size_t m_commands = 0;
+    std::vector<std::string_view> m_preparation; ///< kinds of the commands of the preparation, which come first
+};
+
+} // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -1,3 +1,5 @@
+#include "statement_exchange.h"
+
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/sessions/open_transaction.h>
 #include <waxwing/sessions/statement_log.h>
@@ -69,43 +71,11 @@
 // Expected time until the next attempt succeeds where nothing tells it, such as after a lost answer.
 constexpr Duration usualRetryDelay = 300ms;
 
-/// Encoded commands of one exchange with a database, and their number.
-struct Exchange
-{
-    std::string bytes;
-    std::size_t commands = 0;
-
-    void add(const std::string &command)
-    {
-        bytes += command;
-        ++commands;
-    }
-};
-
-/// Adds the commands that bring the connection to the state of the session.
-void addPreparation(Exchange &exchange, const SessionJob &job, ConnectionState &state)
-{
-    const auto *prepared = job.prepared ? &*job.prepared : nullptr;
-    const auto preparation = state.compare(*job.session, prepared);
-    if (preparation.discard) {
-        exchange.add(platform::encodeOwnStatement(platform::discardText()));
-    }
-    for (const auto &[name, value] : preparation.values) {
-        exchange.add(platform::encodeOwnStatement(platform::setText(name, value)));
-    }
-    if (preparation.prepare) {
-        exchange.add(platform::encodeOwnStatement(platform::prepareText(ConnectionState::sharedName(*prepared), prepared->writes, prepared->shape)));
-    }
-    state.apply(preparation, prepared);
-}
-
-/// First exchange of an attempt: either the statement, or the BEGIN of its transaction. The statement is sent only after the
-/// BEGIN was answered, because it would run outside of a transaction if the BEGIN were refused.
+/// Adds the first statement of an attempt: either the statement itself, or the BEGIN of its transaction. The statement is sent only
+/// after the BEGIN was answered, because it would run outside of a transaction if the BEGIN were refused.
 /// @param verifies run a read in a read-write transaction, which a database refuses if it is no longer the primary
-Exchange composeFirst(const SessionJob &job, ConnectionState &state, const std::optional<TermPosition> &after, bool verifies)
+void addFirst(StatementExchange &exchange, const SessionJob &job, const std::optional<TermPosition> &after, bool verifies)
 {
-    Exchange exchange;
-    addPreparation(exchange, job, state);
     if (job.begins || verifies) {
         const auto begin = platform::beginText(job.readOnly && !verifies);
         exchange.add(platform::encodeOwnStatement(after ? platform::afterText(*after, begin) : begin));
@@ -114,7 +84,6 @@
     } else {
         exchange.add(platform::encodeStatement(job.id, job.text));
     }
-    return exchange;
 }
 
 /// Tells whether a refusal is due to this proxy only, so that another holder may run the statement.
@@ -417,10 +386,13 @@
         countRetry("directory-changed");
         co_return AttemptOutcome::Retry;
     }
-    const auto exchange = composeFirst(job, connection->state(), choice.after, choice.verifies);
+    StatementExchange exchange(connection->state(), pool->member().id());
+    exchange.addPreparation(job);
+    addFirst(exchange, job, choice.after, choice.verifies);
     const auto sentAt = Clock::now();
     attempts.sent = true;
-    auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes, exchange.commands, limit);
+    auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes(), exchange.commands(), limit);
+    exchange.reportRefusedPreparation(job, answer.replies);
     attempts.mayHavePersisted = job.mayPersist() && mayHaveRun(answer);
     const bool begun = (job.begins || choice.verifies) && answer.status == DatabaseConnection::RunStatus::Complete
         && decisiveReply(answer.replies).error == SessionError::None;
