Name prepared statements by connection instead of by shape

Cause: the name of a prepared statement on a database connection was its access and its shape. A shape is free text and may hold blanks, a name may not: the database took the first word of the name for the name and the rest for access, shape, item or data.

Class of fault: text from outside becomes part of an identifier.

Change: a connection numbers its prepared statements. Number and statement are compared as values, so that no two statements share a name and the name is one field whatever the caller wrote. The text of an EXECUTE is made where the connection is known, so that holders get the arguments instead of a text with the sender's name; those of earlier releases are declined. What follows the caller's name is passed on byte for byte. The number of statements and bytes of shapes on a connection are bounded, since callers make them up.

--- a/packages/coordination/include/waxwing/coordination/connection_state.h
+++ b/packages/coordination/include/waxwing/coordination/connection_state.h
@@ -2,8 +2,9 @@
 
 #include <waxwing/coordination/session_state.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,40 +13,58 @@
 {
 
 /// @brief Values set and statements prepared on a pooled connection.
+///
+/// Prepared statements have names of this connection, which are numbers. Callers choose shapes and their own names freely, so that a
+/// name made from either could be several fields, or the same for two statements.
 class ConnectionState
 {
 public:
+    /// Bounds of what a connection keeps prepared; beyond them everything is discarded before the next statement is prepared.
+    struct Options
+    {
+        std::size_t maxStatements = 256;
+        std::size_t maxShapeBytes = 64U << 10;
+    };
+
     /// @brief Commands that bring a connection into the state of a session.
     struct Preparation
     {
         bool discard = false; ///< first discard all values and prepared statements
         std::vector<std::pair<std::string, std::string>> values; ///< names and values to set
-        bool prepare = false; ///< prepare the statement
+        bool prepare = false; ///< prepare the statement, under the name that nameOf() returns once this was applied
     };
 
-    /// @brief Name of a prepared statement on connections. It depends only on the statement, not on the session that prepared
-    /// it, so that sessions can share connections.
-    static std::string sharedName(const SessionState::Prepared &statement);
+    ConnectionState();
+    explicit ConnectionState(const Options &options);
 
     /// @brief Determines the commands that a connection needs before it can run a statement of a session.
     /// @param statement prepared statement to run, or null if it is not a prepared one
     Preparation compare(const SessionState &session, const SessionState::Prepared *statement) const;
 
+    /// @brief Like compare() for a connection in a transaction of the session: within a session values are only added or changed, so
+    /// that nothing has to be discarded.
+    Preparation extend(const SessionState &session, const SessionState::Prepared *statement) const;
+
     /// @brief Updates the state after the commands of a preparation were sent.
     void apply(const Preparation &preparation, const SessionState::Prepared *statement);
 
+    /// @brief Name of a statement that is prepared on the connection.
+    std::string nameOf(const SessionState::Prepared &statement) const;
+
     /// @brief Number of commands needed to prepare the connection for a session; used to choose an idle connection.
     std::size_t distance(const SessionState &session) const;
 
     /// @brief Clears the prepared statements, after the database reported that it does not know one.
-    void forgetPrepared()
-    {
-        m_prepared.clear();
-    }
+    void forgetPrepared();
 
 private:
+    bool isFullFor(const SessionState::Prepared &statement) const;
+
+    Options m_options;
     std::map<std::string, std::string> m_values;
-    std::set<std::string, std::less<>> m_prepared; ///< shared names
+    std::map<SessionState::Prepared, std::uint64_t> m_prepared; ///< numbers in their names
+    std::size_t m_shapeBytes = 0; ///< of all of m_prepared
+    std::uint64_t m_lastNumber = 0; ///< never reused on a connection
 };
 
 } // namespace waxwing
--- a/packages/protocol/include/waxwing/protocol/session_statement.h
+++ b/packages/protocol/include/waxwing/protocol/session_statement.h
@@ -29,7 +29,7 @@
     std::string value; ///< SetValue
     bool writes = false; ///< Prepare: the statement writes
     std::string shape; ///< Prepare: what the statement does
-    std::string arguments; ///< Execute: the text after the name
+    std::string arguments; ///< Execute: the text after the name, with the blank before it
 };
 
 } // namespace waxwing
--- a/packages/sessions/include/waxwing/sessions/session_job.h
+++ b/packages/sessions/include/waxwing/sessions/session_job.h
@@ -16,8 +16,8 @@
     PoolRoute route;
     const SessionState *session = nullptr;
     std::string id; ///< request id of the caller
-    std::string text; ///< text that is sent to the database
-    std::optional<SessionState::Prepared> prepared; ///< statement that `text` executes
+    std::string text; ///< text for the database; for a prepared statement only what follows its name, with the blank before it
+    std::optional<SessionState::Prepared> prepared; ///< prepared statement to execute; its name depends on the connection
     bool writes = false;
     bool begins = false; ///< first statement of a transaction, which is begun together with it
     bool readOnly = false; ///< the transaction was begun as read-only
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -356,7 +356,7 @@
         }
         job.prepared = known->second;
         job.writes = known->second.writes;
-        job.text = platform::executeText(ConnectionState::sharedName(known->second), statement.arguments);
+        job.text = statement.arguments;
     }
     return job;
 }
--- a/packages/sessions/src/waxwing/sessions/forward_codec.cpp
+++ b/packages/sessions/src/waxwing/sessions/forward_codec.cpp
@@ -20,7 +20,6 @@
     wire::PoolForward message;
     message.set_kind(kind);
     message.set_request(job.id);
-    message.set_text(job.text);
     message.set_service(job.route.service);
     message.set_freshness(static_cast<std::uint32_t>(job.route.freshness));
     message.set_max_age_ms(milliseconds(job.route.maxAge));
@@ -34,6 +33,9 @@
         message.set_executes(true);
         message.set_prepared_writes(job.prepared->writes);
         message.set_prepared_shape(job.prepared->shape);
+        message.set_arguments(job.text);
+    } else {
+        message.set_text(job.text);
     }
     for (const auto &[name, value] : job.session->values) {
         auto &entry = *message.add_values();
@@ -72,7 +74,7 @@
     job.route.priority = message.priority();
     job.session = &session;
     job.id = message.request();
-    job.text = message.text();
+    job.text = message.executes() ? message.arguments() : message.text();
     if (message.executes()) {
         job.prepared = {message.prepared_writes(), message.prepared_shape()};
     }
--- a/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -20,6 +20,13 @@
 // Idle timeout if the configuration sets none: the transactions of a crashed proxy stay open for this long.
 constexpr Duration defaultIdleTimeout = 10s;
 
+/// Tells whether the message has what a prepared statement is executed with. Those of earlier releases have a text with a name that is
+/// not known here.
+bool isReadable(const wire::PoolForward &message)
+{
+    return !message.executes() || message.has_arguments();
+}
+
 void countForwarded(std::string_view outcome)
 {
     Metrics::instance().counter("waxwing_session_forwarded_total", "outcome", outcome).add();
@@ -55,7 +62,7 @@
     case wire::PoolForward::CONTINUE:
     case wire::PoolForward::COMMIT: {
         const auto found = m_transactions.find(key);
-        if (found == m_transactions.end() || found->second.busy || found->second.rollbackPending) {
+        if (found == m_transactions.end() || found->second.busy || found->second.rollbackPending || !isReadable(message)) {
             countForwarded("no-transaction");
             wire::PoolForwardAnswer content;
             content.set_result(wire::PoolForwardAnswer::NO_TRANSACTION);
@@ -77,7 +84,7 @@
 bool ForwardedStatements::canServe(const wire::PoolForward &message) const
 {
     const auto *service = m_directory.service(message.service());
-    return !m_stopping && service != nullptr && service->holdsConnections();
+    return !m_stopping && isReadable(message) && service != nullptr && service->holdsConnections();
 }
 
 void ForwardedStatements::dropEarlierIncarnations(const std::string &proxy, std::uint64_t incarnation)
--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -68,10 +68,9 @@
 {
     m_writes = m_writes || job.writes;
     while (true) {
-        // Within a session values are only added or changed, so its own connection never needs a DISCARD.
         StatementExchange exchange(m_connection->state(), database());
-        exchange.addPreparation(job);
-        exchange.add(platform::encodeStatement(job.id, job.text));
+        exchange.addPreparationInTransaction(job);
+        exchange.add(platform::encodeStatement(job.id, exchange.text(job)));
         const auto sentAt = Clock::now();
         m_pool->recordSent(sentAt);
         auto answer = co_await m_connection->run(exchange.bytes(), exchange.commands(), job.deadline);
--- a/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
@@ -1,6 +1,5 @@
 #include "statement_exchange.h"
 
-#include <waxwing/coordination/connection_state.h>
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/protocol/pool_reply.h>
 #include <waxwing/support/counter.h>
@@ -20,6 +19,11 @@
 constexpr std::string_view setCommand = "set";
 constexpr std::string_view prepareCommand = "prepare";
 
+const SessionState::Prepared *preparedBy(const SessionJob &job)
+{
+    return job.prepared ? &*job.prepared : nullptr;
+}
+
 } // namespace
 
 StatementExchange::StatementExchange(ConnectionState &state, std::string database)
@@ -36,13 +40,22 @@
 
 void StatementExchange::addPreparation(const SessionJob &job)
 {
-    const auto *prepared = job.prepared ? &*job.prepared : nullptr;
-    const auto preparation = m_state.compare(*job.session, prepared);
+    addCommands(job, m_state.compare(*job.session, preparedBy(job)));
+}
+
+void StatementExchange::addPreparationInTransaction(const SessionJob &job)
+{
+    addCommands(job, m_state.extend(*job.session, preparedBy(job)));
+}
+
+void StatementExchange::addCommands(const SessionJob &job, const ConnectionState::Preparation &preparation)
+{
     const auto addOwn = [this](std::string_view kind, const std::string &text) {
         add(platform::encodeOwnStatement(text));
         m_preparation.push_back(kind);
         Metrics::instance().counter("waxwing_session_preparations_total", "command", kind).add();
     };
+    m_state.apply(preparation, preparedBy(job));
     if (preparation.discard) {
         addOwn(discardCommand, platform::discardText());
     }
@@ -50,18 +63,23 @@
         addOwn(setCommand, platform::setText(name, value));
     }
     if (preparation.prepare) {
-        const auto name = ConnectionState::sharedName(*prepared);
-        addOwn(prepareCommand, platform::prepareText(name, prepared->writes, prepared->shape));
+        const auto &prepared = *job.prepared;
+        const auto name = m_state.nameOf(prepared);
+        addOwn(prepareCommand, platform::prepareText(name, prepared.writes, prepared.shape));
         log::write(log::Level::Info, "statement prepared",
                    {{"request", job.id},
                     {"service", job.route.service},
                     {"database", m_database},
                     {"name", name},
-                    {"writes", prepared->writes},
-                    {"shape", prepared->shape},
+                    {"writes", prepared.writes},
+                    {"shape", prepared.shape},
                     {"forwarded", job.forwarded}});
     }
-    m_state.apply(preparation, prepared);
+}
+
+std::string StatementExchange::text(const SessionJob &job) const
+{
+    return job.prepared ? platform::executeText(m_state.nameOf(*job.prepared), job.text) : job.text;
 }
 
 void StatementExchange::reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const
--- a/packages/sessions/src/waxwing/sessions/statement_exchange.h
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/connection_state.h>
 #include <waxwing/sessions/session_job.h>
 
 #include <cstddef>
@@ -10,7 +11,6 @@
 namespace waxwing
 {
 
-class ConnectionState;
 struct PoolReply;
 
 /// @brief Commands that are sent to a database in one write: what brings the connection to the state of a session, and a statement.
@@ -24,9 +24,15 @@
     /// @brief Adds the commands that bring the connection to the state of the session, and records them in the state.
     void addPreparation(const SessionJob &job);
 
+    /// @brief Like addPreparation() for a connection in a transaction of the session.
+    void addPreparationInTransaction(const SessionJob &job);
+
     /// @brief Adds an encoded command.
     void add(std::string_view command);
 
+    /// @brief Text of the statement on this connection, which must be prepared for it.
+    std::string text(const SessionJob &job) const;
+
     /// @brief Logs and counts commands of the preparation that the database refused.
     /// @param replies answers in the order of the commands
     void reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const;
@@ -44,6 +50,8 @@
     }
 
 private:
+    void addCommands(const SessionJob &job, const ConnectionState::Preparation &preparation);
+
     ConnectionState &m_state;
     std::string m_database;
     std::string m_bytes;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -80,9 +80,9 @@
         const auto begin = platform::beginText(job.readOnly && !verifies);
         exchange.add(platform::encodeOwnStatement(after ? platform::afterText(*after, begin) : begin));
     } else if (after) {
-        exchange.add(platform::encodeStatementAfter(job.id, *after, job.text));
+        exchange.add(platform::encodeStatementAfter(job.id, *after, exchange.text(job)));
     } else {
-        exchange.add(platform::encodeStatement(job.id, job.text));
+        exchange.add(platform::encodeStatement(job.id, exchange.text(job)));
     }
 }
 
@@ -397,7 +397,7 @@
     const bool begun = (job.begins || choice.verifies) && answer.status == DatabaseConnection::RunStatus::Complete
         && decisiveReply(answer.replies).error == SessionError::None;
     if (begun) {
-        const auto statement = platform::encodeStatement(job.id, job.text);
+        const auto statement = platform::encodeStatement(job.id, exchange.text(job));
         answer = co_await exchangeOnce(job, service, *pool, *connection, statement, 1, limit);
     }
     if (answer.status != DatabaseConnection::RunStatus::Complete) {
