Refuse messages that grow beyond the limit of a database

Found by reading: a PREPARE, READ or EXECUTE of nearly 1 MiB was accepted, and exceeded the limit of a message once the proxy had added a position or its own name of the statement. The database ends such a connection, so that the caller would hear of a lost connection, or of an unknown outcome for a write that can't run; a PREPARE was acknowledged and could never be executed.

They are refused as TOOLARGE at once, before anything is sent. Statements whose text is passed on unchanged may use the whole limit as before.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -68,6 +68,7 @@
     boost::asio::awaitable<std::string> start(std::string database);
     boost::asio::awaitable<std::string> handleStatement(SessionStatement statement);
     boost::asio::awaitable<std::string> handleFailed(const SessionStatement &statement);
+    std::string refuseTooLarge(bool endsTransaction);
     std::string storeInSession(const SessionStatement &statement);
     std::string begin(bool readOnly);
     std::string refuseStart();
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -44,6 +44,14 @@
 // A stopping proxy has been removed from the load balancer, so the caller's next connection reaches another proxy.
 constexpr Duration otherProxyRetryDelay = 20ms;
 
+/// Tells whether a message from a caller may be too long for a database once the proxy has added to it.
+bool isTooLarge(const SessionStatement &statement)
+{
+    using Kind = SessionStatement::Kind;
+    const bool grows = statement.kind == Kind::Read || statement.kind == Kind::Execute || statement.kind == Kind::Prepare;
+    return grows && platform::encodeStatement(statement.id, statement.text).size() + platform::maxAddedBytes > platform::LineReader::maxLine;
+}
+
 /// @param received bytes that were read before the close; 0 if they are still in the socket
 void recordCancelledClosing(std::size_t received)
 {
@@ -198,6 +206,9 @@
         co_return co_await handleFailed(statement);
     }
     const bool open = m_transactionState == TransactionState::Open;
+    if (isTooLarge(statement)) {
+        co_return refuseTooLarge(open && statement.kind != Kind::Prepare);
+    }
     switch (statement.kind) {
     case Kind::SetValue:
     case Kind::Prepare:
@@ -251,6 +262,16 @@
     co_return platform::encodeError(error, failure.empty() ? "the transaction has failed" : failure, m_transactionState);
 }
 
+std::string ClientSession::refuseTooLarge(bool endsTransaction)
+{
+    constexpr std::string_view text = "not run, the message is too long to be passed on";
+    if (endsTransaction) {
+        return failTransaction(SessionError::TooLarge, text);
+    }
+    countOutcome(SessionError::TooLarge);
+    return platform::encodeError(SessionError::TooLarge, text, m_transactionState);
+}
+
 std::string ClientSession::storeInSession(const SessionStatement &statement)
 {
     using Kind = SessionStatement::Kind;
