Log which configurations are sent, announced and confirmed late

Change: control logs further copies and copies through another member by proxy, with the version that the proxy holds and the number of copies, and first copies together, at most once a second with the number of proxies that have not confirmed the version. A version that is confirmed more than 1 s after its first copy is logged with its copies. A proxy logs a version that is announced before it is in force, once a version, and gauges tell both versions. No decision changes.

Not measured with 191 proxies.

--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -137,6 +137,8 @@
 
 private:
     void applyDocument(const wire::PoolGrant &grant);
+    /// Logs and measures by how much the configuration in force is older than the one that control announces.
+    void noteAnnounced(std::uint64_t version);
     /// Tells whether a replica must have received a commit of the service before it is acknowledged.
     bool isReplicated(std::string_view service) const;
     /// Tells whether this proxy has the content that a grant names by its hash.
@@ -154,6 +156,7 @@
     EpochLease m_lease;
     Interruption m_leaseLoss; ///< from the end of the lease until the next one begins
     std::uint64_t m_controlTerm = 0;
+    std::uint64_t m_announcedConfig = 0; ///< latest version that a grant named
     std::uint64_t m_directoryVersion = 0;
     std::vector<std::string> m_controlMembers;
     bool m_waitsEnded = false; ///< see endWaits()
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -55,6 +55,7 @@
     }
     m_controlTerm = grant.control_term();
     applyDocument(grant);
+    noteAnnounced(grant.config_version());
     // A lease must not be extended with a directory that lacks a change of primary; the next renewal asks for the whole one.
     const bool current = applyDirectory(grant);
     if (grant.sequence() != 0 && current) {
@@ -103,6 +104,20 @@
     }
 }
 
+void SessionDirectory::noteAnnounced(std::uint64_t version)
+{
+    if (version > m_announcedConfig) {
+        m_announcedConfig = version;
+        if (version > configVersion()) {
+            log::write(log::Level::Info, "newer configuration announced", {{"announced", version}, {"in_force", configVersion()}});
+        }
+    }
+    static auto &announced = Metrics::instance().gauge("waxwing_session_config_version_announced");
+    static auto &inForce = Metrics::instance().gauge("waxwing_session_config_version");
+    announced.set(static_cast<std::int64_t>(m_announcedConfig));
+    inForce.set(static_cast<std::int64_t>(configVersion()));
+}
+
 bool SessionDirectory::hasContentOf(const wire::PoolGrant &grant) const
 {
     return grant.content_hash() == m_contentHash || (grant.holders_pending() && grant.databases_hash() == m_databasesHash);
--- a/programs/control/content_delivery.cpp
+++ b/programs/control/content_delivery.cpp
@@ -32,7 +32,12 @@
 
 void ContentDelivery::recordSent(std::uint64_t version, TimePoint now)
 {
-    m_sent = std::max(m_sent, version);
+    if (version > m_sent) {
+        m_sent = version;
+        m_copies = 0;
+        m_firstSentAt = now;
+    }
+    ++m_copies;
     m_repeatAt = now + m_repetition;
     m_repetition = std::min(2 * m_repetition, m_options.maxRepetition);
 }
--- a/programs/control/content_delivery.h
+++ b/programs/control/content_delivery.h
@@ -56,6 +56,18 @@
         return m_sent;
     }
 
+    /// @brief Copies of the latest version that were sent.
+    unsigned copies() const
+    {
+        return m_copies;
+    }
+
+    /// @brief When the first copy of the latest version was sent.
+    TimePoint firstSentAt() const
+    {
+        return m_firstSentAt;
+    }
+
     const Options &options() const
     {
         return m_options;
@@ -70,6 +82,8 @@
     Options m_options;
     std::uint64_t m_held = 0;
     std::uint64_t m_sent = 0;
+    unsigned m_copies = 0; ///< see copies()
+    TimePoint m_firstSentAt; ///< see firstSentAt()
     Duration m_repetition;
     TimePoint m_repeatAt;
 };
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -33,6 +33,9 @@
 constexpr Duration minRenewalInterval = 400ms;
 constexpr Duration maxRenewalInterval = 800ms;
 constexpr Duration ignoredLogInterval = 5s; // another writer may repeat its heartbeats for as long as it runs
+constexpr Duration firstCopiesLogInterval = 1s; // a new configuration goes to all proxies within milliseconds
+// A proxy states a configuration as soon as it is in force, and once in a renewal interval at least.
+constexpr Duration lateConfirmation = 1s;
 
 } // namespace
 
@@ -284,6 +287,7 @@
         numberDirectory(now);
     }
     pushUpdates(now);
+    reportSentConfigurations(now);
 }
 
 void SessionControl::updateHolders(TimePoint now)
@@ -339,7 +343,10 @@
 void SessionControl::handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal)
 {
     const auto now = Clock::now();
-    m_leases.renew(renewal, now);
+    const auto known = m_leases.proxies().find(proxy);
+    const auto before = known == m_leases.proxies().end() ? ContentDelivery() : known->second.configuration;
+    const auto &renewed = m_leases.renew(renewal, now);
+    logLateConfirmation(proxy, before, renewed.configuration.held(), now);
     m_supervisor.report(proxy, renewal, now);
     auto grantOnSuccess = [this, generation = m_generation, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
         if (generation == m_generation && reply.failure == LogFailure::None) {
@@ -387,7 +394,7 @@
     content.set_incarnation(incarnation);
     content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_leases.options().lease).count()));
     content.set_renew_after_ms(static_cast<std::uint32_t>(toMilliseconds(renewalInterval()).count()));
-    fillGrant(found->second, content, now);
+    fillGrant(proxy, found->second, content, now);
     m_ports.sendToProxy(proxy, message);
 }
 
@@ -396,7 +403,7 @@
     return std::clamp(renewalSpacing * static_cast<int>(m_leases.proxies().size()), minRenewalInterval, maxRenewalInterval);
 }
 
-void SessionControl::fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now)
+void SessionControl::fillGrant(const std::string &name, SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now)
 {
     grant.set_control_term(m_term);
     grant.set_config_version(m_machine.version());
@@ -408,6 +415,7 @@
             grant.set_document(m_machine.document());
         }
         proxy.configuration.recordSent(m_machine.version(), now);
+        logSentConfiguration(name, proxy.configuration, now);
     }
     m_numberedDirectory.fill(grant, {proxy.directoryVersion, proxy.contentHash, proxy.databasesHash, proxy.takesChanges});
     if (m_numberedDirectory.isAssigned()) {
@@ -415,6 +423,53 @@
     }
 }
 
+void SessionControl::logSentConfiguration(const std::string &name, const ContentDelivery &delivery, TimePoint now)
+{
+    const auto member = m_relayMembers.find(name);
+    if (delivery.copies() == 1 && member == m_relayMembers.end()) {
+        ++m_firstCopies;
+        reportSentConfigurations(now);
+        return;
+    }
+    log::write(log::Level::Info, "configuration sent again or through a member",
+               {{"proxy", name},
+                {"version", delivery.sent()},
+                {"held", delivery.held()},
+                {"copies", delivery.copies()},
+                {"since_first_ms", toMilliseconds(now - delivery.firstSentAt()).count()},
+                {"member", member == m_relayMembers.end() ? std::string() : member->second}});
+}
+
+void SessionControl::reportSentConfigurations(TimePoint now)
+{
+    if (m_firstCopies == 0 || now < m_nextFirstCopiesLogAt) {
+        return;
+    }
+    m_nextFirstCopiesLogAt = now + firstCopiesLogInterval;
+    std::size_t behind = 0;
+    std::string first;
+    for (const auto &[name, proxy] : m_leases.proxies()) {
+        if (proxy.configuration.held() < m_machine.version()) {
+            first = behind++ == 0 ? name : first;
+        }
+    }
+    log::write(log::Level::Info, "configuration sent",
+               {{"version", m_machine.version()},
+                {"copies", std::exchange(m_firstCopies, 0)},
+                {"proxies", m_leases.proxies().size()},
+                {"not_confirmed", behind},
+                {"first_not_confirmed", first}});
+}
+
+void SessionControl::logLateConfirmation(const std::string &proxy, const ContentDelivery &before, std::uint64_t held, TimePoint now) const
+{
+    const bool isConfirmed = before.held() < before.sent() && held >= before.sent();
+    if (isConfirmed && now - before.firstSentAt() >= lateConfirmation) {
+        log::write(log::Level::Info, "configuration confirmed late",
+                   {{"proxy", proxy}, {"version", held}, {"since_first_ms", toMilliseconds(now - before.firstSentAt()).count()}, {"copies", before.copies()}});
+    }
+}
+
 const std::string &SessionControl::compressedDocument()
 {
     if (m_compressedVersion != m_machine.version()) {
@@ -490,7 +545,7 @@
             continue;
         }
         wire::PoolEnvelope message;
-        fillGrant(proxy, *message.mutable_grant(), now);
+        fillGrant(name, proxy, *message.mutable_grant(), now);
         m_ports.sendToProxy(name, message);
     }
 }
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -124,7 +124,10 @@
     bool isDirectoryComplete(TimePoint now) const;
     void handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal);
     void grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence);
-    void fillGrant(SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
+    void fillGrant(const std::string &name, SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
+    void logSentConfiguration(const std::string &name, const ContentDelivery &delivery, TimePoint now);
+    void reportSentConfigurations(TimePoint now);
+    void logLateConfirmation(const std::string &proxy, const ContentDelivery &before, std::uint64_t held, TimePoint now) const;
     Duration renewalInterval() const;
     const std::string &compressedDocument();
     void updateHolders(TimePoint now);
@@ -170,6 +173,8 @@
     TimePoint m_activeSince;
     std::uint64_t m_ignoredHeartbeats = 0; ///< since the last log line about them
     TimePoint m_nextIgnoredLogAt;
+    std::uint64_t m_firstCopies = 0; ///< first copies of a configuration that were sent since the last log line about them
+    TimePoint m_nextFirstCopiesLogAt;
 };
 
 } // namespace waxwing::control
