Log names that have no route, with the versions and the lease

The event "name without a route" gives the first 64 bytes of the name, the version in force, the newest version that a grant has named, and what is left of the lease. Such a refusal of BEGIN is counted as an outcome now, as those of starts and statements are.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -79,6 +79,8 @@
     boost::asio::awaitable<std::string> beginWith(SessionStatement statement, bool commits);
     std::optional<SessionJob> makeJob(const SessionStatement &statement, const PoolRoute &route) const;
     const PoolRoute *route() const;
+    /// Logs that the configuration has no route for the name of the session, and how current the configuration is.
+    void logNoRoute() const;
     std::string failTransaction(SessionError error, std::string_view text);
     void rollBackTransaction();
     void recordCommit(const std::string &service, const StatementResult &result);
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -69,6 +70,12 @@
         return m_config ? m_config->version : 0;
     }
 
+    /// @brief Newest version of the configuration that control has named, whether or not it has arrived.
+    std::uint64_t newestConfigVersion() const
+    {
+        return std::max(m_announcedConfigVersion, configVersion());
+    }
+
     std::uint64_t directoryVersion() const
     {
         return m_directoryVersion;
@@ -153,6 +160,7 @@
     boost::asio::any_io_executor m_executor;
     Options m_options;
     std::shared_ptr<const PoolConfig> m_config; // see config()
+    std::uint64_t m_announcedConfigVersion = 0; ///< highest one that a grant has named
     EpochLease m_lease;
     Interruption m_leaseLoss; ///< from the end of the lease until the next one begins
     std::uint64_t m_controlTerm = 0;
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -43,6 +44,7 @@
 constexpr Duration startGracePeriod = 500ms;
 // A stopping proxy has been removed from the load balancer, so the caller's next connection reaches another proxy.
 constexpr Duration otherProxyRetryDelay = 20ms;
+constexpr std::size_t excerptBytes = 64; // names of databases are shorter
 
 /// Tells whether a message from a caller may be too long for a database once the proxy has added to it.
 bool isTooLarge(const SessionStatement &statement)
@@ -52,6 +54,15 @@
     return grows && platform::encodeStatement(statement.id, statement.text).size() + platform::maxAddedBytes > platform::LineReader::maxLine;
 }
 
+/// Start of a name that a caller sent, for the log: printable characters only.
+std::string excerpt(std::string_view name)
+{
+    std::string text(name.substr(0, excerptBytes));
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+    return text;
+}
+
 /// @param received bytes that were read before the close; 0 if they are still in the socket
 void recordCancelledClosing(std::size_t received)
 {
@@ -174,6 +185,7 @@
     }
     if (route() == nullptr) {
         m_ended = true;
+        logNoRoute();
         countOutcome(SessionError::UnknownDatabase);
         co_return platform::encodeStartRefusal(SessionError::UnknownDatabase, "no such database");
     }
@@ -198,6 +210,18 @@
     return found == config->routes.end() ? nullptr : &found->second;
 }
 
+void ClientSession::logNoRoute() const
+{
+    const auto now = Clock::now();
+    log::write(log::Level::Info, "name without a route",
+               {{"request", m_requestId},
+                {"name", excerpt(m_database)},
+                {"config_version", m_directory.configVersion()},
+                {"newest_version", m_directory.newestConfigVersion()},
+                {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
+                {"held_ms", toMilliseconds(now - m_receivedAt).count()}});
+}
+
 asio::awaitable<std::string> ClientSession::handleStatement(SessionStatement statement)
 {
     using Kind = SessionStatement::Kind;
@@ -289,6 +313,8 @@
 {
     const auto *known = route();
     if (known == nullptr) {
+        logNoRoute();
+        countOutcome(SessionError::UnknownDatabase);
         return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
     }
     if (m_backend.isStopping()) {
@@ -407,6 +433,7 @@
 {
     const auto *known = route();
     if (known == nullptr) {
+        logNoRoute();
         countOutcome(SessionError::UnknownDatabase);
         co_return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
     }
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -54,6 +54,7 @@
         return;
     }
     m_controlTerm = grant.control_term();
+    m_announcedConfigVersion = std::max(m_announcedConfigVersion, grant.config_version());
     applyDocument(grant);
     noteAnnounced(grant.config_version());
     // A lease must not be extended with a directory that lacks a change of primary; the next renewal asks for the whole one.
