Bound the bytes that wait for the log thread

Callers choose ids and shapes of up to 1 MiB, and the log copies them. With a reader that stops, up to 10,000 lines wait; lines of many fields fill the memory of a VM of 160 MB long before that count.

Cause: the queue of the log thread was bounded in lines, not in bytes.

Found by reading, shown by LogTest::waitingBytesAreBounded: 1,000 lines of 8 KB to a pipe that nobody reads.

Change: a line reserves its length as well as its place, up to Options::queueBytes (8 MiB). The layout releases both when the log thread formats the line. Lines beyond either bound are dropped and counted as before. The line is built before it reserves, since its length is not known earlier; the budget of its event still comes first, so a flood builds at most its budget. write() takes the fields by reference.

--- a/packages/support/include/waxwing/support/log.h
+++ b/packages/support/include/waxwing/support/log.h
@@ -2,6 +2,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,7 @@
     bool standardOutput = false; ///< without a file, write to standard output
     Level level = Level::Info;
     unsigned queueLength = 10'000; ///< lines queued for the log thread
+    std::size_t queueBytes = 8 << 20; ///< length of the lines queued for the log thread
     unsigned linesPerSecond = 100; ///< of one event; further ones are counted in `waxwing_log_lines_dropped_total`
     unsigned burst = 400; ///< of one event; lines that may come at once
 };
@@ -38,7 +40,7 @@
 /// @param level severity
 /// @param event what happened, a fixed text without variable parts
 /// @param fields further fields, e.g. request and session identifiers
-void write(Level level, std::string_view event, boost::json::object fields = {});
+void write(Level level, std::string_view event, const boost::json::object &fields = {});
 
 /// @brief Tells whether lines of this level are written, so that callers can skip building fields.
 bool isEnabled(Level level);
--- a/packages/support/src/waxwing/support/log.cpp
+++ b/packages/support/src/waxwing/support/log.cpp
@@ -41,7 +41,8 @@
     log4cplus::SharedAppenderPtr appender;
     std::string process;
     Options options;
-    std::atomic<std::size_t> waiting {0}; ///< lines that the log thread has not written yet
+    std::atomic<std::size_t> waitingLines {0}; ///< lines that the log thread has not written yet
+    std::atomic<std::size_t> waitingBytes {0}; ///< length of these lines
     std::mutex mutex; ///< guards the budgets
     std::map<std::string, Budget, std::less<>> budgets;
 };
@@ -128,60 +129,75 @@
     return std::exchange(found->second.dropped, 0);
 }
 
-/// Layout that decrements the number of queued lines. The log thread formats a line right before it writes it.
-class CountingLayout : public log4cplus::PatternLayout
+/// Layout that releases the place of a line in the queue. The log thread formats a line right before it writes it.
+class ReleasingLayout : public log4cplus::PatternLayout
 {
 public:
-    explicit CountingLayout(std::atomic<std::size_t> &waiting)
+    explicit ReleasingLayout(Sink &target)
         : log4cplus::PatternLayout("%m%n")
-        , m_waiting(waiting)
+        , m_target(target)
     {
     }
 
     void formatAndAppend(log4cplus::tostream &output, const log4cplus::spi::InternalLoggingEvent &event) override
     {
         log4cplus::PatternLayout::formatAndAppend(output, event);
-        m_waiting.fetch_sub(1, std::memory_order_relaxed);
+        m_target.waitingBytes.fetch_sub(event.getMessage().size(), std::memory_order_relaxed);
+        m_target.waitingLines.fetch_sub(1, std::memory_order_relaxed);
     }
 
 private:
-    std::atomic<std::size_t> &m_waiting;
+    Sink &m_target;
 };
 
-/// Reserves a slot in the queue of the log thread. The queue of the library blocks when it is full, so lines beyond its
-/// capacity are dropped before they reach it.
-bool reserve(Sink &target)
+/// Reserves a part of a limited amount.
+bool reserve(std::atomic<std::size_t> &used, std::size_t amount, std::size_t limit)
 {
-    if (target.waiting.fetch_add(1, std::memory_order_relaxed) < target.options.queueLength) {
+    if (used.fetch_add(amount, std::memory_order_relaxed) + amount <= limit) {
         return true;
     }
-    target.waiting.fetch_sub(1, std::memory_order_relaxed);
+    used.fetch_sub(amount, std::memory_order_relaxed);
     return false;
 }
 
-log4cplus::SharedAppenderPtr makeAppender(const Options &options, std::atomic<std::size_t> &waiting)
+/// Reserves a place in the queue of the log thread. The queue of the library blocks when it is full, so lines beyond its
+/// capacity are dropped before they reach it.
+bool reserve(Sink &target, std::size_t bytes)
 {
+    if (!reserve(target.waitingLines, 1, target.options.queueLength)) {
+        return false;
+    }
+    if (!reserve(target.waitingBytes, bytes, target.options.queueBytes)) {
+        target.waitingLines.fetch_sub(1, std::memory_order_relaxed);
+        return false;
+    }
+    return true;
+}
+
+log4cplus::SharedAppenderPtr makeAppender(Sink &sink)
+{
+    const auto &options = sink.options;
     log4cplus::SharedAppenderPtr target;
     if (options.file.empty()) {
         target = new log4cplus::ConsoleAppender(!options.standardOutput, true);
     } else {
         target = new log4cplus::FileAppender(options.file, std::ios_base::app, true);
     }
-    target->setLayout(std::make_unique<CountingLayout>(waiting));
+    target->setLayout(std::make_unique<ReleasingLayout>(sink));
     return target;
 }
 
-void writeLine(Level level, std::string_view event, boost::json::object fields)
+std::string makeLine(Level level, std::string_view event, const boost::json::object &fields)
 {
     boost::json::object line;
     line["time_ms"] = unixMilliseconds();
     line["level"] = levelName(level);
     line["process"] = sink()->process;
     line["event"] = event;
-    for (auto &field : fields) {
-        line[field.key()] = std::move(field.value());
+    for (const auto &field : fields) {
+        line[field.key()] = field.value();
     }
-    sink()->logger.log(libraryLevel(level), boost::json::serialize(line));
+    return boost::json::serialize(line);
 }
 
 } // namespace
@@ -196,7 +212,7 @@
     next->logger = log4cplus::Logger::getInstance("waxwing");
     next->logger.setAdditivity(false);
     next->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
-    next->appender = log4cplus::SharedAppenderPtr(new log4cplus::AsyncAppender(makeAppender(options, next->waiting), options.queueLength + 1));
+    next->appender = log4cplus::SharedAppenderPtr(new log4cplus::AsyncAppender(makeAppender(*next), options.queueLength + 1));
     next->logger.addAppender(next->appender);
     sink() = std::move(next);
     threshold.store(options.level);
@@ -217,16 +233,21 @@
     return started.load(std::memory_order_acquire) && level >= threshold.load(std::memory_order_relaxed);
 }
 
-void write(Level level, std::string_view event, boost::json::object fields)
+void write(Level level, std::string_view event, const boost::json::object &fields)
 {
     if (!isEnabled(level)) {
         return;
     }
-    if (!admit(*sink(), event) || !reserve(*sink())) {
+    if (!admit(*sink(), event)) {
+        countDropped(*sink(), event);
+        return;
+    }
+    const auto line = makeLine(level, event, fields);
+    if (!reserve(*sink(), line.size())) {
         countDropped(*sink(), event);
         return;
     }
-    writeLine(level, event, std::move(fields));
+    sink()->logger.log(libraryLevel(level), line);
     if (const auto dropped = takeDropped(*sink(), event); dropped != 0) {
         log::write(Level::Warning, "log lines dropped", {{"of", event}, {"lines", dropped}});
     }
--- a/packages/support/src/waxwing/support/log_test.cpp
+++ b/packages/support/src/waxwing/support/log_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(floodOfOneEventIsBounded);
     CPPUNIT_TEST(readerThatStopsDoesNotBlock);
     CPPUNIT_TEST(droppedLinesAreReported);
+    CPPUNIT_TEST(waitingBytesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +104,41 @@
         std::filesystem::remove(file);
         CPPUNIT_ASSERT(reported);
     }
+
+    // Guards against a reader that stops while lines of many fields come: 10,000 of them need more memory than a small VM has.
+    void waitingBytesAreBounded()
+    {
+        const auto pipe = std::filesystem::temp_directory_path() / ("waxwing-log-bytes-" + std::to_string(::getpid()));
+        CPPUNIT_ASSERT_EQUAL(0, ::mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR));
+        const int reader = ::open(pipe.c_str(), O_RDWR | O_NONBLOCK);
+        CPPUNIT_ASSERT(reader >= 0);
+        constexpr int lines = 1'000;
+        constexpr std::size_t queuedBytes = 100'000;
+        constexpr std::size_t pipeBytes = 65'536; // what the system keeps of a pipe that nobody reads
+        log::start({.process = "test", .file = pipe.string(), .queueBytes = queuedBytes, .linesPerSecond = lines, .burst = lines});
+        const boost::json::array pools(20, boost::json::value(std::string(400, 'a')));
+        for (int i = 0; i < lines; ++i) {
+            log::write(log::Level::Info, "many bytes", {{"pools", pools}});
+        }
+        std::atomic<bool> ended {false};
+        std::size_t received = 0;
+        std::thread drain([&] {
+            std::array<char, 65'536> bytes {};
+            for (bool last = false; !last;) {
+                last = ended;
+                for (auto size = ::read(reader, bytes.data(), bytes.size()); size > 0; size = ::read(reader, bytes.data(), bytes.size())) {
+                    received += static_cast<std::size_t>(size);
+                }
+            }
+        });
+        log::stop();
+        ended = true;
+        drain.join();
+        ::close(reader);
+        std::filesystem::remove(pipe);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(received) + " bytes", received > queuedBytes / 2 && received <= queuedBytes + 2 * pipeBytes);
+        CPPUNIT_ASSERT(Metrics::instance().exposition().find("waxwing_log_lines_dropped_total{event=\"many bytes\"}") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
--- a/programs/control/promotion_runner.cpp
+++ b/programs/control/promotion_runner.cpp
@@ -59,7 +59,7 @@
 void logGroup(log::Level level, std::string_view event, const std::string &group, boost::json::object fields = {})
 {
     fields["group"] = group;
-    log::write(level, event, std::move(fields));
+    log::write(level, event, fields);
 }
 
 void countPromotion(std::string_view result)
