Bound and escape the texts of log lines

Seen: a caller chooses its request ids, shapes and data freely, up to 1 MiB and any bytes but CR LF. A refusal of such a request is a line of 1 MiB for each text field; a byte that is not UTF-8 makes a line that no reader of JSON accepts, so that `waxwing-control explain` skips it; an escape sequence reaches the terminal of whoever prints the field.

Cause: the log took the texts of its fields as they came, and Boost.JSON serializes strings without a check of UTF-8.

Change: makeLine() copies each text of a line, nested ones and keys too, as shownText() returns it: at most 512 bytes, then length and XXH64 of the whole; control characters, backslashes and bytes outside of valid UTF-8 as \xNN. Infinite numbers become null. Two texts never look the same, except for long ones with the same first bytes, length and hash: the backslash itself is escaped, and a cut text is longer than any that is not cut. Texts without control characters and backslashes look as before.

--- a/packages/support/include/waxwing/support/log.h
+++ b/packages/support/include/waxwing/support/log.h
@@ -39,7 +39,7 @@
 /// @brief Writes one line.
 /// @param level severity
 /// @param event what happened, a fixed text without variable parts
-/// @param fields further fields, e.g. request and session identifiers
+/// @param fields further fields, e.g. request and session identifiers; their texts may hold any bytes (see log_text.h)
 void write(Level level, std::string_view event, const boost::json::object &fields = {});
 
 /// @brief Tells whether lines of this level are written, so that callers can skip building fields.
--- a/packages/support/src/waxwing/support/log.cpp
+++ b/packages/support/src/waxwing/support/log.cpp
@@ -1,10 +1,12 @@
 #include <waxwing/support/counter.h>
 #include <waxwing/support/identifier.h>
 #include <waxwing/support/log.h>
+#include <waxwing/support/log_text.h>
 #include <waxwing/support/metrics.h>
 #include <waxwing/support/time.h>
 
 #include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
 #include <log4cplus/asyncappender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -14,6 +16,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -187,15 +190,42 @@
     return target;
 }
 
+/// Copies a value so that its serialization is valid JSON: texts as shownText() returns them, and no infinite numbers.
+boost::json::value shown(const boost::json::value &value)
+{
+    switch (value.kind()) {
+    case boost::json::kind::string:
+        return boost::json::value(shownText(value.get_string()));
+    case boost::json::kind::array: {
+        boost::json::array copy;
+        for (const auto &element : value.get_array()) {
+            copy.push_back(shown(element));
+        }
+        return copy;
+    }
+    case boost::json::kind::object: {
+        boost::json::object copy;
+        for (const auto &field : value.get_object()) {
+            copy[shownText(field.key())] = shown(field.value());
+        }
+        return copy;
+    }
+    case boost::json::kind::double_:
+        return std::isfinite(value.get_double()) ? value : boost::json::value(nullptr);
+    default:
+        return value;
+    }
+}
+
 std::string makeLine(Level level, std::string_view event, const boost::json::object &fields)
 {
     boost::json::object line;
     line["time_ms"] = unixMilliseconds();
     line["level"] = levelName(level);
-    line["process"] = sink()->process;
+    line["process"] = shownText(sink()->process);
     line["event"] = event;
     for (const auto &field : fields) {
-        line[field.key()] = field.value();
+        line[shownText(field.key())] = shown(field.value());
     }
     return boost::json::serialize(line);
 }
--- a/packages/support/src/waxwing/support/log_test.cpp
+++ b/packages/support/src/waxwing/support/log_test.cpp
@@ -3,6 +3,7 @@
 #include <waxwing/support/metrics.h>
 #include <waxwing/support/time.h>
 
+#include <boost/json/parse.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
 #include <sys/stat.h>
@@ -12,17 +13,59 @@
 #include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace waxwing;
 
+namespace
+{
+
+/// Writes lines to a file through a log of its own.
+/// @return the lines, without their ends
+std::vector<std::string> linesOf(const std::function<void()> &write)
+{
+    const auto file = std::filesystem::temp_directory_path() / ("waxwing-log-lines-" + std::to_string(::getpid()));
+    log::start({.process = "test", .file = file.string()});
+    write();
+    log::stop();
+    std::ifstream stream(file);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(std::move(line));
+    }
+    std::filesystem::remove(file);
+    return lines;
+}
+
+boost::json::object objectOf(const std::string &line)
+{
+    boost::json::error_code error;
+    const auto value = boost::json::parse(line, error);
+    CPPUNIT_ASSERT_MESSAGE(line.substr(0, 300), !error && value.is_object());
+    return value.get_object();
+}
+
+std::string textOf(const boost::json::object &object, std::string_view field)
+{
+    return std::string(object.at(field).get_string());
+}
+
+} // namespace
+
 class LogTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(LogTest);
     CPPUNIT_TEST(floodOfOneEventIsBounded);
     CPPUNIT_TEST(readerThatStopsDoesNotBlock);
     CPPUNIT_TEST(droppedLinesAreReported);
+    CPPUNIT_TEST(longTextIsCut);
+    CPPUNIT_TEST(everyLineIsValidJson);
+    CPPUNIT_TEST(differentTextsStayDifferent);
+    CPPUNIT_TEST(usualTextsAreUnchanged);
     CPPUNIT_TEST(waitingBytesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +148,78 @@
         CPPUNIT_ASSERT(reported);
     }
 
+    // Guards against a request id, a shape or a list with texts of 1 MiB that makes a line of as many bytes.
+    void longTextIsCut()
+    {
+        const std::string longText(1'048'576, 'a');
+        const auto lines = linesOf([&] {
+            log::write(log::Level::Info, "long", {{"request", longText}, {"pools", {longText, {{"database", longText}}}}, {longText, 1}});
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(lines.front().size()) + " bytes", lines.front().size() < 4'096);
+        const auto shown = textOf(objectOf(lines.front()), "request");
+        CPPUNIT_ASSERT(shown.starts_with("aaaaaaaa"));
+        CPPUNIT_ASSERT(shown.find("[1048576 bytes, ") != std::string::npos);
+    }
+
+    // Guards against lines that no reader of JSON accepts, or that control a terminal, since an id or a shape holds such bytes.
+    void everyLineIsValidJson()
+    {
+        std::vector<std::string> texts {
+            std::string("nul\0", 4),   "\x1b[2Jclear",         "\xff\xfe",    "cut \xe2\x82", "overlong \xc0\xaf", "surrogate \xed\xa0\x80",
+            "beyond \xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80", "c1 \xc2\x9b", "delete \x7f",  "\xe2\x82 late"};
+        for (int byte = 0; byte < 256; ++byte) {
+            texts.push_back(std::string(3, static_cast<char>(byte)));
+        }
+        const auto lines = linesOf([&] {
+            for (const auto &text : texts) {
+                log::write(log::Level::Info, "bytes", {{"request", text}, {"pools", {text, {{"database", text}}}}, {text, 1}});
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(texts.size(), lines.size());
+        for (const auto &line : lines) {
+            const auto object = objectOf(line);
+            for (const char byte : textOf(object, "request")) {
+                CPPUNIT_ASSERT_MESSAGE(line, static_cast<unsigned char>(byte) >= 0x20 && byte != 0x7f);
+            }
+            CPPUNIT_ASSERT(object.at("pools").is_array());
+        }
+    }
+
+    // Guards against two requests that the log shows under one id: bytes that are replaced, an escape that another caller
+    // spells out, and long ids that differ near their end.
+    void differentTextsStayDifferent()
+    {
+        const std::string longText(100'000, 'a');
+        const std::vector<std::string> texts {"a\xff", "a\xfe",    "a\\xff",       "a\\\\xff",     "a\\x5cxff", "a\xef\xbf\xbd",
+                                              "a\x1b", "a\\u001b", longText + "1", longText + "2", longText};
+        std::set<std::string> shown;
+        for (const auto &line : linesOf([&] {
+                 for (const auto &text : texts) {
+                     log::write(log::Level::Info, "different", {{"request", text}});
+                 }
+             })) {
+            shown.insert(textOf(objectOf(line), "request"));
+        }
+        CPPUNIT_ASSERT_EQUAL(texts.size(), shown.size());
+    }
+
+    // Guards against an operator who doesn't find an ordinary id in the log, or sees names in other scripts as escapes.
+    void usualTextsAreUnchanged()
+    {
+        const std::vector<std::string> texts {"5c0e7a21d94b36f8", "WRITE qb", "", "S\xc3\xa3o Paulo", "\xe6\x9d\xb1\xe4\xba\xac \xf0\x9f\x90\x98",
+                                              "a \"quoted\" b"};
+        const auto lines = linesOf([&] {
+            for (const auto &text : texts) {
+                log::write(log::Level::Info, "usual", {{"request", text}});
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(texts.size(), lines.size());
+        for (std::size_t i = 0; i < texts.size(); ++i) {
+            CPPUNIT_ASSERT_EQUAL(texts[i], textOf(objectOf(lines[i]), "request"));
+        }
+    }
+
     // Guards against a reader that stops while lines of many fields come: 10,000 of them need more memory than a small VM has.
     void waitingBytesAreBounded()
     {
