Skip damaged log lines in explanations

Seen: nothing yet; found by reading. A line whose time was damaged counted as one of the request: a time near the limits of 64 bits overflows the window (undefined behaviour) or widens it to all times, so that every line of the files is printed, and a line without a process or event was printed with blanks in their place.

--- a/programs/control/explain_command.cpp
+++ b/programs/control/explain_command.cpp
@@ -59,7 +59,7 @@
         }
     }
     if (trace.unreadable() != 0) {
-        std::cerr << "waxwing-control: " << trace.unreadable() << " log lines contain malformed JSON and were skipped\n";
+        std::cerr << "waxwing-control: " << trace.unreadable() << " damaged log lines were skipped\n";
     }
     std::int64_t outcomeMs = 0;
     bool found = false;
--- a/programs/control/request_trace.cpp
+++ b/programs/control/request_trace.cpp
@@ -16,6 +16,9 @@
 // removed only after 8 s, but proxies log earlier that they have lost it.
 constexpr std::int64_t causeWindowMs = 3'000;
 constexpr std::int64_t trailingWindowMs = 500; // control may log the cause later than the proxy, and clocks may differ
+// Greater values come from damaged lines.
+constexpr std::int64_t maxTimeMs = 4'102'444'800'000; // year 2100
+constexpr std::int64_t maxHeldMs = 86'400'000;
 
 std::string textOf(const boost::json::object &object, std::string_view field)
 {
@@ -23,15 +26,26 @@
     return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
 }
 
-std::int64_t numberOf(const boost::json::object &object, std::string_view field)
+/// Reads a time.
+/// @return nothing if the field has another type, or a value that no process writes
+std::optional<std::int64_t> timeOf(const boost::json::object &object, std::string_view field, std::int64_t high)
 {
     const auto *value = object.if_contains(field);
+    if (value == nullptr) {
+        return 0;
+    }
     boost::json::error_code error;
-    const auto number = value != nullptr && value->is_number() ? value->to_number<std::int64_t>(error) : 0;
-    return error ? 0 : number;
+    const auto number = value->is_number() ? value->to_number<std::int64_t>(error) : -1;
+    return error || number < 0 || number > high ? std::nullopt : std::optional(number);
 }
 
-/// @param unreadable incremented if the line contains malformed JSON
+bool isText(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(field);
+    return value != nullptr && value->is_string();
+}
+
+/// @param unreadable incremented if the line is damaged
 /// @return nothing if the line is not a log line
 std::optional<RequestTrace::Line> parseLine(std::string_view text, std::size_t &unreadable)
 {
@@ -47,7 +61,13 @@
     }
     RequestTrace::Line line;
     line.fields = std::move(value.get_object());
-    line.timeMs = numberOf(line.fields, "time_ms");
+    const auto time = timeOf(line.fields, "time_ms", maxTimeMs);
+    const auto held = timeOf(line.fields, "held_ms", maxHeldMs);
+    if (!time || !held || !isText(line.fields, "process") || !isText(line.fields, "event")) {
+        ++unreadable;
+        return std::nullopt;
+    }
+    line.timeMs = *time;
     line.process = textOf(line.fields, "process");
     line.event = textOf(line.fields, "event");
     for (const auto *field : {"time_ms", "process", "event", "level"}) {
@@ -74,7 +94,7 @@
         if (!line || textOf(line->fields, "request") != m_request) {
             continue;
         }
-        const auto windowStartMs = line->timeMs - numberOf(line->fields, "held_ms") - causeWindowMs;
+        const auto windowStartMs = line->timeMs - *timeOf(line->fields, "held_ms", maxHeldMs) - causeWindowMs;
         m_windowStartMs = m_lines.empty() ? windowStartMs : std::min(m_windowStartMs, windowStartMs);
         m_windowEndMs = std::max(m_windowEndMs, line->timeMs + trailingWindowMs);
         m_processes.insert(line->process);
--- a/programs/control/request_trace.h
+++ b/programs/control/request_trace.h
@@ -41,7 +41,7 @@
     /// @brief All lines in the order of time.
     const std::vector<Line> &lines();
 
-    /// @brief Number of lines that contain a malformed JSON object.
+    /// @brief Number of damaged lines, which were skipped: malformed JSON, or fields that no process writes.
     std::size_t unreadable() const
     {
         return m_unreadable;
--- a/programs/control/request_trace_test.cpp
+++ b/programs/control/request_trace_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 
 using namespace waxwing::control;
@@ -49,6 +50,7 @@
     CPPUNIT_TEST(causesPrecedeTheOutcome);
     CPPUNIT_TEST(unknownRequestHasNoLines);
     CPPUNIT_TEST(truncatedLineIsCounted);
+    CPPUNIT_TEST(damagedLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,6 +77,37 @@
         trace.collectRelated(second);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), trace.unreadable());
     }
+
+    // Guards against an explanation that ends, or takes in the lines of all times, since a line of one file is damaged.
+    void damagedLinesAreSkipped()
+    {
+        const auto most = std::to_string(std::numeric_limits<std::int64_t>::max());
+        const auto least = std::to_string(std::numeric_limits<std::int64_t>::min());
+        const std::vector<std::string> damaged {R"({"time_ms":)" + most + R"(,"process":"p1","event":"statement refused","request":"a1"})",
+                                                R"({"time_ms":)" + least + R"(,"process":"p1","event":"statement refused","request":"a1"})",
+                                                R"({"time_ms":1e300,"process":"p1","event":"statement refused","request":"a1"})",
+                                                R"({"time_ms":"soon","process":"p1","event":"statement refused","request":"a1"})",
+                                                R"({"time_ms":9900,"held_ms":)" + most + R"(,"process":"p1","event":"statement refused","request":"a1"})",
+                                                R"({"time_ms":9900,"process":[],"event":{},"request":"a1"})",
+                                                R"({"time_ms":9900,"process":"p1","event":"statement refused","request":"a1","text":")"
+                                                    + std::string("\xff\"}"),
+                                                R"({"time_ms":9900,"process":"p1","event":"statement refused","request":"a1","te)",
+                                                R"({"time_ms":9900,"event":"statement refused","request":"a1","x":)" + std::string(100'000, '[') + "}",
+                                                std::string("\0{\"a1\"", 6)};
+        std::string text;
+        for (const auto &line : damaged) {
+            text += line + '\n';
+        }
+        text += proxyLog;
+        RequestTrace trace("a1");
+        std::istringstream first(text);
+        trace.collectRequest(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), trace.lines().size());
+        CPPUNIT_ASSERT_EQUAL(damaged.size(), trace.unreadable());
+        std::istringstream second(text);
+        trace.collectRelated(second);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), trace.lines().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestTraceTest);
