Find requests whose ids the log escapes or cuts

Cause: lines were searched for the id between quotes as the operator gave it, but JSON escapes quotes and backslashes, and the log escapes and cuts ids.

Shown by RequestTraceTest::idIsFoundAsCallersAndTheLogWriteIt, whose lines come from the log itself; it fails before the change at the id `a"b` (expected 1, actual 0).

Change: RequestTrace looks for the id as given and as shownText() returns it, both serialized as JSON, so that an operator may pass what the caller sent or what the log shows.

--- a/programs/control/request_trace.cpp
+++ b/programs/control/request_trace.cpp
@@ -1,6 +1,9 @@
 #include "request_trace.h"
 
+#include <waxwing/support/log_text.h>
+
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -80,18 +83,21 @@
 
 RequestTrace::RequestTrace(std::string request)
     : m_request(std::move(request))
+    , m_shown(log::shownText(m_request))
 {
 }
 
 void RequestTrace::collectRequest(std::istream &log)
 {
-    const auto quotedRequest = '"' + m_request + '"';
+    // Lines are parsed only if they contain the id in the form of JSON.
+    const auto asGiven = boost::json::serialize(boost::json::string(m_request));
+    const auto asShown = boost::json::serialize(boost::json::string(m_shown));
     for (std::string text; std::getline(log, text);) {
-        if (text.find(quotedRequest) == std::string::npos) {
+        if (text.find(asGiven) == std::string::npos && text.find(asShown) == std::string::npos) {
             continue;
         }
         auto line = parseLine(text, m_unreadable);
-        if (!line || textOf(line->fields, "request") != m_request) {
+        if (!line || !isOfRequest(*line)) {
             continue;
         }
         const auto windowStartMs = line->timeMs - *timeOf(line->fields, "held_ms", maxHeldMs) - causeWindowMs;
@@ -124,6 +130,12 @@
     }
 }
 
+bool RequestTrace::isOfRequest(const Line &line) const
+{
+    const auto id = textOf(line.fields, "request");
+    return id == m_request || id == m_shown;
+}
+
 bool RequestTrace::isRelated(const Line &line) const
 {
     if (line.timeMs < m_windowStartMs || line.timeMs > m_windowEndMs) {
--- a/programs/control/request_trace.h
+++ b/programs/control/request_trace.h
@@ -30,6 +30,7 @@
         boost::json::object fields; ///< without time, process, event and level
     };
 
+    /// @param request id as the caller knows it, or as the log shows it (see waxwing/support/log_text.h)
     explicit RequestTrace(std::string request);
 
     /// @brief Collects the lines of the request from one log. A line may have a prefix before its JSON object.
@@ -48,9 +49,11 @@
     }
 
 private:
+    bool isOfRequest(const Line &line) const;
     bool isRelated(const Line &line) const;
 
     std::string m_request;
+    std::string m_shown; ///< the id as the log shows it
     std::vector<Line> m_lines;
     std::set<std::string, std::less<>> m_processes; ///< processes that logged the request
     std::set<std::string, std::less<>> m_services; ///< services that the request ran on
--- a/programs/control/request_trace_test.cpp
+++ b/programs/control/request_trace_test.cpp
@@ -1,8 +1,13 @@
 #include "request_trace.h"
 
+#include <waxwing/support/log.h>
+
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
 #include <limits>
 #include <sstream>
 
@@ -24,6 +29,15 @@
       "{\"time_ms\":8600,\"level\":\"info\",\"process\":\"c1\",\"event\":\"database changed\",\"service\":\"t\"}\n"
       "{\"time_ms\":8500,\"level\":\"info\",\"process\":\"c1\",\"event\":\"reload requested\"}\n";
 
+/// Number of lines of a request in a log.
+std::size_t linesOf(const std::string &request, const std::string &text)
+{
+    RequestTrace trace(request);
+    std::istringstream log(text);
+    trace.collectRequest(log);
+    return trace.lines().size();
+}
+
 std::vector<std::string> eventsOf(const std::string &request)
 {
     RequestTrace trace(request);
@@ -50,6 +64,7 @@
     CPPUNIT_TEST(causesPrecedeTheOutcome);
     CPPUNIT_TEST(unknownRequestHasNoLines);
     CPPUNIT_TEST(truncatedLineIsCounted);
+    CPPUNIT_TEST(idIsFoundAsCallersAndTheLogWriteIt);
     CPPUNIT_TEST(damagedLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +93,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), trace.unreadable());
     }
 
+    // Guards against a request that is not found since the log escapes or cuts its id: quotes, backslashes, control characters,
+    // bytes that are not UTF-8, and great length.
+    void idIsFoundAsCallersAndTheLogWriteIt()
+    {
+        const std::vector<std::string> ids {
+            "5c0e7a21d94b36f8", "a\"b", "a\\b", "a\tb", "a\xff", "S\xc3\xa3o", std::string(100'000, 'a') + "1", std::string(100'000, 'a') + "2"};
+        const auto file = std::filesystem::temp_directory_path() / ("waxwing-trace-" + std::to_string(::getpid()));
+        waxwing::log::start({.process = "p1", .file = file.string()});
+        for (const auto &id : ids) {
+            waxwing::log::write(waxwing::log::Level::Info, "statement refused", {{"request", id}});
+        }
+        waxwing::log::stop();
+        std::stringstream log;
+        log << std::ifstream(file).rdbuf();
+        std::filesystem::remove(file);
+        for (const auto &id : ids) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id.substr(0, 100), std::size_t(1), linesOf(id, log.str()));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), linesOf("a\\x5cb", log.str()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), linesOf("a\\xff", log.str()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), linesOf("a", log.str()));
+    }
+
     // Guards against an explanation that ends, or takes in the lines of all times, since a line of one file is damaged.
     void damagedLinesAreSkipped()
     {
