Escape label values of metrics

Seen: nothing yet; found by reading. A quote, backslash or line end in a label value ends the label or the line, so that a collector refuses the exposition as a whole, or stores a metric that nobody counted.

Cause: label values were written as they came. The values in use are fixed words, HTTP status codes and names of groups, which are checked to be a-z, 0-9, '-', '_' and '.'; none comes from callers, heartbeats or the configuration of deployments that serve sessions. The registry itself relied on that.

Shown by MetricsTest::labelValuesAreEscaped, which fails before the change: waxwing_queue_length{group="a"} 1 b\"} 2

Change: makeKey() escapes backslash, quote and line end, as the Prometheus text format asks.

--- a/packages/support/src/waxwing/support/metrics.cpp
+++ b/packages/support/src/waxwing/support/metrics.cpp
@@ -22,11 +22,28 @@
     auto operator<=>(const MetricKey &) const = default;
 };
 
+/// Escapes a label value for the Prometheus text format.
+std::string escaped(std::string_view value)
+{
+    std::string text;
+    for (const char c : value) {
+        if (c == '\n') {
+            text += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            text += '\\';
+        }
+        text += c;
+    }
+    return text;
+}
+
 MetricKey makeKey(std::string_view name, std::string_view label, std::string_view value)
 {
     MetricKey key {std::string(name), {}};
     if (!label.empty()) {
-        key.labels.append(label).append("=\"").append(value).append("\"");
+        key.labels.append(label).append("=\"").append(escaped(value)).append("\"");
     }
     return key;
 }
--- a/packages/support/src/waxwing/support/metrics_test.cpp
+++ b/packages/support/src/waxwing/support/metrics_test.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(MetricsTest);
     CPPUNIT_TEST(expositionListsLabelledCounters);
+    CPPUNIT_TEST(labelValuesAreEscaped);
     CPPUNIT_TEST(uuidCarriesItsTime);
     CPPUNIT_TEST_SUITE_END();
 
@@ -25,6 +26,18 @@
         CPPUNIT_ASSERT(text.find("waxwing_refusals_total{reason=\"no-owner\"} 1\n") != std::string::npos);
     }
 
+    // Guards against a name from outside that ends its label or its line, so that the whole exposition can't be read or shows
+    // a metric that nobody counted.
+    void labelValuesAreEscaped()
+    {
+        Metrics metrics;
+        metrics.gauge("waxwing_queue_length", "group", "a\"} 1\nb\\").set(2);
+        metrics.summary("waxwing_seconds", "kind", "\"");
+        const auto text = metrics.exposition();
+        CPPUNIT_ASSERT_MESSAGE(text, text.find("waxwing_queue_length{group=\"a\\\"} 1\\nb\\\\\"} 2\n") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(text, text.find("waxwing_seconds_count{kind=\"\\\"\"} 0\n") != std::string::npos);
+    }
+
     // Guards against idempotency keys whose age is read wrongly, which would refuse fresh keys or accept expired ones.
     void uuidCarriesItsTime()
     {
