Refuse names of processes that break a line

Seen: nothing yet; found by reading. The names of a proxy and of a member of control come from their settings files and become a field of the first line to each database (STARTUP service who id), and the header Lease-Holder of orders to the platform. With a blank in a name, the database takes the rest of it for the expected id and answers WRONGNODE; a line end would begin another line.

Change: Settings::word() reads a name of 1 to 256 bytes without blanks and control characters; sessions.name and control.name of serve-sessions use it. A process with another name doesn't start and says why with file and line.

Names of services, and ids, addresses and failure domains of databases need no change: lines to databases are made from members that passed platform::isUsable(), at the member of control that hears the heartbeat and again when a leader reads its log (HeartbeatTest::textThatBreaksALineIsRefused and generatedHeartbeatIsRefusedOrUsable). A service of the configuration whose name is no field never has a member.

--- a/packages/support/include/waxwing/support/settings.h
+++ b/packages/support/include/waxwing/support/settings.h
@@ -44,6 +44,9 @@
     /// @brief Reads a required string.
     std::string text(std::string_view key);
 
+    /// @brief Reads a required name: 1 to 256 bytes without blanks and control characters, which can be a field of a line or a header.
+    std::string word(std::string_view key);
+
     /// @brief Reads an optional string.
     std::string text(std::string_view key, std::string_view fallback);
 
--- a/packages/support/src/waxwing/support/settings.cpp
+++ b/packages/support/src/waxwing/support/settings.cpp
@@ -106,6 +106,21 @@
     return text(key, {});
 }
 
+std::string Settings::word(std::string_view key)
+{
+    constexpr std::size_t maxWordBytes = 256;
+    auto value = text(key);
+    const auto *node = m_data->find(key);
+    const bool isWord = !value.empty() && value.size() <= maxWordBytes && std::none_of(value.begin(), value.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte <= 0x20 || byte == 0x7f;
+    });
+    if (node != nullptr && node->is_string() && !isWord) {
+        m_data->report(node, key, "expected 1 to " + std::to_string(maxWordBytes) + " bytes without blanks and control characters");
+    }
+    return value;
+}
+
 std::string Settings::text(std::string_view key, std::string_view fallback)
 {
     const auto *node = m_data->find(key);
--- a/programs/control/session_control_settings.cpp
+++ b/programs/control/session_control_settings.cpp
@@ -22,7 +22,7 @@
 {
     SessionControlSettings result;
     auto settings = Settings::load(path);
-    result.name = settings.text("control.name");
+    result.name = settings.word("control.name");
     result.failureDomain = settings.text("control.failure_domain");
     result.httpListen = settings.text("control.http");
     result.linkListen = settings.text("control.link");
--- a/programs/control/session_control_settings_test.cpp
+++ b/programs/control/session_control_settings_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(lossesToBearAreRead);
     CPPUNIT_TEST(lossesOutOfRangeAreRefusedWithFileAndLine);
     CPPUNIT_TEST(fencingMustBeStated);
+    CPPUNIT_TEST(nameThatBreaksALineIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,11 +51,23 @@
         CPPUNIT_ASSERT(load("late_order_limit_s = 20\n").lateOrderLimit == std::chrono::seconds(20));
     }
 
+    // Guards against a name whose blanks or line ends become fields or lines of what control sends to databases, or headers of its
+    // orders.
+    void nameThatBreaksALineIsRefused()
+    {
+        CPPUNIT_ASSERT(load("", "control-1").errors.empty());
+        for (const std::string name : {"", "control 1", "control\\r\\nFencing-Token: 9", "control\\u0000"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t(1), load("", name).errors.size());
+        }
+    }
+
 private:
-    SessionControlSettings load(const std::string &line) const
+    SessionControlSettings load(const std::string &line, const std::string &name = "a") const
     {
         std::ofstream(m_path) << "[control]\n"
-                                 "name = \"a\"\n"
+                                 "name = \""
+                              << name
+                              << "\"\n"
                                  "failure_domain = \"z\"\n"
                                  "http = \"127.0.0.1:1\"\n"
                                  "link = \"127.0.0.1:2\"\n"
--- a/programs/proxy/session_settings.cpp
+++ b/programs/proxy/session_settings.cpp
@@ -17,7 +17,7 @@
 {
     SessionSettings result;
     auto settings = Settings::load(path);
-    result.name = settings.text("sessions.name");
+    result.name = settings.word("sessions.name");
     result.failureDomain = settings.text("sessions.failure_domain");
     result.callerListen = settings.text("sessions.listen");
     result.readyListen = settings.text("sessions.ready");
