Log which preparation a request runs

Seen: the users report statements that ran as others by request id. The event "statement prepared" names the request for which a pooled connection was prepared, but a connection is prepared once and then serves other requests, of other sessions, without a line; and names (p1, p2) are the same on each connection, so that the line of another connection looks like the right one.

Cause: no line told the connection, nor which name a request executed.

Found by reading, shown by StatementEventsTest::requestLeadsToThePreparationOfItsConnection: from a request's id to the shape that the database ran, for single statements and in a transaction, with and without a preparation. Before the change: Expected: qa qb Actual : 0 preparations

Change: each database connection has a number within its process; "statement prepared" and "preparation refused" carry it as `connection`. At the level debug, "prepared statement sent" gives connection and name for each request, at the proxy that holds the connection (`forwarded` tells that another proxy has the caller). Not at the level info: it is a line for each statement.

--- a/packages/sessions/include/waxwing/sessions/database_connection.h
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,12 @@
         return m_open;
     }
 
+    /// @brief Number of the connection, which no other one of this process has; for the log.
+    std::uint64_t number() const
+    {
+        return m_number;
+    }
+
     /// @brief Values and prepared statements of the connection.
     ConnectionState &state()
     {
@@ -99,6 +106,7 @@
     platform::LineReader m_lines;
     platform::ReplyReader m_replies;
     ConnectionState m_state;
+    std::uint64_t m_number;
     TransactionState m_transaction = TransactionState::Idle;
     bool m_open = false;
     bool m_timedOut = false;
--- a/packages/sessions/src/waxwing/sessions/database_connection.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <utility>
 
@@ -31,11 +32,18 @@
 // deadline.
 constexpr Duration keepAliveIdle = 10s;
 
+std::uint64_t nextNumber()
+{
+    static std::atomic<std::uint64_t> last {0};
+    return ++last;
+}
+
 } // namespace
 
 DatabaseConnection::DatabaseConnection(const asio::any_io_executor &executor)
     : m_socket(executor)
     , m_timer(executor)
+    , m_number(nextNumber())
 {
 }
 
--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -68,7 +68,7 @@
 {
     m_writes = m_writes || job.writes;
     while (true) {
-        StatementExchange exchange(m_connection->state(), database());
+        StatementExchange exchange(*m_connection, database());
         exchange.addPreparationInTransaction(job);
         exchange.add(platform::encodeStatement(job.id, exchange.text(job)));
         const auto sentAt = Clock::now();
--- a/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/protocol/pool_reply.h>
+#include <waxwing/sessions/database_connection.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
@@ -26,8 +27,9 @@
 
 } // namespace
 
-StatementExchange::StatementExchange(ConnectionState &state, std::string database)
-    : m_state(state)
+StatementExchange::StatementExchange(DatabaseConnection &connection, std::string database)
+    : m_state(connection.state())
+    , m_connection(connection.number())
     , m_database(std::move(database))
 {
 }
@@ -70,6 +72,7 @@
                    {{"request", job.id},
                     {"service", job.route.service},
                     {"database", m_database},
+                    {"connection", m_connection},
                     {"name", name},
                     {"writes", prepared.writes},
                     {"shape", prepared.shape},
@@ -79,7 +82,20 @@
 
 std::string StatementExchange::text(const SessionJob &job) const
 {
-    return job.prepared ? platform::executeText(m_state.nameOf(*job.prepared), job.text) : job.text;
+    if (!job.prepared) {
+        return job.text;
+    }
+    const auto name = m_state.nameOf(*job.prepared);
+    if (log::isEnabled(log::Level::Debug)) { // as many lines as statements
+        log::write(log::Level::Debug, "prepared statement sent",
+                   {{"request", job.id},
+                    {"service", job.route.service},
+                    {"database", m_database},
+                    {"connection", m_connection},
+                    {"name", name},
+                    {"forwarded", job.forwarded}});
+    }
+    return platform::executeText(name, job.text);
 }
 
 void StatementExchange::reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const
@@ -93,6 +109,7 @@
                    {{"request", job.id},
                     {"service", job.route.service},
                     {"database", m_database},
+                    {"connection", m_connection},
                     {"command", m_preparation[i]},
                     {"error", static_cast<int>(replies[i].error)}});
     }
--- a/packages/sessions/src/waxwing/sessions/statement_exchange.h
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.h
@@ -4,6 +4,7 @@
 #include <waxwing/sessions/session_job.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,15 +12,15 @@
 namespace waxwing
 {
 
+class DatabaseConnection;
 struct PoolReply;
 
 /// @brief Commands that are sent to a database in one write: what brings the connection to the state of a session, and a statement.
 class StatementExchange
 {
 public:
-    /// @param state values and prepared statements of the connection
     /// @param database id of the database, for the log
-    StatementExchange(ConnectionState &state, std::string database);
+    StatementExchange(DatabaseConnection &connection, std::string database);
 
     /// @brief Adds the commands that bring the connection to the state of the session, and records them in the state.
     void addPreparation(const SessionJob &job);
@@ -30,7 +31,7 @@
     /// @brief Adds an encoded command.
     void add(std::string_view command);
 
-    /// @brief Text of the statement on this connection, which must be prepared for it.
+    /// @brief Text to send for the statement on this connection, which must be prepared for it. Logs which prepared statement it runs.
     std::string text(const SessionJob &job) const;
 
     /// @brief Logs and counts commands of the preparation that the database refused.
@@ -53,6 +54,7 @@
     void addCommands(const SessionJob &job, const ConnectionState::Preparation &preparation);
 
     ConnectionState &m_state;
+    std::uint64_t m_connection; ///< its number, for the log
     std::string m_database;
     std::string m_bytes;
     std::size_t m_commands = 0;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -386,7 +386,7 @@
         countRetry("directory-changed");
         co_return AttemptOutcome::Retry;
     }
-    StatementExchange exchange(connection->state(), pool->member().id());
+    StatementExchange exchange(*connection, pool->member().id());
     exchange.addPreparation(job);
     addFirst(exchange, job, choice.after, choice.verifies);
     const auto sentAt = Clock::now();
