Show what the connection of a request was prepared with

Seen: `waxwing-control explain` shows the lines of a request and what happened around it, but not the preparation of its connection, which may be hours old and belongs to another request.

Change: for each "prepared statement sent" of the request that it didn't prepare itself, the explanation has the last "statement prepared" of the same process, connection and name before it. Numbers of connections begin anew when a process restarts; the last one before the request belongs to the same run, since a connection is prepared before it is used.

--- a/programs/control/request_trace.h
+++ b/programs/control/request_trace.h
@@ -5,9 +5,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <istream>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace waxwing::control
@@ -16,7 +18,8 @@
 /// @brief Collects the log lines of all processes that explain the outcome of a request, in the order of time.
 ///
 /// Reads the logs twice: collectRequest() finds the lines of the request, which give its time, processes and services;
-/// collectRelated() finds what these processes and control logged about these services around that time.
+/// collectRelated() finds what these processes and control logged about these services around that time, and how the connections
+/// were prepared that ran its prepared statements.
 class RequestTrace
 {
 public:
@@ -49,7 +52,13 @@
     }
 
 private:
+    /// Prepared statement of a connection: process, number of the connection, and name on it.
+    using Prepared = std::tuple<std::string, std::int64_t, std::string>;
+
+    static Prepared preparedOf(const Line &line);
+
     bool isOfRequest(const Line &line) const;
+    void collectPreparation(Line &&line);
     bool isRelated(const Line &line) const;
 
     std::string m_request;
@@ -57,6 +66,9 @@
     std::vector<Line> m_lines;
     std::set<std::string, std::less<>> m_processes; ///< processes that logged the request
     std::set<std::string, std::less<>> m_services; ///< services that the request ran on
+    std::set<Prepared> m_preparedByRequest;
+    std::map<Prepared, std::int64_t> m_sent; ///< prepared statements that the request ran without preparing them, and when
+    std::map<Prepared, Line> m_preparations; ///< how their connections were prepared
     std::int64_t m_windowStartMs = 0;
     std::int64_t m_windowEndMs = 0;
     std::size_t m_unreadable = 0;
--- a/programs/control/request_trace_test.cpp
+++ b/programs/control/request_trace_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(truncatedLineIsCounted);
     CPPUNIT_TEST(idIsFoundAsCallersAndTheLogWriteIt);
     CPPUNIT_TEST(damagedLinesAreSkipped);
+    CPPUNIT_TEST(preparationOfTheConnectionIsShown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +147,31 @@
         trace.collectRelated(second);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), trace.lines().size());
     }
+
+    // Guards against an explanation of a statement that ran as another which lacks what its connection was prepared with, or shows what
+    // another connection, another process, or the process before a restart was prepared with.
+    void preparationOfTheConnectionIsShown()
+    {
+        const auto prepared = [](std::int64_t timeMs, const std::string &process, int connection, const std::string &shape) {
+            return R"({"time_ms":)" + std::to_string(timeMs) + R"(,"process":")" + process
+                + R"(","event":"statement prepared","request":"z9","service":"s","connection":)" + std::to_string(connection) + R"(,"name":"p2","shape":")"
+                + shape + "\"}\n";
+        };
+        const std::string text = prepared(50, "p1", 7, "before a restart") + prepared(100, "p1", 7, "qa qb") + prepared(110, "p1", 8, "other connection")
+            + prepared(120, "p2", 7, "other process")
+            + R"({"time_ms":9900,"process":"p1","event":"prepared statement sent","request":"a1","service":"s","connection":7,"name":"p2"})" + '\n'
+            + prepared(9950, "p1", 7, "after a restart");
+        RequestTrace trace("a1");
+        std::istringstream first(text);
+        trace.collectRequest(first);
+        std::istringstream second(text);
+        trace.collectRelated(second);
+        const auto &lines = trace.lines();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("statement prepared"), lines.front().event);
+        CPPUNIT_ASSERT_EQUAL(std::string("qa qb"), std::string(lines.front().fields.at("shape").get_string()));
+        CPPUNIT_ASSERT(!lines.front().ofRequest);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestTraceTest);
