Deny a database only under the latest configuration

NODB promises nothing, so that a caller whose single write is denied does not try another proxy.

A proxy now says NODB only while it holds a lease and no grant has named a version that is not in force. Otherwise the start, statement or BEGIN waits for up to 1.5 s, as a start already did without any configuration, and not beyond the deadline of a statement (that of the latest route of the session). It goes on as soon as a configuration arrives or a lease confirms the one in force. If that does not happen it is refused with BUSY, not run, retry after 20 ms, so that the caller goes to another proxy. A stop ends the wait. A lease ends at most 2 s after the renewal that it answers was sent, so that a proxy which denies a name knows every version that was acknowledged 2 s before. The refusal without any configuration says when to come back as well.

ServiceState and SessionDirectory wait with the same ChangeSignal, which was part of ServiceState; starts do not poll each 25 ms any more.

What a name with a route gets without a lease stays as it is: it is served. Refusing it would turn each outage of control into an outage of all databases, while a route that changed meanwhile concerns few callers, and the users hold only machines in touch to the newest version. Reads and commits that need the lease are refused or wait already, so that serving an older route can not return stale data or lose a commit. Under an announced version that has not arrived, a route goes on too: the version arrives within moments, and holding all statements for it would delay every caller at each change.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -2,6 +2,7 @@
 
 #include <waxwing/coordination/session_state.h>
 #include <waxwing/platform/line_reader.h>
+#include <waxwing/protocol/session_error.h>
 #include <waxwing/protocol/session_request.h>
 #include <waxwing/protocol/transaction_state.h>
 #include <waxwing/sessions/deadline_timer.h>
@@ -70,7 +71,7 @@
     boost::asio::awaitable<std::string> handleFailed(const SessionStatement &statement);
     std::string refuseTooLarge(bool endsTransaction);
     std::string storeInSession(const SessionStatement &statement);
-    std::string begin(bool readOnly);
+    boost::asio::awaitable<std::string> begin(bool readOnly);
     std::string refuseStart();
     std::string rollback();
     boost::asio::awaitable<std::string> commit(SessionStatement statement);
@@ -79,8 +80,17 @@
     boost::asio::awaitable<std::string> beginWith(SessionStatement statement, bool commits);
     std::optional<SessionJob> makeJob(const SessionStatement &statement, const PoolRoute &route) const;
     const PoolRoute *route() const;
-    /// Logs that the configuration has no route for the name of the session, and how current the configuration is.
-    void logNoRoute() const;
+    /// Time by which a statement that was just received must be answered.
+    TimePoint answerLimit(Duration statementTimeout) const;
+    /// Waits until there is a route for the name of the session, or it is known that there is none.
+    boost::asio::awaitable<void> awaitRoute(TimePoint limit);
+    /// What to answer while there is no route.
+    struct NoRoute
+    {
+        SessionError error;
+        std::string text;
+    };
+    NoRoute refuseWithoutRoute() const;
     std::string failTransaction(SessionError error, std::string_view text);
     void rollBackTransaction();
     void recordCommit(const std::string &service, const StatementResult &result);
@@ -93,6 +103,7 @@
     platform::LineReader m_lines;
     SessionState m_state;
     std::string m_database; ///< empty before the start of the session
+    Duration m_statementTimeout {}; ///< of the latest route of the session
     std::string m_requestId; ///< of the current or most recent statement
     TransactionState m_transactionState = TransactionState::Idle;
     Transaction m_transaction;
--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <waxwing/coordination/position_history.h>
+#include <waxwing/sessions/change_signal.h>
 #include <waxwing/sessions/database_pool.h>
 #include <waxwing/sessions/interruption.h>
 #include <waxwing/sessions/statement_holder.h>
@@ -8,7 +9,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -154,7 +154,6 @@
     void notify();
 
 private:
-    boost::asio::any_io_executor m_executor;
     std::string m_name;
     std::uint64_t m_epoch = 0;
     std::string m_primary;
@@ -168,8 +167,7 @@
     std::size_t m_pendingWrites = 0;
     TimePoint m_writesPendingSince;
     TimePoint m_lastAnsweredWrite;
-    // Shared with the waiting coroutines, because notify() replaces the signal before it cancels the old one.
-    std::shared_ptr<boost::asio::steady_timer> m_signal;
+    ChangeSignal m_change;
 };
 
 } // namespace waxwing
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <waxwing/coordination/epoch_lease.h>
+#include <waxwing/sessions/change_signal.h>
 #include <waxwing/sessions/interruption.h>
 #include <waxwing/sessions/service_state.h>
 #include <waxwing/state/pool_config.h>
@@ -8,6 +9,7 @@
 #include <waxwing/wire/sessions.pb.h>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -76,6 +78,19 @@
         return std::max(m_announcedConfigVersion, configVersion());
     }
 
+    /// @brief Tells whether the configuration in force is the latest as far as control has told within the lease. Only then does the
+    /// lack of a route prove that there is none.
+    bool hasLatestConfig(TimePoint now) const
+    {
+        return m_config && m_lease.isValid(now) && newestConfigVersion() == configVersion();
+    }
+
+    /// @brief Waits until a configuration arrives or is found to be the latest. May return early; check the condition again.
+    boost::asio::awaitable<void> waitForConfig(TimePoint deadline)
+    {
+        return m_configChange.wait(deadline);
+    }
+
     std::uint64_t directoryVersion() const
     {
         return m_directoryVersion;
@@ -161,6 +176,7 @@
     Options m_options;
     std::shared_ptr<const PoolConfig> m_config; // see config()
     std::uint64_t m_announcedConfigVersion = 0; ///< highest one that a grant has named
+    ChangeSignal m_configChange; ///< see waitForConfig()
     EpochLease m_lease;
     Interruption m_leaseLoss; ///< from the end of the lease until the next one begins
     std::uint64_t m_controlTerm = 0;
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -3,6 +3,7 @@
 #include <waxwing/platform/caller_wire.h>
 #include <waxwing/platform/database_wire.h>
 #include <waxwing/sessions/client_session.h>
+#include <waxwing/sessions/retry_advice.h>
 #include <waxwing/sessions/statement_log.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
@@ -36,14 +37,17 @@
 constexpr Duration callerKeepAliveIdle = 20s;
 // Answers are complete this long before the statement times out, which leaves time for their transmission.
 constexpr Duration answerMargin = 30ms;
-// How long a start waits for the configuration; callers time out after 2 s.
+// How long a start or a statement waits for the configuration; callers time out a start after 2 s.
 constexpr Duration configTimeout = 1500ms;
-constexpr Duration configPollInterval = 25ms;
 // A new connection counts as idle only after this time without a start message. Callers send the message as soon as they are
 // connected, and a round trip between two regions takes at most 40 ms.
 constexpr Duration startGracePeriod = 500ms;
 // A stopping proxy has been removed from the load balancer, so the caller's next connection reaches another proxy.
 constexpr Duration otherProxyRetryDelay = 20ms;
+// Reasons of refusals without a route.
+constexpr std::string_view stoppingReason = "stopping";
+constexpr std::string_view noConfigReason = "no-configuration";
+constexpr std::string_view unconfirmedReason = "configuration-unconfirmed";
 constexpr std::size_t excerptBytes = 64; // names of databases are shorter
 
 /// Tells whether a message from a caller may be too long for a database once the proxy has added to it.
@@ -170,25 +174,19 @@
 {
     m_database = std::move(database);
     // After the start of the process the configuration arrives within moments, which is sooner than the caller's next attempt.
-    asio::steady_timer pause(m_socket.get_executor());
-    while (!m_backend.isStopping() && !m_directory.config() && Clock::now() < m_receivedAt + configTimeout) {
-        pause.expires_after(configPollInterval);
-        co_await pause.async_wait(useTuple);
+    if (route() == nullptr) {
+        co_await awaitRoute(m_backend.limitDeadline(m_receivedAt + configTimeout));
     }
     if (m_backend.isStopping()) {
         co_return refuseStart();
     }
-    if (!m_directory.config()) {
-        m_ended = true;
-        countOutcome(SessionError::Busy);
-        co_return platform::encodeStartRefusal(SessionError::Busy, "not run, no configuration yet");
-    }
-    if (route() == nullptr) {
+    const auto *known = route();
+    if (known == nullptr) {
         m_ended = true;
-        logNoRoute();
-        countOutcome(SessionError::UnknownDatabase);
-        co_return platform::encodeStartRefusal(SessionError::UnknownDatabase, "no such database");
+        const auto refusal = refuseWithoutRoute();
+        co_return platform::encodeStartRefusal(refusal.error, refusal.text);
     }
+    m_statementTimeout = known->statementTimeout;
     co_return platform::encodeReady(m_transactionState);
 }
 
@@ -210,16 +208,41 @@
     return found == config->routes.end() ? nullptr : &found->second;
 }
 
-void ClientSession::logNoRoute() const
+TimePoint ClientSession::answerLimit(Duration statementTimeout) const
+{
+    return m_backend.limitDeadline(m_receivedAt + statementTimeout - std::min(answerMargin, statementTimeout / 4));
+}
+
+asio::awaitable<void> ClientSession::awaitRoute(TimePoint limit)
+{
+    const auto deadline = std::min(limit, m_receivedAt + configTimeout);
+    for (auto now = Clock::now(); now < deadline; now = Clock::now()) {
+        if (route() != nullptr || m_directory.hasLatestConfig(now) || m_backend.isStopping()) {
+            co_return;
+        }
+        co_await m_directory.waitForConfig(deadline);
+    }
+}
+
+ClientSession::NoRoute ClientSession::refuseWithoutRoute() const
 {
     const auto now = Clock::now();
+    NoRoute refusal {SessionError::UnknownDatabase, "no such database"};
+    if (!m_directory.hasLatestConfig(now)) {
+        const std::string_view reason = m_backend.isStopping() ? stoppingReason : m_directory.config() ? unconfirmedReason : noConfigReason;
+        Metrics::instance().counter("waxwing_session_refusals_total", "reason", reason).add();
+        refusal = {SessionError::Busy, RetryAdvice::text(RetryAdvice::otherProxy, reason, false)};
+    }
+    countOutcome(refusal.error);
     log::write(log::Level::Info, "name without a route",
                {{"request", m_requestId},
                 {"name", excerpt(m_database)},
+                {"answer", refusal.text},
                 {"config_version", m_directory.configVersion()},
                 {"newest_version", m_directory.newestConfigVersion()},
                 {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
                 {"held_ms", toMilliseconds(now - m_receivedAt).count()}});
+    return refusal;
 }
 
 asio::awaitable<std::string> ClientSession::handleStatement(SessionStatement statement)
@@ -241,7 +264,7 @@
     case Kind::Begin:
     case Kind::BeginReadOnly:
         if (!open) {
-            co_return begin(statement.kind == Kind::BeginReadOnly);
+            co_return co_await begin(statement.kind == Kind::BeginReadOnly);
         }
         break;
     case Kind::Rollback:
@@ -309,24 +332,27 @@
     return platform::encodeAccepted(m_transactionState);
 }
 
-std::string ClientSession::begin(bool readOnly)
+asio::awaitable<std::string> ClientSession::begin(bool readOnly)
 {
+    if (route() == nullptr) {
+        co_await awaitRoute(answerLimit(m_statementTimeout));
+    }
     const auto *known = route();
     if (known == nullptr) {
-        logNoRoute();
-        countOutcome(SessionError::UnknownDatabase);
-        return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
+        const auto refusal = refuseWithoutRoute();
+        co_return platform::encodeError(refusal.error, refusal.text, m_transactionState);
     }
+    m_statementTimeout = known->statementTimeout;
     if (m_backend.isStopping()) {
         countOutcome(SessionError::Busy);
-        return platform::encodeError(
+        co_return platform::encodeError(
             SessionError::Busy, "not run, retry after " + std::to_string(toMilliseconds(otherProxyRetryDelay).count()) + " ms: stopping", m_transactionState);
     }
     m_transaction = {};
     m_transaction.route = *known;
     m_transaction.readOnly = readOnly;
     m_transactionState = TransactionState::Open;
-    return platform::encodeAccepted(m_transactionState);
+    co_return platform::encodeAccepted(m_transactionState);
 }
 
 std::string ClientSession::rollback()
@@ -395,7 +421,7 @@
     job.text = statement.text;
     job.writes = statement.kind == SessionStatement::Kind::Write;
     job.receivedAt = m_receivedAt;
-    job.deadline = m_backend.limitDeadline(m_receivedAt + route.statementTimeout - std::min(answerMargin, route.statementTimeout / 4));
+    job.deadline = answerLimit(route.statementTimeout);
     if (statement.kind == SessionStatement::Kind::Execute) {
         const auto known = m_state.prepared.find(statement.name);
         if (known == m_state.prepared.end()) {
@@ -431,12 +457,15 @@
 
 asio::awaitable<std::string> ClientSession::runSingle(SessionStatement statement)
 {
+    if (route() == nullptr) {
+        co_await awaitRoute(answerLimit(m_statementTimeout));
+    }
     const auto *known = route();
     if (known == nullptr) {
-        logNoRoute();
-        countOutcome(SessionError::UnknownDatabase);
-        co_return platform::encodeError(SessionError::UnknownDatabase, "no such database", m_transactionState);
+        const auto refusal = refuseWithoutRoute();
+        co_return platform::encodeError(refusal.error, refusal.text, m_transactionState);
     }
+    m_statementTimeout = known->statementTimeout;
     const auto job = makeJob(statement, *known);
     if (!job) {
         co_return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
--- a/packages/sessions/src/waxwing/sessions/service_state.cpp
+++ b/packages/sessions/src/waxwing/sessions/service_state.cpp
@@ -1,8 +1,5 @@
 #include <waxwing/sessions/service_state.h>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -14,20 +11,16 @@
 namespace
 {
 
-// Longest wait before a waiting statement checks its deadline again.
-constexpr Duration changePollInterval = 50ms;
 // A change of primary without an earlier one to learn from: evidence, order and confirmation, and up to 1 s for the promotion itself.
 constexpr Duration usualPrimaryChange = 1s;
 
 } // namespace
 
 ServiceState::ServiceState(const asio::any_io_executor &executor, std::string name)
-    : m_executor(executor)
-    , m_name(std::move(name))
+    : m_name(std::move(name))
     , m_primaryChange(usualPrimaryChange)
-    , m_signal(std::make_shared<asio::steady_timer>(executor))
+    , m_change(executor)
 {
-    m_signal->expires_at(asio::steady_timer::time_point::max());
     m_primaryChange.begin(Clock::now());
 }
 
@@ -93,21 +86,12 @@
 
 asio::awaitable<void> ServiceState::waitForChange(TimePoint deadline)
 {
-    const auto signal = m_signal;
-    asio::steady_timer limit(m_executor, std::min(changePollInterval, deadline - Clock::now()));
-    limit.async_wait([signal](const boost::system::error_code &error) {
-        if (!error) {
-            signal->cancel();
-        }
-    });
-    co_await signal->async_wait(asio::as_tuple(asio::use_awaitable));
+    return m_change.wait(deadline);
 }
 
 void ServiceState::notify()
 {
-    const auto signal = std::exchange(m_signal, std::make_shared<asio::steady_timer>(m_executor));
-    m_signal->expires_at(asio::steady_timer::time_point::max());
-    signal->cancel();
+    m_change.notify();
 }
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -41,6 +41,7 @@
 SessionDirectory::SessionDirectory(const boost::asio::any_io_executor &executor, Options options)
     : m_executor(executor)
     , m_options(std::move(options))
+    , m_configChange(executor)
     , m_leaseLoss(usualLeaseLoss)
 {
 }
@@ -54,6 +55,8 @@
         return;
     }
     m_controlTerm = grant.control_term();
+    const auto versionBefore = configVersion();
+    const bool hadLatest = hasLatestConfig(now);
     m_announcedConfigVersion = std::max(m_announcedConfigVersion, grant.config_version());
     applyDocument(grant);
     noteAnnounced(grant.config_version());
@@ -74,6 +77,9 @@
         m_sharePermille = grant.share_permille();
         updateLimits();
     }
+    if (configVersion() != versionBefore || (!hadLatest && hasLatestConfig(now))) {
+        m_configChange.notify();
+    }
 }
 
 void SessionDirectory::applyDocument(const wire::PoolGrant &grant)
@@ -259,6 +265,7 @@
 void SessionDirectory::endWaits()
 {
     m_waitsEnded = true;
+    m_configChange.notify();
     for (const auto &[name, service] : m_services) {
         service->notify();
         for (const auto &[id, pool] : service->pools()) {
