Close connections that refused the state of a session

The first refused command decided the answer, also where the statement behind it ran: a write behind a refused SET was reported with the error of the SET, and a transaction failed with it although nothing of it had been sent. In a transaction the answer was MALFORMED, or with BUSY the statement went on with other values.

Class of fault: state that is recorded before it is confirmed. Found by reading.

Change: a connection of which any command of the preparation is refused is closed. A write that ran behind it has an unknown outcome; a transaction that was only begun, a read, and a statement that the database did not run are attempted again, on at most three connections, and then refused as BUSY with "not run" where that is so. MALFORMED and TOOLARGE of a preparation are passed on at once, since every connection would give them. In an open transaction the caller gets ABORTED, which is true as the database rolls back a connection that ends.

Not changed: commands are still sent in one write, so a statement behind a refused SET does run with other values once. Waiting for the answer first would cost each change of values a round trip.

--- a/packages/coordination/include/waxwing/coordination/connection_state.h
+++ b/packages/coordination/include/waxwing/coordination/connection_state.h
@@ -54,7 +54,7 @@
     /// @brief Number of commands needed to prepare the connection for a session; used to choose an idle connection.
     std::size_t distance(const SessionState &session) const;
 
-    /// @brief Clears the prepared statements, after the database reported that it does not know one.
+    /// @brief Clears the prepared statements, as a discard does.
     void forgetPrepared();
 
 private:
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -108,6 +108,7 @@
     {
         std::set<std::string> excluded; ///< ids of the databases that could not run the statement
         unsigned count = 0;
+        unsigned unusableConnections = 0; ///< whose state was not the recorded one
         bool sent = false; ///< the statement was sent to a database at least once
         bool mayHavePersisted = false; ///< the last attempt may have run something that persists
         bool mayHaveRun = false; ///< a statement that persists nothing was sent and not answered
@@ -137,6 +138,10 @@
                                                                        DatabaseConnection &connection, const std::string &bytes, std::size_t commands,
                                                                        TimePoint limit);
     static AttemptOutcome failBegunTransaction(StatementResult &result, std::string_view text);
+    /// @param ran the statement may have run behind the refused preparation
+    static AttemptOutcome handleRefusedPreparation(const SessionJob &job, Attempts &attempts, const PoolReply &refused, bool ran, StatementResult &result);
+    /// Outcome of an attempt on a connection that was closed because of its state.
+    static AttemptOutcome replaceConnection(Attempts &attempts, std::string_view reason);
     AttemptOutcome handleNoReply(const SessionJob &job, const Choice &choice, Attempts &attempts, DatabaseConnection::RunStatus status,
                                  StatementResult &result) const;
     AttemptOutcome evaluateReply(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts, PoolReply &reply,
--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -27,6 +27,7 @@
 // Delay before a statement is sent again to a database that had no free slot; about the duration of one statement.
 constexpr Duration busyRetryDelay = 10ms;
 constexpr std::string_view connectionLostText = "the connection to the database was lost; nothing is kept";
+constexpr std::string_view unusableText = "the connection to the database lacks the state of the session; nothing is kept";
 
 bool mayRetry(const PoolReply &reply, TimePoint deadline)
 {
@@ -74,7 +75,7 @@
         const auto sentAt = Clock::now();
         m_pool->recordSent(sentAt);
         auto answer = co_await m_connection->run(exchange.bytes(), exchange.commands(), job.deadline);
-        exchange.reportRefusedPreparation(job, answer.replies);
+        const bool refused = exchange.findRefusedPreparation(job, answer.replies) != nullptr;
         auto outcome = result(sentAt, job);
         if (answer.status != DatabaseConnection::RunStatus::Complete) {
             m_pool->recordNoReply(Clock::now());
@@ -85,6 +86,14 @@
         }
         m_pool->recordReply(Clock::now());
         auto &reply = answer.replies.back();
+        if (refused) {
+            // Closed, since its state is not the recorded one. The database then rolls back whatever ran.
+            m_connection->close();
+            outcome.error = SessionError::Aborted;
+            outcome.text = unusableText;
+            end(TransactionState::Idle);
+            co_return outcome;
+        }
         if (mayRetry(reply, job.deadline)) {
             asio::steady_timer pause(co_await asio::this_coro::executor, busyRetryDelay);
             co_await pause.async_wait(useTuple);
--- a/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
@@ -98,12 +98,14 @@
     return platform::executeText(name, job.text);
 }
 
-void StatementExchange::reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const
+const PoolReply *StatementExchange::findRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const
 {
+    const PoolReply *first = nullptr;
     for (std::size_t i = 0; i < std::min(m_preparation.size(), replies.size()); ++i) {
         if (replies[i].error == SessionError::None) {
             continue;
         }
+        first = first == nullptr ? &replies[i] : first;
         Metrics::instance().counter("waxwing_session_preparations_refused_total", "command", m_preparation[i]).add();
         log::write(log::Level::Warning, "preparation refused",
                    {{"request", job.id},
@@ -113,6 +115,7 @@
                     {"command", m_preparation[i]},
                     {"error", static_cast<int>(replies[i].error)}});
     }
+    return first;
 }
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_exchange.h
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.h
@@ -34,9 +34,11 @@
     /// @brief Text to send for the statement on this connection, which must be prepared for it. Logs which prepared statement it runs.
     std::string text(const SessionJob &job) const;
 
-    /// @brief Logs and counts commands of the preparation that the database refused.
-    /// @param replies answers in the order of the commands
-    void reportRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const;
+    /// @brief Logs and counts commands of the preparation that the database refused. The connection then has another state than the
+    /// recorded one and must be closed.
+    /// @param replies answers in the order of the commands; not all of them if the connection was lost
+    /// @return the first refusal, or null if there is none
+    const PoolReply *findRefusedPreparation(const SessionJob &job, const std::vector<PoolReply> &replies) const;
 
     /// @brief Encoded commands.
     const std::string &bytes() const
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -68,6 +68,9 @@
 constexpr std::string_view noConnectionReason = "no-connection";
 constexpr std::string_view stoppingReason = "stopping";
 constexpr std::string_view noDirectoryReason = "no-directory";
+// Connections that a statement may find in another state than the recorded one. Each is replaced, which costs the database a slot, and
+// a refusal that all of them give is not about the connection.
+constexpr unsigned maxUnusableConnections = 3;
 // Expected time until the next attempt succeeds where nothing tells it, such as after a lost answer.
 constexpr Duration usualRetryDelay = 300ms;
 
@@ -392,7 +395,13 @@
     const auto sentAt = Clock::now();
     attempts.sent = true;
     auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes(), exchange.commands(), limit);
-    exchange.reportRefusedPreparation(job, answer.replies);
+    const auto *refused = exchange.findRefusedPreparation(job, answer.replies);
+    if (refused != nullptr && answer.status == DatabaseConnection::RunStatus::Complete) {
+        connection->close();
+        pool->release(std::move(connection));
+        const bool wasSent = !job.begins && !choice.verifies; // otherwise it would have followed the answer to the BEGIN
+        co_return handleRefusedPreparation(job, attempts, *refused, wasSent && mayHaveRun(answer), result);
+    }
     attempts.mayHavePersisted = job.mayPersist() && mayHaveRun(answer);
     const bool begun = (job.begins || choice.verifies) && answer.status == DatabaseConnection::RunStatus::Complete
         && decisiveReply(answer.replies).error == SessionError::None;
@@ -489,6 +498,33 @@
     return AttemptOutcome::Finished;
 }
 
+StatementPath::AttemptOutcome StatementPath::handleRefusedPreparation(const SessionJob &job, Attempts &attempts, const PoolReply &refused, bool ran,
+                                                                      StatementResult &result)
+{
+    if (ran && job.mayPersist()) {
+        result.error = SessionError::Unknown;
+        result.text = "it ran on a connection that refused the state of the session";
+        return AttemptOutcome::Finished;
+    }
+    if (refused.error == SessionError::Malformed || refused.error == SessionError::TooLarge) {
+        result.error = refused.error; // so would every other connection
+        result.text = refused.errorText;
+        return AttemptOutcome::Finished;
+    }
+    attempts.mayHaveRun = attempts.mayHaveRun || ran;
+    return replaceConnection(attempts, "preparation-refused");
+}
+
+StatementPath::AttemptOutcome StatementPath::replaceConnection(Attempts &attempts, std::string_view reason)
+{
+    attempts.lastReason = reason;
+    if (++attempts.unusableConnections == maxUnusableConnections) {
+        return AttemptOutcome::GiveUp;
+    }
+    countRetry(reason);
+    return AttemptOutcome::RetryLater;
+}
+
 StatementPath::AttemptOutcome StatementPath::handleNoReply(const SessionJob &job, const Choice &choice, Attempts &attempts,
                                                            DatabaseConnection::RunStatus status, StatementResult &result) const
 {
