Bound the attempts of a statement that a database does not know

Callers would see an unknown outcome for a write that never ran: a prepared statement that the database did not know (NOSTMT) was prepared and sent again without a pause until the deadline, where the last try had no time left. In a transaction the answer NOSTMT was passed on, so that a name was unknown whose preparing had been acknowledged (rule PINNED), and the connection went back to the pool with the state that had just proved wrong.

Cause: only the prepared statements of the connection were forgotten, for single statements only, and nothing bounded the attempts. Found by reading.

Change: a connection that lacks what it was prepared with is closed, since its values are not certain either. A single statement is attempted on at most three connections with a pause between, and is then refused as BUSY with "not run". A transaction is aborted, which is true as its connection ends.

--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -86,7 +86,7 @@
         }
         m_pool->recordReply(Clock::now());
         auto &reply = answer.replies.back();
-        if (refused) {
+        if (refused || reply.error == SessionError::UnknownStatement) {
             // Closed, since its state is not the recorded one. The database then rolls back whatever ran.
             m_connection->close();
             outcome.error = SessionError::Aborted;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -429,7 +429,7 @@
         service.history().add(*answer.replies.back().position, sentAt);
     }
     if (reply.error == SessionError::UnknownStatement) {
-        connection->state().forgetPrepared();
+        connection->close(); // it lacks what it was prepared with, so its values are not certain either
     }
     const bool staysOpen = job.begins && !job.commits && succeeded;
     const bool leaseLost = succeeded && choice.primary && needsLease(job) && !leased && !choice.verifies;
@@ -586,9 +586,7 @@
         }
         return AttemptOutcome::RetryLater;
     case SessionError::UnknownStatement:
-        countRetry("unknown-statement");
-        attempts.lastReason = "unknown-statement";
-        return AttemptOutcome::Retry;
+        return replaceConnection(attempts, "unknown-statement");
     case SessionError::Lagging:
         attempts.excluded.insert(database);
         attempts.lastReason = "replica-lagging";
