Bound what a session and a transaction keep

One caller could end a proxy (memory over the limit): every SET and PREPARE was kept until the session ended, without a bound, and each connection keeps what is prepared in a transaction, so that a cycle of PREPARE, EXECUTE and DEALLOCATE grew without end. Found by reading.

Change: a session keeps 4 MiB of values and prepared statements, four messages of the greatest length, with 128 bytes for each entry. Beyond that SET and PREPARE are refused as TOOLARGE; what was acknowledged stays, and so does the value that a refused SET would have replaced. A transaction prepares at most 4,096 statements or 4 MiB of shapes on its connection; the EXECUTE beyond them is refused as TOOLARGE, is not sent, and the transaction is rolled back.

Not covered: the number of sessions times this bound, and messages that are being read, have no common bound.

--- a/packages/coordination/include/waxwing/coordination/connection_state.h
+++ b/packages/coordination/include/waxwing/coordination/connection_state.h
@@ -24,6 +24,9 @@
     {
         std::size_t maxStatements = 256;
         std::size_t maxShapeBytes = 64U << 10;
+        // A transaction can't discard what it has prepared before.
+        std::size_t maxStatementsInTransaction = 4096;
+        std::size_t maxShapeBytesInTransaction = 4U << 20;
     };
 
     /// @brief Commands that bring a connection into the state of a session.
@@ -45,6 +48,9 @@
     /// that nothing has to be discarded.
     Preparation extend(const SessionState &session, const SessionState::Prepared *statement) const;
 
+    /// @brief Tells whether the connection may prepare the statement within a transaction.
+    bool hasRoomInTransaction(const SessionState::Prepared &statement) const;
+
     /// @brief Updates the state after the commands of a preparation were sent.
     void apply(const Preparation &preparation, const SessionState::Prepared *statement);
 
--- a/packages/coordination/src/waxwing/coordination/connection_state.cpp
+++ b/packages/coordination/src/waxwing/coordination/connection_state.cpp
@@ -43,6 +43,13 @@
     return exceeds && !m_prepared.empty() && !m_prepared.contains(statement);
 }
 
+bool ConnectionState::hasRoomInTransaction(const SessionState::Prepared &statement) const
+{
+    const bool exceeds
+        = m_prepared.size() >= m_options.maxStatementsInTransaction || m_shapeBytes + statement.shape.size() > m_options.maxShapeBytesInTransaction;
+    return !exceeds || m_prepared.contains(statement);
+}
+
 void ConnectionState::apply(const Preparation &preparation, const SessionState::Prepared *statement)
 {
     if (preparation.discard) {
--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -69,7 +69,7 @@
     boost::asio::awaitable<std::string> start(std::string database);
     boost::asio::awaitable<std::string> handleStatement(SessionStatement statement);
     boost::asio::awaitable<std::string> handleFailed(const SessionStatement &statement);
-    std::string refuseTooLarge(bool endsTransaction);
+    std::string refuseTooLarge(std::string_view text, bool endsTransaction);
     std::string storeInSession(const SessionStatement &statement);
     boost::asio::awaitable<std::string> begin(bool readOnly);
     std::string refuseStart();
@@ -102,6 +102,7 @@
     StatementBackend &m_backend;
     platform::LineReader m_lines;
     SessionState m_state;
+    std::size_t m_storedBytes = 0; ///< size of the values and prepared statements of m_state
     std::string m_database; ///< empty before the start of the session
     Duration m_statementTimeout {}; ///< of the latest route of the session
     std::string m_requestId; ///< of the current or most recent statement
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -50,6 +50,12 @@
 constexpr std::string_view unconfirmedReason = "configuration-unconfirmed";
 constexpr std::size_t excerptBytes = 64; // names of databases are shorter
 
+// Values and prepared statements that one session may keep; several messages of the greatest length.
+constexpr std::size_t maxStoredBytes = std::size_t(4) << 20;
+constexpr std::size_t storedEntryBytes = 128; // memory of an entry besides its texts
+constexpr std::string_view messageTooLongText = "not run, the message is too long to be passed on";
+constexpr std::string_view sessionTooLargeText = "not run, the session keeps too much";
+
 /// Tells whether a message from a caller may be too long for a database once the proxy has added to it.
 bool isTooLarge(const SessionStatement &statement)
 {
@@ -254,7 +260,7 @@
     }
     const bool open = m_transactionState == TransactionState::Open;
     if (isTooLarge(statement)) {
-        co_return refuseTooLarge(open && statement.kind != Kind::Prepare);
+        co_return refuseTooLarge(messageTooLongText, open && statement.kind != Kind::Prepare);
     }
     switch (statement.kind) {
     case Kind::SetValue:
@@ -309,9 +315,8 @@
     co_return platform::encodeError(error, failure.empty() ? "the transaction has failed" : failure, m_transactionState);
 }
 
-std::string ClientSession::refuseTooLarge(bool endsTransaction)
+std::string ClientSession::refuseTooLarge(std::string_view text, bool endsTransaction)
 {
-    constexpr std::string_view text = "not run, the message is too long to be passed on";
     if (endsTransaction) {
         return failTransaction(SessionError::TooLarge, text);
     }
@@ -322,12 +327,32 @@
 std::string ClientSession::storeInSession(const SessionStatement &statement)
 {
     using Kind = SessionStatement::Kind;
+    const auto size = [&](const std::string &content) {
+        return storedEntryBytes + statement.name.size() + content.size();
+    };
+    auto stored = m_storedBytes;
+    if (statement.kind == Kind::SetValue) {
+        const auto known = m_state.values.find(statement.name);
+        stored += size(statement.value);
+        stored -= known == m_state.values.end() ? 0 : size(known->second);
+    } else {
+        const auto known = m_state.prepared.find(statement.name);
+        if (statement.kind == Kind::Deallocate && known == m_state.prepared.end()) {
+            return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
+        }
+        stored += statement.kind == Kind::Prepare ? size(statement.shape) : 0;
+        stored -= known == m_state.prepared.end() ? 0 : size(known->second.shape);
+    }
+    if (stored > maxStoredBytes) {
+        return refuseTooLarge(sessionTooLargeText, false);
+    }
+    m_storedBytes = stored;
     if (statement.kind == Kind::SetValue) {
         m_state.values[statement.name] = statement.value;
     } else if (statement.kind == Kind::Prepare) {
         m_state.prepared[statement.name] = {statement.writes, statement.shape};
-    } else if (m_state.prepared.erase(statement.name) == 0) {
-        return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
+    } else {
+        m_state.prepared.erase(statement.name);
     }
     return platform::encodeAccepted(m_transactionState);
 }
--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -27,6 +27,7 @@
 // Delay before a statement is sent again to a database that had no free slot; about the duration of one statement.
 constexpr Duration busyRetryDelay = 10ms;
 constexpr std::string_view connectionLostText = "the connection to the database was lost; nothing is kept";
+constexpr std::string_view tooLargeText = "not run, the transaction has prepared too much; nothing is kept";
 constexpr std::string_view unusableText = "the connection to the database lacks the state of the session; nothing is kept";
 
 bool mayRetry(const PoolReply &reply, TimePoint deadline)
@@ -68,6 +69,13 @@
 asio::awaitable<StatementResult> OpenTransaction::run(const SessionJob &job)
 {
     m_writes = m_writes || job.writes;
+    if (job.prepared && !m_connection->state().hasRoomInTransaction(*job.prepared)) {
+        auto outcome = result(Clock::now(), job);
+        outcome.error = SessionError::TooLarge;
+        outcome.text = tooLargeText;
+        end(TransactionState::Open);
+        co_return outcome;
+    }
     while (true) {
         StatementExchange exchange(*m_connection, database());
         exchange.addPreparationInTransaction(job);
