Send free text in the soak

The soak sent one word for each shape, value and item, so that it could not show statements that run in another shape than prepared (rules PINNED and UNASKED).

Change: the case `text` sends shapes, values, data and items of reads with blanks, words of the protocol, control characters and bytes that are no UTF-8, some of them long, now and then nearly 1 MiB. Callers use names that collide, prepare again under the same or another name, execute unknown names and set values again, in transactions too. The stand-in of the database compares bytes and reports messages over 1 MiB; an answer MALFORMED counts as a violation.

--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import soak_text
+
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"}  # nothing of the attempt is kept
 START_LIMIT_S = 2.0  # callers close a session whose start takes longer
 ANSWER_LIMIT_S = 10.0  # deadline of an operation in the deployments
@@ -39,7 +41,7 @@
         host, port = address.rsplit(":", 1)
         try:
             async with asyncio.timeout(START_LIMIT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, int(port), limit=2 * soak_text.MESSAGE_LIMIT)
                 session = cls(reader, writer)
                 answer = await session.call(f"STARTUP {database} u1")
         except (OSError, TimeoutError) as error:
@@ -53,11 +55,11 @@
         """Sends a line; returns (state, rows, "COMPLETE" or "ERROR", its rest)."""
         rows, word, rest = [], "", ""
         try:
-            self.writer.write(line.encode() + b"\r\n")
+            self.writer.write(line.encode("latin-1") + b"\r\n")
             while data := await self.reader.readline():
                 if not data.endswith(b"\r\n"):
                     break
-                kind, _, text = data.decode().rstrip("\r\n").partition(" ")
+                kind, _, text = data.decode("latin-1").removesuffix("\r\n").partition(" ")
                 if kind == "READY":
                     return f"READY {text[0]}", rows, word, rest
                 if kind == "DATAROW":
@@ -93,9 +95,10 @@
 class Caller:
     """Runs operations one after the other and checks each answer."""
 
-    def __init__(self, number, preferred, services, balancer, ledger, random, lost, eager):
+    def __init__(self, number, preferred, services, balancer, ledger, random, lost, eager, text=None):
         self.number, self.preferred, self.services = number, preferred, services
         self.balancer, self.ledger, self.random, self.lost = balancer, ledger, random, lost
+        self.text = text  # soak_text.FreeText, or nothing if all fields are plain words
         self.pauses = not eager or number % EAGER_CALLERS != 0
         self.writes = {}  # item -> list of [data, status, acknowledged at]
         self.served = {}  # kind of operation -> time of the last success
@@ -113,6 +116,8 @@
                 session = await Session.open(self.balancer.proxies[index].callers, f"{kind}-{service}")
                 await self._prepare(session)
                 while True:
+                    if self.text:
+                        await self._vary(session)
                     await self._operation(session, index, kind, service)
                     await asyncio.sleep(self.random.uniform(0.02, 0.12) if self.pauses else 0)
             except (SessionEnded, TimeoutError):
@@ -124,17 +129,62 @@
     async def _prepare(self, session):
         """Values and statements under names that collide between callers."""
         self.values = {"zone": f"z{self.number}-{self.sessions}"} if self.random.random() < 0.7 else {}
-        self.shapes = {"s1": ("READ", f"q{self.number % 3}"), "s2": ("WRITE", f"q{self.number % 2}")}
+        self.names = {"READ": "s1", "WRITE": "s2"}
+        self.shapes = {"READ": f"q{self.number % 3}", "WRITE": f"q{self.number % 2}"}
+        if self.text:
+            self.values = {name: self.text.text() for name in self.values}
+            self.names = dict(zip(self.names, self.text.names(2)))
+            self.shapes = {access: self.text.shape() for access in self.shapes}
         for name, value in self.values.items():
             await self._checked(session, f"SET {name} {value}")
-        for name, (access, shape) in self.shapes.items():
-            await self._checked(session, f"PREPARE {name} {access} {shape}")
+        for access, shape in self.shapes.items():
+            await self._checked(session, f"PREPARE {self.names[access]} {access} {shape}")
 
     async def _checked(self, session, text):
         async with asyncio.timeout(ANSWER_LIMIT_S):
             answer = await session.call(f"QUERY p{self.number} {text}")
         if answer[2] != "COMPLETE":
+            if self.text and answer[3].startswith("MALFORMED"):
+                self.ledger.report(f"caller {self.number}: {text!r:.300} got {answer[3]}")
             raise SessionEnded(f"{text}: {answer}")
+        return answer
+
+    async def _set_again(self, session):
+        name, value = self.text.random.choice(soak_text.VALUES), self.text.text()
+        await self._checked(session, f"SET {name} {value}")
+        self.values = {**self.values, name: value}
+
+    async def _prepare_again(self, session):
+        """Removes a statement and prepares another one, under the same name or another."""
+        access = self.text.random.choice(("READ", "WRITE"))
+        former, other = self.names[access], self.names["WRITE" if access == "READ" else "READ"]
+        await self._checked(session, f"DEALLOCATE {former}")
+        name = former if self.text.chance(0.6) else next(name for name in self.text.names(2) if name != other)
+        if name != former or self.text.chance(0.3):
+            await self._execute_unknown(session, former, "READY I")
+        shape = self.text.shape()
+        await self._checked(session, f"PREPARE {name} {access} {shape}")
+        self.names = {**self.names, access: name}
+        self.shapes = {**self.shapes, access: shape}
+
+    async def _execute_unknown(self, session, name, state):
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            answer = await session.call(f"QUERY u{self.number} EXECUTE {name} unknown {self.text.text()}")
+        if answer[2] != "ERROR" or answer[3].split(" ", 1)[0] not in ("NOSTMT", "TOOLARGE") or answer[0] != state:
+            self.ledger.report(f"caller {self.number}: EXECUTE of the unknown name {name!r} got {answer}")
+            raise SessionEnded(str(answer))
+
+    async def _vary(self, session):
+        draw = self.text.random.random()
+        if draw < 0.08:
+            await self._set_again(session)
+        elif draw < 0.16:
+            await self._prepare_again(session)
+        elif draw < 0.2:
+            await self._execute_unknown(session, next(name for name in self.text.names(3) if name not in self.names.values()), "READY I")
+
+    def _data(self, identifier):
+        return self.text.data(f"d{identifier}.") if self.text else "d" + identifier
 
     async def _operation(self, session, index, kind, service):
         self.operations += 1
@@ -153,10 +203,9 @@
         """Runs one statement; returns (code, state, rows), with the code None for a success and LOST without an answer."""
         shape = None
         text = " ".join(word for word in (verb, item, data) if word)
-        if verb != "COMMIT" and self.random.random() < 0.5:
-            name = "s1" if verb == "READ" else "s2"
-            shape = self.shapes[name][1]
-            text = f"EXECUTE {name} {item} {data}".rstrip()
+        if verb != "COMMIT" and self.random.random() < 0.5 and " " not in item:  # the item of an EXECUTE is one word
+            shape = self.shapes[verb]
+            text = " ".join(word for word in ("EXECUTE", self.names[verb], item, data) if word)
         self.ledger.asked[identifier] = (verb, item, data, shape, self.values, key)
         sent = time.monotonic()
         try:
@@ -176,6 +225,8 @@
             return None, state, rows
         code = rest.split(" ", 1)[0]
         self._count(code)
+        if self.text and code == "MALFORMED":
+            self.ledger.report(f"{identifier} {text!r:.300} got {rest}")
         return code, state, rows
 
     def _count(self, outcome):
@@ -190,7 +241,7 @@
             self.ledger.refused.add(data)
 
     async def _write(self, session, index, service, identifier, item):
-        data = "d" + identifier
+        data = self._data(identifier)
         code, state, _ = await self._statement(session, index, identifier, identifier, "WRITE", item, data)
         self._settle(service, item, data, "acknowledged" if code is None else "refused" if code in PROMISES else "unknown")
         self._finish(code, state, "write", service)
@@ -205,6 +256,8 @@
             raise SessionEnded(state)
 
     async def _read(self, session, index, kind, identifier, key, item):
+        if self.text and self.text.chance(0.15):
+            item = f"{item} {self.text.text()}"
         before = time.monotonic() - (MAX_AGE_MS / 1000 if kind == "bounded_staleness" else 0)
         code, state, rows = await self._statement(session, index, identifier, "s" + key, "READ", item)
         if code is None:
@@ -226,12 +279,18 @@
         written, code = [], None
         for number in range(1, self.random.randint(2, 4)):
             identifier = f"{key}-{number}"
+            if self.text and self.text.chance(0.1):
+                await self._set_again(session)
+            if self.text and self.text.chance(0.02):
+                await self._execute_unknown(session, "unknown", "READY E")
+                code = "NOSTMT"
+                break
             if number == 1 and self.random.random() < 0.5:
                 code, state, rows = await self._statement(session, index, identifier, key, "READ", item)
                 if code is None:
                     self._check_read(identifier, kind, item, rows, before)
             else:
-                written.append("d" + identifier)
+                written.append(self._data(identifier))
                 code, state, _ = await self._statement(session, index, identifier, key, "WRITE", f"{item}-{len(written)}", written[-1])
             if code is not None:
                 break
--- a/scripts/soak_databases.py
+++ b/scripts/soak_databases.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import soak_text
+
 REPLICATION_S = 0.005  # between two deliveries to the replicas
 LAG_S = 0.06  # from receipt to application at a replica, as in the deployments
 PROMOTION_S = 0.3
@@ -15,6 +17,7 @@
 CONNECTION_S = 0.012  # a new connection occupies a slot
 SLOT_WAIT_S = 0.05  # a statement waits for a slot, then the answer is BUSY
 HEARTBEAT_S = 0.4
+REPORT_LENGTH = 1000  # characters of a violation that are shown
 CALL_LIMIT_S = 1.0  # a heartbeat without an acknowledgement goes to the next member
 
 
@@ -32,7 +35,7 @@
     def report(self, text):
         self.problems.append(text)
         if len(self.problems) <= 20:
-            print("violation:", text, flush=True)
+            print("violation:", ascii(text)[1:-1][:REPORT_LENGTH], flush=True)
 
 
 async def call(address, method, path, body=None, headers=()):
@@ -241,14 +244,17 @@
                 await self.open_gate.wait()
                 if not self.running:
                     break
-                kind, _, rest = line.decode().rstrip("\r\n").partition(" ")
+                if len(line) > soak_text.MESSAGE_LIMIT:
+                    self.ledger.report(f"{self.id} got a message of {len(line)} bytes")
+                    break
+                kind, _, rest = line.decode("latin-1").removesuffix("\r\n").partition(" ")
                 answer = await (self._start(connection, rest) if kind == "STARTUP" else self._query(connection, rest))
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 await self.answer_gate.wait()
                 if answer is None or not self.running:
                     break
-                writer.write(answer.encode())
+                writer.write(answer.encode("latin-1"))
                 if "READY" not in answer:
                     break
                 await writer.drain()
@@ -361,7 +367,7 @@
         ledger.ran[identifier] = ledger.ran.get(identifier, 0) + 1
 
     async def _statement(self, connection, identifier, verb, rest):
-        item, _, data = rest.partition(" ")
+        item, _, data = rest.partition(" ") if verb != "READ" else (rest, "", "")
         shape = None
         if verb == "EXECUTE":
             known = connection.prepared.get(item)
