Let a relay stand before the link of a member of control

Links between real processes could not be cut in tests: the address on which a member listens is also its identity, the address under which the log names it and the one that others dial.

Change: `control.link_address` names the address under which others reach the link, by default the one on which it listens.

Test: SessionControlSettingsTest::linkAddressReplacesTheListeningAddressForOthers and linkAddressOfAnotherHostIsRefused pass.

--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -89,7 +89,7 @@
     std::string start(LinkKey key)
     {
         MessageLinkOptions options;
-        options.name = m_settings.linkListen;
+        options.name = m_settings.announcedLink;
         options.listen = m_settings.linkListen;
         // ZeroMQ 4.3.4 aborts the process (assertion `!_io_error`) when a heartbeat is due on a connection whose input was stopped
         // and then failed, which happens after a suspension. TCP timeouts of the kernel detect silent peers instead.
@@ -138,7 +138,7 @@
     {
         LogHostOptions options;
         options.folder = settings.dataFolder + "/sessions";
-        options.address = settings.linkListen;
+        options.address = settings.announcedLink;
         for (const auto &seed : settings.seeds) {
             options.initialMembers.push_back(settings.linkOf(seed));
         }
@@ -376,7 +376,7 @@
     void referToLeader(const HttpRequest &request, const HttpReply &reply) const
     {
         const auto leader = m_log.host().status().leaderAddress;
-        if (leader.empty() || leader == m_settings.linkListen) {
+        if (leader.empty() || leader == m_settings.announcedLink) {
             reply.send({.status = 503, .body = R"({"error":"no leader is known"})"});
             return;
         }
--- a/programs/control/session_control_settings.cpp
+++ b/programs/control/session_control_settings.cpp
@@ -8,12 +8,16 @@
 namespace
 {
 
+std::string_view hostOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 /// Combines the host of one address with the port of another.
 std::string combineHostAndPort(std::string_view hostAddress, std::string_view portAddress)
 {
     const auto colon = portAddress.rfind(':');
-    return std::string(hostAddress.substr(0, hostAddress.rfind(':')))
-        + std::string(colon == std::string_view::npos ? std::string_view() : portAddress.substr(colon));
+    return std::string(hostOf(hostAddress)) + std::string(colon == std::string_view::npos ? std::string_view() : portAddress.substr(colon));
 }
 
 } // namespace
@@ -26,6 +30,7 @@
     result.failureDomain = settings.text("control.failure_domain");
     result.httpListen = settings.text("control.http");
     result.linkListen = settings.text("control.link");
+    result.announcedLink = settings.text("control.link_address", result.linkListen);
     result.metricsListen = settings.text("control.metrics", {});
     result.dataFolder = settings.text("control.data");
     result.seeds = settings.texts("control.seeds");
@@ -42,12 +47,16 @@
     if (result.seeds.empty()) {
         result.errors.push_back(path + ": control.seeds: must list at least one address");
     }
+    // Members derive the addresses of links and of HTTP servers from each other.
+    if (result.announcedLink != result.linkListen && hostOf(result.announcedLink) != hostOf(result.httpListen)) {
+        result.errors.push_back(path + ": control.link_address: \"" + result.announcedLink + "\" must have the host of control.http");
+    }
     return result;
 }
 
 std::string SessionControlSettings::linkOf(std::string_view httpAddress) const
 {
-    return combineHostAndPort(httpAddress, linkListen);
+    return combineHostAndPort(httpAddress, announcedLink);
 }
 
 std::string SessionControlSettings::httpOf(std::string_view linkAddress) const
--- a/programs/control/session_control_settings.h
+++ b/programs/control/session_control_settings.h
@@ -16,7 +16,8 @@
     std::string name; ///< unique among the members; sent to the platform with promotion orders
     std::string failureDomain;
     std::string httpListen; ///< IP:port for operators and databases
-    std::string linkListen; ///< IP:port for proxies and other members; the port is the same on every member
+    std::string linkListen; ///< IP:port on which the link listens
+    std::string announcedLink; ///< IP:port under which proxies and other members reach the link; the port is the same on every member
     std::string metricsListen; ///< IP:port for metrics; none when empty
     std::string dataFolder;
     std::vector<std::string> seeds; ///< HTTP addresses of members
--- a/programs/control/session_control_settings_test.cpp
+++ b/programs/control/session_control_settings_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(lossesOutOfRangeAreRefusedWithFileAndLine);
     CPPUNIT_TEST(fencingMustBeStated);
     CPPUNIT_TEST(nameThatBreaksALineIsRefused);
+    CPPUNIT_TEST(linkAddressReplacesTheListeningAddressForOthers);
+    CPPUNIT_TEST(linkAddressOfAnotherHostIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +63,26 @@
         }
     }
 
+    // Guards against members that tell others the address on which they listen instead of the one under which they are reached.
+    void linkAddressReplacesTheListeningAddressForOthers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.2:2"), load("").linkOf("127.0.0.2:1"));
+        const auto settings = load("link_address = \"127.0.0.1:3\"\n");
+        CPPUNIT_ASSERT(settings.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:3"), settings.announcedLink);
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.2:3"), settings.linkOf("127.0.0.2:1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.2:1"), settings.httpOf("127.0.0.2:3"));
+    }
+
+    // Guards against a member whose HTTP address others can't derive from its link address.
+    void linkAddressOfAnotherHostIsRefused()
+    {
+        const auto settings = load("link_address = \"127.0.0.9:3\"\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), settings.errors.size());
+        CPPUNIT_ASSERT(settings.errors.front().find("control.link_address") != std::string::npos);
+        CPPUNIT_ASSERT(!load("link_address = 3\n").errors.empty());
+    }
+
 private:
     SessionControlSettings load(const std::string &line, const std::string &name = "a") const
     {
