--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -27,7 +27,11 @@
 
 
 class SessionEnded(Exception):
-    """The connection ended; `partly` tells whether an answer was due."""
+    """The connection ended; `answer` is what was received before, as of Session.call()."""
+
+    def __init__(self, text, answer=None):
+        super().__init__(text)
+        self.answer = answer
 
 
 class Session:
@@ -48,7 +52,7 @@
             raise SessionEnded(str(error)) from error
         if answer[0] != "READY I":
             session.close()
-            raise SessionEnded(str(answer))
+            raise SessionEnded(str(answer), answer)
         return session
 
     async def call(self, line):
@@ -68,7 +72,7 @@
                     word, rest = kind, text
         except OSError:
             pass  # Reset, which is an end as well.
-        raise SessionEnded("closed")
+        raise SessionEnded(f"closed {word} {rest}".rstrip(), ("", rows, word, rest))
 
     def close(self):
         self.writer.transport.abort()
--- a/scripts/soak_databases.py
+++ b/scripts/soak_databases.py
@@ -15,6 +15,7 @@
 LATE_S = (2.0, 10.0)
 STATEMENT_S = 0.002
 CONNECTION_S = 0.012  # a new connection occupies a slot
+SLOW_ITEM, SLOW_READ_S = "slow", 0.2  # reads of this item take longer
 SLOT_WAIT_S = 0.05  # a statement waits for a slot, then the answer is BUSY
 HEARTBEAT_S = 0.4
 REPORT_LENGTH = 1000  # characters of a violation that are shown
@@ -27,6 +28,7 @@
     def __init__(self):
         self.asked = {}  # id -> (verb, item, data, shape, values of the session, key of the operation)
         self.ran = {}  # id -> number of runs
+        self.services = {}  # id -> service at which it ran last
         self.acknowledged = {}  # data -> service
         self.refused = set()
         self.places = {}  # key of a transaction -> its transaction on a database
@@ -364,6 +366,7 @@
                 ledger.places[key] = connection.transaction
             elif ledger.places.get(key, connection.transaction) is not connection.transaction:
                 ledger.report(f"{self.id}: {identifier} ran on another connection than the transaction's first statement")
+        ledger.services[identifier] = self.service.name
         ledger.ran[identifier] = ledger.ran.get(identifier, 0) + 1
 
     async def _statement(self, connection, identifier, verb, rest):
@@ -383,6 +386,8 @@
             self._check(connection, identifier, verb, item, data, shape)
         signature = f"COMPLETE {self.id}.{identifier}"
         if verb == "READ":
+            if item == SLOW_ITEM:
+                await asyncio.sleep(SLOW_READ_S)
             return self._ready(connection, f"DATAROW {self.read(item)}\r\n{signature}")
         if verb == "WRITE":
             connection.writes.append((item, data))
