Take no answer without a signature for a success

A caller would get a success without the signature of a database (rule MIXED) if the answer to its statement had a READY line only, or an empty signature: a READY line is the whole answer to a start, and answers to statements were read in the same way. Found by reading.

Change: once a connection has started, an answer needs an error or a signature. Without them the connection is closed as after any malformed answer, so that a write has an unknown outcome and a read is attempted again.

Evidence: SessionPathTest::answerWithoutASignatureIsNoSuccess fails on the code before ('COMPLETE |I' for a write that did not run) and passes; session_path_test and forwarding_test pass. No database was seen to answer like this.

--- a/packages/sessions/include/waxwing/sessions/database_connection.h
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -109,6 +109,7 @@
     std::uint64_t m_number;
     TransactionState m_transaction = TransactionState::Idle;
     bool m_open = false;
+    bool m_started = false; ///< the database has accepted the start
     bool m_timedOut = false;
 };
 
--- a/packages/sessions/src/waxwing/sessions/database_connection.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -96,6 +96,7 @@
         close();
         co_return error == SessionError::TooManyConnections ? OpenResult::Full : OpenResult::WrongInstance;
     }
+    m_started = true;
     co_return OpenResult::Open;
 }
 
@@ -144,7 +145,8 @@
             if (progress == platform::ReplyReader::Progress::Complete) {
                 reply = m_replies.take();
                 m_transaction = reply.state;
-                co_return true;
+                // A READY line alone answers the start only; as an answer to a statement it would be a success without a signature.
+                co_return !m_started || reply.error != SessionError::None || !reply.signature.empty();
             }
         }
         // An error that ends the connection is not followed by a READY line.
