Refuse a SET without a value that grows beyond the limit

A caller may leave out the blank before an empty value, which the proxy adds. A SET of exactly 1 MiB without a value was acknowledged, and every later statement of its session would end the connection to the database: unknown outcomes for writes that never run. It is now refused as TOOLARGE like other messages that grow. Found by reading.

Evidence: the new line of SessionPathTest::messageThatGrowsBeyondTheLimitIsRefused fails on the code before ('COMPLETE -|I') and passes.

--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -60,7 +60,8 @@
 bool isTooLarge(const SessionStatement &statement)
 {
     using Kind = SessionStatement::Kind;
-    const bool grows = statement.kind == Kind::Read || statement.kind == Kind::Execute || statement.kind == Kind::Prepare;
+    const bool grows = statement.kind == Kind::Read || statement.kind == Kind::Execute || statement.kind == Kind::Prepare
+        || (statement.kind == Kind::SetValue && statement.value.empty()); // the caller may leave out the blank before the value
     return grows && platform::encodeStatement(statement.id, statement.text).size() + platform::maxAddedBytes > platform::LineReader::maxLine;
 }
 
