Refuse transaction ids that are not UTF-8

The id of a transaction is a part of the path of a request and may hold any bytes. When it named another proxy, the step was sent there in a text field, which its receiver can't parse: the message was dropped, and the caller heard after its whole deadline that the outcome of its COMMIT was unknown although it can't have run. Class of fault: text from outside becomes part of a message. Found by reading; the other texts of callers come from JSON, which is UTF-8, and request ids are checked to be ASCII.

Change: such an id is refused at once as not run, bad-transaction, as no proxy ever gave it out. The cluster of the tests now serializes and parses messages, as the link does.

--- a/programs/proxy/ownership_test.cpp
+++ b/programs/proxy/ownership_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(keyInProgressIsJoined);
     CPPUNIT_TEST(keyOfALostOwnerIsNotRepeated);
     CPPUNIT_TEST(transactionEndsWithItsTerm);
+    CPPUNIT_TEST(transactionIdThatIsNotUtf8IsRefused);
     CPPUNIT_TEST(transactionKeepsItsConnectionToItself);
     CPPUNIT_TEST(leavingEndpointGetsNoNewWork);
     CPPUNIT_TEST(heldWritesWaitAndRunInTheNextTerm);
@@ -169,6 +170,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), cluster.endpoints[0]->ran.size());
     }
 
+    // Guards against an unknown outcome of a step that was never run: the path of a request holds any bytes, and the owner of the
+    // transaction can't parse a message whose texts are not UTF-8.
+    void transactionIdThatIsNotUtf8IsRefused()
+    {
+        ProxyCluster cluster;
+        const auto begun = cluster.ask("a", ProxyCluster::step(wire::BEGIN, {}));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(begun.reason(), std::string("done"), begun.outcome());
+        const auto reasonFor = [&](const std::string &suffix) {
+            auto request = ProxyCluster::step(wire::COMMIT, begun.transaction() + suffix);
+            request.set_deadline_ms(1'000);
+            const auto answer = cluster.ask("b", request);
+            CPPUNIT_ASSERT_EQUAL(std::string("not-run"), answer.outcome());
+            return answer.reason();
+        };
+        for (const auto *suffix : {"\xff", "\xc3", "\xc0\x80", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\x80"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string("bad-transaction"), reasonFor(suffix));
+        }
+        for (const auto *suffix : {"\xc3\xa9", "\xf0\x9f\x90\xa6"}) { // the owner answers that it knows no such transaction
+            CPPUNIT_ASSERT_EQUAL(std::string("transaction-lost"), reasonFor(suffix));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), cluster.ask("b", ProxyCluster::step(wire::COMMIT, begun.transaction())).outcome());
+    }
+
     // Guards against statements of others on the connection of an open transaction.
     void transactionKeepsItsConnectionToItself()
     {
--- a/programs/proxy/testing/proxy_cluster.h
+++ b/programs/proxy/testing/proxy_cluster.h
@@ -185,9 +185,10 @@
 
     void post(const std::string &proxy, const LinkPeer &from, wire::Envelope &&message)
     {
-        boost::asio::post(context, [this, proxy, from, message = std::move(message)]() mutable {
-            if (!m_dead.contains(proxy)) {
-                proxies[proxy]->receive(from, std::move(message));
+        boost::asio::post(context, [this, proxy, from, bytes = message.SerializeAsString()] {
+            wire::Envelope received;
+            if (!m_dead.contains(proxy) && received.ParseFromString(bytes)) { // as the link does
+                proxies[proxy]->receive(from, std::move(received));
             }
         });
     }
--- a/programs/proxy/transaction_table.cpp
+++ b/programs/proxy/transaction_table.cpp
@@ -22,7 +22,7 @@
 
 std::optional<TransactionName> parseTransactionId(std::string_view id)
 {
-    if (id.size() <= uuidLength || id[uuidLength] != separator || !uuid7Time(id.substr(0, uuidLength))) {
+    if (id.size() <= uuidLength || id[uuidLength] != separator || !uuid7Time(id.substr(0, uuidLength)) || !isUtf8(id)) {
         return std::nullopt;
     }
     const auto rest = id.substr(uuidLength + 1);
