Number grants, and state the highest number that has arrived

Control could not tell a copy of the configuration that was lost from one that is slow: a proxy states the version that it holds, which is the old one in both cases.

Change: the leader numbers its grants, and a proxy states the highest number that it has received, with the term of the leadership. A path keeps the order of messages, so a number at or above that of a copy, stated with an older version, means that the copy is lost. Numbers of different paths (directly, through another member) prove nothing, so control notes at which number the path changed. There is one counter for all proxies, so that a proxy whose lease ended and that comes back states no number which is used again.

Only the log uses it so far (former_lost of 'configuration sent again or through a member'). Proxies and control of earlier releases ignore the new fields; a stated 0 tells nothing.

--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -114,6 +114,18 @@
         return m_databasesHash;
     }
 
+    /// @brief Term of the leadership of control whose grant was applied last.
+    std::uint64_t controlTerm() const
+    {
+        return m_controlTerm;
+    }
+
+    /// @brief Highest number of a grant of this leadership that has arrived; 0 for none.
+    std::uint64_t receivedNumber() const
+    {
+        return m_receivedNumber;
+    }
+
     /// @brief Finds a service.
     /// @return the service, or null if it is unknown
     ServiceState *service(std::string_view name) const;
@@ -180,6 +192,7 @@
     EpochLease m_lease;
     Interruption m_leaseLoss; ///< from the end of the lease until the next one begins
     std::uint64_t m_controlTerm = 0;
+    std::uint64_t m_receivedNumber = 0; ///< see receivedNumber()
     std::uint64_t m_announcedConfig = 0; ///< latest version that a grant named
     std::uint64_t m_directoryVersion = 0;
     std::vector<std::string> m_controlMembers;
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -54,6 +54,7 @@
         Metrics::instance().counter("waxwing_session_grants_ignored_total", "reason", "older-leader").add();
         return;
     }
+    m_receivedNumber = grant.control_term() == m_controlTerm ? std::max(m_receivedNumber, grant.number()) : grant.number();
     m_controlTerm = grant.control_term();
     const auto versionBefore = configVersion();
     const bool hadLatest = hasLatestConfig(now);
--- a/programs/control/content_delivery.cpp
+++ b/programs/control/content_delivery.cpp
@@ -30,7 +30,7 @@
     m_repetition = m_options.firstRepetition;
 }
 
-void ContentDelivery::recordSent(std::uint64_t version, TimePoint now)
+void ContentDelivery::recordSent(std::uint64_t version, TimePoint now, std::uint64_t message)
 {
     if (version > m_sent) {
         m_sent = version;
@@ -38,10 +38,19 @@
         m_firstSentAt = now;
     }
     ++m_copies;
+    m_sentMessage = message;
+    m_isLost = false;
     m_repeatAt = now + m_repetition;
     m_repetition = std::min(2 * m_repetition, m_options.maxRepetition);
 }
 
+void ContentDelivery::recordReceived(std::uint64_t message, TimePoint /*now*/)
+{
+    if (isUnderWay() && m_sentMessage != 0 && message >= m_sentMessage && m_sentMessage >= m_firstOnPath) {
+        m_isLost = true;
+    }
+}
+
 void ContentDelivery::recordLost(std::uint64_t version, TimePoint now)
 {
     if (version != m_sent || !isUnderWay()) {
--- a/programs/control/content_delivery.h
+++ b/programs/control/content_delivery.h
@@ -32,7 +32,24 @@
 
     /// @brief Records that content was sent.
     /// @param version number of the content
-    void recordSent(std::uint64_t version, TimePoint now);
+    /// @param message number of the message that carried it; 0 if messages are not numbered
+    void recordSent(std::uint64_t version, TimePoint now, std::uint64_t message = 0);
+
+    /// @brief Records that messages take another path from now on. One path keeps their order, two don't.
+    /// @param message number of the first message on the new path
+    void recordPath(std::uint64_t message)
+    {
+        m_firstOnPath = message;
+    }
+
+    /// @brief Records the highest number of a message that the receiver has got. Call it after confirm() for the same statement.
+    void recordReceived(std::uint64_t message, TimePoint now);
+
+    /// @brief Tells whether the latest copy was lost: the receiver has got a later message of the same path, but not the content.
+    bool isLost() const
+    {
+        return isUnderWay() && m_isLost;
+    }
 
     /// @brief Records that content which recordSent() counted as under way was not sent after all.
     void recordLost(std::uint64_t version, TimePoint now);
@@ -82,6 +99,9 @@
     Options m_options;
     std::uint64_t m_held = 0;
     std::uint64_t m_sent = 0;
+    std::uint64_t m_sentMessage = 0; ///< that carried the latest copy; 0 if unknown
+    std::uint64_t m_firstOnPath = 0; ///< see recordPath()
+    bool m_isLost = false; ///< see isLost()
     unsigned m_copies = 0; ///< see copies()
     TimePoint m_firstSentAt; ///< see firstSentAt()
     Duration m_repetition;
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -61,7 +61,7 @@
     } else if (message.has_relay()) {
         handleRelay(from, message.relay());
     } else if (m_active) {
-        m_relayMembers.erase(from);
+        setPath(from, {});
         handleProxy(from, message);
     } else {
         forwardProxy(from, message);
@@ -118,13 +118,30 @@
     if (!content.has_renewal() && !content.has_withdrawn()) {
         m_sendDirectly(relay.proxy(), content); // from the leader
     } else if (m_active) {
-        if (m_relayMembers.insert_or_assign(relay.proxy(), from).second) {
-            log::write(log::Level::Info, "proxy reached through another member", {{"proxy", relay.proxy()}, {"member", from}});
-        }
+        setPath(relay.proxy(), from);
         handleProxy(relay.proxy(), content);
     }
 }
 
+void SessionControl::setPath(const std::string &proxy, const std::string &member)
+{
+    const auto found = m_relayMembers.find(proxy);
+    if (member == (found == m_relayMembers.end() ? std::string() : found->second)) {
+        return;
+    }
+    if (member.empty()) {
+        m_relayMembers.erase(found);
+    } else {
+        if (found == m_relayMembers.end()) {
+            log::write(log::Level::Info, "proxy reached through another member", {{"proxy", proxy}, {"member", member}});
+        }
+        m_relayMembers[proxy] = member;
+    }
+    if (const auto known = m_leases.proxies().find(proxy); known != m_leases.proxies().end()) {
+        known->second.configuration.recordPath(m_messageNumber + 1);
+    }
+}
+
 void SessionControl::handleNotSent(const std::string &to, const wire::PoolEnvelope &message)
 {
     const auto &content = message.has_relay() ? message.relay().content() : message;
@@ -345,7 +362,10 @@
     const auto now = Clock::now();
     const auto known = m_leases.proxies().find(proxy);
     const auto before = known == m_leases.proxies().end() ? ContentDelivery() : known->second.configuration;
-    const auto &renewed = m_leases.renew(renewal, now);
+    auto &renewed = m_leases.renew(renewal, now);
+    if (renewal.received_term() == m_term) {
+        renewed.configuration.recordReceived(renewal.received_number(), now);
+    }
     logLateConfirmation(proxy, before, renewed.configuration.held(), now);
     m_supervisor.report(proxy, renewal, now);
     auto grantOnSuccess = [this, generation = m_generation, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
@@ -406,6 +426,7 @@
 void SessionControl::fillGrant(const std::string &name, SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now)
 {
     grant.set_control_term(m_term);
+    grant.set_number(++m_messageNumber);
     grant.set_config_version(m_machine.version());
     grant.set_share_permille(m_leases.share(proxy));
     if (proxy.configuration.isDue(m_machine.version(), now)) {
@@ -414,8 +435,9 @@
         } else {
             grant.set_document(m_machine.document());
         }
-        proxy.configuration.recordSent(m_machine.version(), now);
-        logSentConfiguration(name, proxy.configuration, now);
+        const bool isLost = proxy.configuration.isLost();
+        proxy.configuration.recordSent(m_machine.version(), now, grant.number());
+        logSentConfiguration(name, proxy.configuration, isLost, now);
     }
     m_numberedDirectory.fill(grant, {proxy.directoryVersion, proxy.contentHash, proxy.databasesHash, proxy.takesChanges});
     if (m_numberedDirectory.isAssigned()) {
@@ -423,7 +445,7 @@
     }
 }
 
-void SessionControl::logSentConfiguration(const std::string &name, const ContentDelivery &delivery, TimePoint now)
+void SessionControl::logSentConfiguration(const std::string &name, const ContentDelivery &delivery, bool isLost, TimePoint now)
 {
     const auto member = m_relayMembers.find(name);
     if (delivery.copies() == 1 && member == m_relayMembers.end()) {
@@ -436,6 +458,7 @@
                 {"version", delivery.sent()},
                 {"held", delivery.held()},
                 {"copies", delivery.copies()},
+                {"former_lost", isLost},
                 {"since_first_ms", toMilliseconds(now - delivery.firstSentAt()).count()},
                 {"member", member == m_relayMembers.end() ? std::string() : member->second}});
 }
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -114,6 +114,8 @@
     void handleProxy(const std::string &proxy, const wire::PoolEnvelope &message);
     void forwardProxy(const std::string &proxy, const wire::PoolEnvelope &message);
     void handleRelay(const std::string &from, const wire::PoolRelay &relay);
+    /// Records through which member a proxy is reached; empty for directly.
+    void setPath(const std::string &proxy, const std::string &member);
     void sendToProxy(const std::string &proxy, const wire::PoolEnvelope &message);
     void updateLeadership();
     void referToLeader(const std::string &proxy);
@@ -125,7 +127,8 @@
     void handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal);
     void grant(const std::string &proxy, std::uint64_t incarnation, std::uint64_t sequence);
     void fillGrant(const std::string &name, SessionLeases::Proxy &proxy, wire::PoolGrant &grant, TimePoint now);
-    void logSentConfiguration(const std::string &name, const ContentDelivery &delivery, TimePoint now);
+    /// @param isLost the proxy was known to lack the former copy
+    void logSentConfiguration(const std::string &name, const ContentDelivery &delivery, bool isLost, TimePoint now);
     void reportSentConfigurations(TimePoint now);
     void logLateConfirmation(const std::string &proxy, const ContentDelivery &before, std::uint64_t held, TimePoint now) const;
     Duration renewalInterval() const;
@@ -173,6 +176,7 @@
     TimePoint m_activeSince;
     std::uint64_t m_ignoredHeartbeats = 0; ///< since the last log line about them
     TimePoint m_nextIgnoredLogAt;
+    std::uint64_t m_messageNumber = 0; ///< of the last grant; never begins anew, so that numbers of proxies that come back are not used twice
     std::uint64_t m_firstCopies = 0; ///< first copies of a configuration that were sent since the last log line about them
     TimePoint m_nextFirstCopiesLogAt;
 };
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -245,6 +245,8 @@
         renewal.set_takes_changes(true);
         renewal.set_content_hash(m_directory.contentHash());
         renewal.set_databases_hash(m_directory.databasesHash());
+        renewal.set_received_number(m_directory.receivedNumber());
+        renewal.set_received_term(m_directory.controlTerm());
         renewal.set_unreachable_leader(m_control.unreachableLeader());
         for (const auto &[name, service] : m_directory.services()) {
             const auto primary = service->primary();
