Show that lost messages of control hold back newer ones

- SessionControl with a real SessionDirectory at the other end: the renewal that states a later grant is answered without the document.
- A grant that names a directory which the proxy lacks, without its content, extends the lease: control counts a push as held until the next renewal.
- Proxies that asked during an election are not referred to the leader if the former one is elected again.
- Deployments whose callers use HTTP: a push holds the changes since the push before, so that a change whose push was lost is skipped for good.

--- a/packages/sessions/src/waxwing/sessions/session_directory_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(SessionDirectoryTest);
     CPPUNIT_TEST(serviceWithoutPrimaryGetsItsFirstEpoch);
     CPPUNIT_TEST(changesOfAnotherDirectoryExtendNoLease);
+    CPPUNIT_TEST(directoryThatIsOnlyNamedExtendsNoLease);
     CPPUNIT_TEST(sameDirectoryOfANewLeaderNeedsNoCopy);
     CPPUNIT_TEST(membersOfControlAreTakenFromEachForm);
     CPPUNIT_TEST_SUITE_END();
@@ -74,6 +75,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(33), directory.contentHash());
     }
 
+    // Guards against reads at a replaced primary: the push with the change of primary was lost after control had counted it as sent, so
+    // that the grant which arrives has a lease and the number of the directory only.
+    void directoryThatIsOnlyNamedExtendsNoLease()
+    {
+        boost::asio::io_context context;
+        SessionDirectory directory(context.get_executor(), {});
+        directory.apply(grantOf(1, 5, "i-1"), Clock::now() - 59s);
+        const auto before = directory.lease().expiresAt();
+        wire::PoolGrant grant;
+        grant.set_sequence(2);
+        grant.set_lease_ms(60'000);
+        grant.set_control_term(1);
+        grant.set_directory_version(2);
+        directory.apply(grant, Clock::now());
+        CPPUNIT_ASSERT(before == directory.lease().expiresAt());
+        directory.apply(grantOf(2, 9, "i-2"), TimePoint());
+        directory.apply(grant, Clock::now());
+        CPPUNIT_ASSERT(before < directory.lease().expiresAt());
+        CPPUNIT_ASSERT(directory.lease().covers("s", 9, Clock::now()));
+    }
+
     // Guards against a copy of the directory for each proxy after each election, and against a lease on a directory that is another one.
     void sameDirectoryOfANewLeaderNeedsNoCopy()
     {
--- a/programs/control/control_service_test.cpp
+++ b/programs/control/control_service_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(answersNameTheProcessThatAsked);
     CPPUNIT_TEST(leavingPrimaryIsSwitchedOver);
     CPPUNIT_TEST(acceptedChangeIsPushed);
+    CPPUNIT_TEST(changeWhosePushWasLostIsPartOfTheNextOne);
     CPPUNIT_TEST(followerRedirectsProxyToLeader);
     CPPUNIT_TEST(putReportsAllErrorsAndTheConflictingResource);
     CPPUNIT_TEST(readsRespectMinimumVersionAndWatchesReportChanges);
@@ -377,6 +378,23 @@
         CPPUNIT_ASSERT(grant.resources_size() == 1 && grant.resources(0).name() == "l" && !grant.config_full());
     }
 
+    // Guards against a proxy that never gets a change: its push was lost, and the next one began after it but named the newest version.
+    void changeWhosePushWasLostIsPartOfTheNextOne()
+    {
+        makeGroupReady();
+        for (const char *name : {"first", "second"}) {
+            m_sentMessages["p"].clear(); // the push of the first change is lost
+            wire::ConfigCommand command;
+            command.mutable_put()->set_kind("limits");
+            command.mutable_put()->set_name(name);
+            command.mutable_put()->set_spec_json("{}");
+            m_service->change(command, [](LogFailure, const wire::ConfigResult &) {});
+        }
+        const auto &grant = m_sentMessages["p"].back().grant();
+        CPPUNIT_ASSERT(std::any_of(grant.resources().begin(), grant.resources().end(), [](const auto &change) { return change.name() == "second"; }));
+        CPPUNIT_ASSERT(std::any_of(grant.resources().begin(), grant.resources().end(), [](const auto &change) { return change.name() == "first"; }));
+    }
+
     // Guards against proxies that lose their lease because they keep renewing it with a process that no longer leads.
     void followerRedirectsProxyToLeader()
     {
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace waxwing;
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(proxyIsRecordedBeforeItGetsALease);
     CPPUNIT_TEST(proxiesThatFoundNoLeaderAreReferredToTheNewOne);
     CPPUNIT_TEST(proxiesThatAskedDuringAnElectionAreReferredToAnotherMember);
+    CPPUNIT_TEST(proxiesAreReferredToALeaderThatIsElectedAgain);
     CPPUNIT_TEST(firstStartWaitsForTheProxiesBeforeConnectionsAreShared);
     CPPUNIT_TEST(hundredsOfProxiesRenewLessOften);
     CPPUNIT_TEST(statusListsServicesAndProxies);
@@ -30,6 +32,7 @@
     CPPUNIT_TEST(memberRelaysOnlyToTheLeaderThatTheProxyCannotReach);
     CPPUNIT_TEST(unusableDatabaseIsNotPublished);
     CPPUNIT_TEST(configurationUnderWayIsNotSentWithEachRenewal);
+    CPPUNIT_TEST(proxyThatLostItsCopiesGetsTheNewestConfigurationAtOnce);
     CPPUNIT_TEST(copyOfALargeConfigurationPassesASlowLinkWithinARenewal);
     CPPUNIT_TEST(entryThatLeavesTheDirectoryAsItIsSendsNone);
     CPPUNIT_TEST(holdersThatChangeOftenAreSentTogether);
@@ -115,6 +118,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("core-3"), leaderHints.front());
     }
 
+    // Guards against proxies that search on after an election which the former leader wins: they were not referred to it a second time.
+    void proxiesAreReferredToALeaderThatIsElectedAgain()
+    {
+        SessionControlFixture fixture;
+        fixture.leads = false;
+        fixture.leader = "core-3";
+        std::size_t referrals = 0;
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            referrals += message.not_leader().leader() == "core-3" ? 1 : 0;
+        };
+        fixture.renewLease("p1", false);
+        fixture.control.tick();
+        fixture.leader.clear();
+        fixture.renewLease("p1", false);
+        fixture.control.tick();
+        referrals = 0;
+        fixture.leader = "core-3";
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return referrals != 0; }));
+    }
+
     // Guards against the first of 191 proxies that take a share of the connections each, of which there are fewer than proxies.
     void firstStartWaitsForTheProxiesBeforeConnectionsAreShared()
     {
@@ -306,6 +329,69 @@
         CPPUNIT_ASSERT_LESSEQUAL(maxCopies(start, ContentDelivery::Options().firstRepetition), copies);
     }
 
+    // Guards against a proxy that refuses by an old configuration for seconds, because control waits for copies that were lost with
+    // connections, directly and through another member.
+    void proxyThatLostItsCopiesGetsTheNewestConfigurationAtOnce()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        SessionDirectory directory(fixture.context.get_executor(), {.proxy = "p1"});
+        bool isCut = false;
+        std::uint64_t granted = 0;
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            if (message.has_grant() && !isCut) {
+                directory.apply(message.grant(), TimePoint());
+                granted = std::max(granted, message.grant().sequence());
+            }
+        };
+        const auto makeRenewal = [&] {
+            wire::PoolEnvelope message;
+            auto &renewal = *message.mutable_renewal();
+            renewal.set_proxy("p1");
+            renewal.set_incarnation(1);
+            renewal.set_sequence(++fixture.sequence);
+            renewal.set_config_version(directory.configVersion());
+            renewal.set_directory_version(directory.directoryVersion());
+            renewal.set_received_number(directory.receivedNumber());
+            renewal.set_received_term(directory.controlTerm());
+            return message;
+        };
+        // Renewals until one of them is answered and another one states that; true for relayed ones.
+        const auto renewTwice = [&](bool isRelayed) {
+            for (int i = 0; i < 2; ++i) {
+                auto message = makeRenewal();
+                if (isRelayed) {
+                    wire::PoolEnvelope relay;
+                    relay.mutable_relay()->set_proxy("p1");
+                    *relay.mutable_relay()->mutable_content() = message;
+                    message = relay;
+                }
+                fixture.control.handleMessage(isRelayed ? "core-2" : "p1", message);
+                fixture.control.tick();
+                for (const auto &[member, sent] : std::exchange(fixture.memberMessages, {})) {
+                    if (!isCut) {
+                        directory.apply(sent.relay().content().grant(), TimePoint());
+                    }
+                }
+            }
+        };
+        fixture.addDatabase("a", true);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.primary() == "a"; }));
+        renewTwice(false);
+        std::uint64_t version = 7;
+        for (const bool isRelayed : {false, true, false, true, true, false}) {
+            auto document = std::string(smallConfig);
+            document.replace(document.find(":7,"), 3, ":" + std::to_string(++version) + ",");
+            CPPUNIT_ASSERT(storeConfig(fixture, document));
+            isCut = true;
+            renewTwice(isRelayed); // the copy is lost, and the answers too
+            isCut = false;
+            renewTwice(isRelayed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(isRelayed ? "relayed" : "direct", version, directory.configVersion());
+        }
+        CPPUNIT_ASSERT(granted != 0);
+    }
+
     // Guards against callers that wait for seconds, because a change of many routes occupies the link of their proxy.
     void copyOfALargeConfigurationPassesASlowLinkWithinARenewal()
     {
