Send a configuration again as soon as its copy is known to be lost

Cause: content that was sent counted as under way until the proxy stated its version or a time had passed that doubled from 2 to 8 s with each copy. Nothing told a lost copy from a slow one, and newer content waited as well.

Class of fault: what was sent counts as received.

Change: a copy counts as lost once the proxy has stated a later grant of the same path without the version. The content that is newest then is due at once; if a further copy of the same version does not take effect either, for instance because the proxy refuses it, once a second. After a change of path a later grant on the new path proves nothing about the copy on the old one: it is replaced once, and then at most each 2 s. Content that is newer than the copy under way waits 2 s at most, never the doubled time.

Why it works: a path keeps the order of messages and a new connection replaces the former one, so that a later grant can't overtake a copy that still arrives. A slow copy holds back the grants behind it, so that no later number is stated and nothing is repeated early. A receiver behind a slow link whose versions change all the time now gets a copy each 2 s instead of each 8 s; the queue of the link is bounded.

Proxies of earlier releases state no number and get copies as before, but for the newer content.

--- a/programs/control/content_delivery.h
+++ b/programs/control/content_delivery.h
@@ -9,16 +9,17 @@
 
 /// @brief Decides when versioned content is sent to one receiver, which states the version that it holds from time to time. No I/O.
 ///
-/// Content that was sent counts as under way until the receiver states its version or a time has passed. The time doubles with
-/// each repetition, so that a receiver behind a slow link gets a bounded number of copies.
+/// Content that was sent counts as under way until the receiver states its version, or that a later message has arrived without it, or
+/// a time has passed. The time doubles with each repetition, so that a receiver behind a slow link gets a bounded number of copies.
 class ContentDelivery
 {
 public:
     struct Options
     {
-        Duration firstRepetition = 2s; ///< content may have been lost with its connection
+        Duration firstRepetition = 2s; ///< content may have been lost with its connection; newer content waits no longer than this
         Duration maxRepetition = 8s;
         Duration lossRepetition = 400ms; ///< content is known not to have left this process
+        Duration refusedRepetition = 1s; ///< several copies did not take effect although later messages have arrived
     };
 
     ContentDelivery();
@@ -45,7 +46,7 @@
     /// @brief Records the highest number of a message that the receiver has got. Call it after confirm() for the same statement.
     void recordReceived(std::uint64_t message, TimePoint now);
 
-    /// @brief Tells whether the latest copy was lost: the receiver has got a later message of the same path, but not the content.
+    /// @brief Tells whether the latest copy counts as lost: the receiver has got a later message, but not the content.
     bool isLost() const
     {
         return isUnderWay() && m_isLost;
@@ -58,7 +59,8 @@
     /// @param version number of the latest content
     bool isDue(std::uint64_t version, TimePoint now) const
     {
-        return m_held < version && (!isUnderWay() || now >= m_repeatAt);
+        const bool isNewer = version > m_sent && (m_isLost || now >= m_sentAt + m_options.firstRepetition);
+        return m_held < version && (!isUnderWay() || now >= m_repeatAt || isNewer);
     }
 
     /// @brief Latest version that the receiver stated; 0 for none.
@@ -105,6 +107,8 @@
     unsigned m_copies = 0; ///< see copies()
     TimePoint m_firstSentAt; ///< see firstSentAt()
     Duration m_repetition;
+    TimePoint m_sentAt; ///< of the latest copy
+    unsigned m_losses = 0; ///< copies of the latest version that count as lost
     TimePoint m_repeatAt;
 };
 
