Refer proxies to a leader that is elected again

Proxies that asked a member during an election searched on, one member at a time, when the former leader won it: the member remembered to which leader it had referred and did not do so again, although it had answered since that no leader is known. A search takes up to 1.6 s a round, during which a proxy may lose its lease.

Found by reading, while looking for places where something sent counts as received. The memory is cleared once a proxy is told that there is no leader.

Test: SessionControlTest::proxiesAreReferredToALeaderThatIsElectedAgain, no referral within 10 s before, passes now. That users met it is not shown.

--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -101,6 +101,9 @@
     const bool leaderOutOfReach = message.has_withdrawn() || (message.has_renewal() && message.renewal().unreachable_leader() == leader);
     if (message.has_renewal()) {
         m_proxiesAwaitingLeader[proxy] = Clock::now();
+        if (leader.empty()) {
+            m_referredLeader.clear(); // the former leader may be elected again
+        }
     }
     if (!leader.empty() && leaderOutOfReach) {
         wire::PoolEnvelope relay;
