Push changes since the version that a proxy has stated

Deployments whose callers use HTTP: a proxy would go on for good without a changed resource or a change of a group, though it states the newest version. A push held the changes since the former push. If that one was lost and the next one arrived before a renewal, the proxy took the version of the second and never asked for the first.

Found by reading, as the same class as lost copies of the configuration: what was sent counts as received. A push now begins at the versions that the proxy stated in its last renewal; it is sent once for each change as before, and repeats what changed since that renewal, which is at most one interval.

Deployments that serve sessions don't use this code.

--- a/programs/control/control_service.cpp
+++ b/programs/control/control_service.cpp
@@ -468,8 +468,9 @@
         wire::Envelope message;
         auto &content = *message.mutable_grant();
         content.set_control_term(m_configLog.term());
-        fillConfig(session.sentConfigVersion, content);
-        m_publisher.fill(session.sentDirectoryVersion, content);
+        // An earlier push may have been lost: what the proxy has stated counts, not what was sent.
+        fillConfig(session.configVersion, content);
+        m_publisher.fill(session.directoryVersion, content);
         fillPeers(content);
         session.sentConfigVersion = content.config_version();
         session.sentDirectoryVersion = content.directory_version();
