Extend no lease by a directory that is only named

Control counts a directory as held once it was pushed, until the next renewal states otherwise. A grant whose renewal came before the push then names the version without the content; if the push was lost or overtaken, the proxy took this for a directory that it has, and extended the lease.

Only the lease was wrong.

Change: such a grant extends no lease and is counted as not-attached. On one path the push arrives before the grant, so that this happens after losses and changes of path only. Grants with a lost change of an earlier base were refused already.

That users met it is not shown.

--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -150,11 +150,12 @@
         return true;
     }
     if (grant.compressed_directory().empty()) {
-        if (grant.has_directory()) {
-            applyServices(grant, version);
-            m_contentHash = grant.content_hash();
-            m_databasesHash = grant.databases_hash();
+        if (!grant.has_directory()) {
+            return ignore("not-attached"); // sent earlier, and lost or overtaken
         }
+        applyServices(grant, version);
+        m_contentHash = grant.content_hash();
+        m_databasesHash = grant.databases_hash();
         return true;
     }
     if (grant.base_version() > m_directoryVersion) {
