Bound the search for control after an isolation

A proxy that was cut off for a minute took up to 15.7 s after its links were whole again until a member of control answered: the search asks one address at a time, its pauses had grown to 1.6 s on average (2.4 s at most), and each address of a member or seed that was gone took a whole pause.

Found with a model of the search in virtual time: five members of which one to three live, three seeds that are gone, 60 s without links, links that take up to 0.8 s to connect again, and members that refer to the leader. Its bound is 4 s, which leaves 1 s of the users' 5 s for the grant and the configuration.

The pauses now grow until a round over all addresses takes 2.2 s on average, 3.3 s at most, however many addresses there are. A member whose link is not connected is passed over at once: the link reports renewals that were not sent, which cost nobody else anything, and while no link is connected at all the proxy tries again each 200 ms. One member is still asked at a time. A renewal to a known leader whose link is not connected is sent again at the next tick instead of after the interval, by which time the search had given it up.

--- a/packages/support/include/waxwing/support/back_off.h
+++ b/packages/support/include/waxwing/support/back_off.h
@@ -28,7 +28,14 @@
     /// @return between half of the mean and one and a half times the mean
     Duration next()
     {
-        const auto mean = m_mean;
+        return next(m_longest);
+    }
+
+    /// @brief Like next(), where the bound of the means varies.
+    /// @param longest bound of the mean of this pause, beside that of all
+    Duration next(Duration longest)
+    {
+        const auto mean = std::min(m_mean, longest);
         m_mean = std::min(2 * m_mean, m_longest);
         return mean / 2 + m_random.upTo(mean);
     }
--- a/programs/proxy/control_client.cpp
+++ b/programs/proxy/control_client.cpp
@@ -37,7 +37,9 @@
 
 ControlAddresses::Change ControlClient::setMembers(std::span<const std::string> addresses)
 {
-    return m_addresses.setMembers(addresses);
+    auto change = m_addresses.setMembers(addresses);
+    std::erase_if(m_notConnected, [this](const std::string &address) { return !m_addresses.isKnown(address); });
+    return change;
 }
 
 void ControlClient::setInterval(Duration interval)
@@ -76,7 +78,11 @@
 
 Duration ControlClient::searchPause()
 {
-    return m_searchAttempts < m_addresses.size() ? m_options.searchAfter : m_searchPauses.next();
+    if (m_searchAttempts < m_addresses.size()) {
+        return m_options.searchAfter;
+    }
+    const auto reached = m_addresses.size() - std::min(m_notConnected.size(), m_addresses.size());
+    return m_searchPauses.next(m_options.maxSearchRound / static_cast<Duration::rep>(std::max<std::size_t>(reached, 1)));
 }
 
 void ControlClient::hurry()
@@ -99,8 +105,12 @@
     if (m_leader.empty()) {
         ++m_searchAttempts;
         m_searchPause = searchPause();
-        if (const auto address = m_addresses.next(m_unreachable); !address.empty()) {
-            m_sender(peerAt(address), message);
+        if (!m_asked.empty()) {
+            m_notSentInARow = 0; // the attempt before was sent
+        }
+        if (m_asked = m_addresses.next(m_unreachable); !m_asked.empty()) {
+            m_notConnected.erase(m_asked);
+            m_sender(peerAt(m_asked), message);
         }
     } else {
         m_sender(peerAt(m_leader), message);
@@ -158,6 +168,25 @@
     return sentAt;
 }
 
+void ControlClient::onNotSent(const LinkPeer &to)
+{
+    if (!m_leader.empty()) {
+        m_isUrgent = m_isUrgent || to.id == m_leader; // its link may be connected within moments
+        return;
+    }
+    if (to.id != m_asked) {
+        return;
+    }
+    m_asked.clear();
+    m_notConnected.insert(to.id);
+    // Nobody was asked, so that the next one may be asked at once. While no link is connected, trying costs the members nothing.
+    const bool isRoundOver = ++m_notSentInARow >= m_addresses.size();
+    m_searchPause = isRoundOver ? m_options.searchAfter : Duration::zero();
+    if (isRoundOver) {
+        m_notSentInARow = 0;
+    }
+}
+
 void ControlClient::onNotLeader(const LinkPeer &from, const std::string &leader)
 {
     if (!leader.empty()) {
--- a/programs/proxy/control_client.h
+++ b/programs/proxy/control_client.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <utility>
@@ -24,7 +25,8 @@
 
 /// @brief Sends renewals to the control leader and finds a new leader when it does not answer.
 ///
-/// The search asks one member at a time, which refers to the leader as soon as it knows one.
+/// The search asks one member at a time, which refers to the leader as soon as it knows one. Members whose link is not connected take
+/// no part of its time.
 class ControlClient
 {
 public:
@@ -36,6 +38,7 @@
         Duration searchAfter = 200ms; ///< shortest time without a grant after which the leader is searched
         Duration maxSearchAfter = 800ms; ///< as above, where grants usually take long
         Duration maxSearchPause = 1'600ms; ///< longest mean time between renewals while no leader is known
+        Duration maxSearchRound = 2'200ms; ///< longest mean time in which a search asks all members that the links reach
         std::uint64_t seed = 0; ///< of the order in which members are asked, and of the pauses
         Duration urgentSpacing = 20ms; ///< shortest time between renewals that are sent ahead of time
         Duration directInterval = 1s; ///< between attempts to reach the leader directly while another member relays
@@ -77,6 +80,9 @@
     /// @param leader link address of the leader, empty if unknown
     void onNotLeader(const LinkPeer &from, const std::string &leader);
 
+    /// @brief Notes that a message could not be sent, because the link is not connected.
+    void onNotSent(const LinkPeer &to);
+
     /// @brief Link address of a leader that did not answer and has not been reached since; empty in the usual case.
     const std::string &unreachableLeader() const
     {
@@ -89,7 +95,8 @@
 
 private:
     void renew(TimePoint now);
-    /// Pause after an attempt to find the leader. It grows once each member was asked, and is spread, because all proxies search at once.
+    /// Pause after an attempt to find the leader. It grows once each member was asked, up to its part of a round, and is spread, because
+    /// all proxies search at once.
     Duration searchPause();
     /// Time without a grant after which the leader is searched.
     Duration grantTimeout() const;
@@ -116,6 +123,9 @@
     TimePoint m_lastTick;
     Duration m_grantTime {}; ///< moving average of the time from a renewal to its grant
     std::size_t m_searchAttempts = 0; ///< since the last grant
+    std::string m_asked; ///< by the latest attempt to find the leader
+    std::set<std::string, std::less<>> m_notConnected; ///< addresses at which the latest attempt was not sent
+    std::size_t m_notSentInARow = 0; ///< latest attempts to find the leader
     BackOff m_searchPauses;
     Duration m_searchPause {}; ///< until the next attempt
 };
--- a/programs/proxy/control_client_test.cpp
+++ b/programs/proxy/control_client_test.cpp
@@ -1,11 +1,17 @@
 #include "control_client.h"
 
+#include <waxwing/support/random.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 using namespace waxwing;
@@ -13,6 +19,189 @@
 namespace
 {
 
+// After a reconnection the users expect the newest configuration within 5 s; the grant and the configuration take the rest.
+constexpr Duration longestSearch = 4s;
+constexpr Duration lease = 2s;
+constexpr Duration tickInterval = 40ms;
+
+/// A proxy, members of control of which some are gone, and the links between them, in virtual time.
+class SearchModel
+{
+public:
+    /// What becomes of a message to a member that is gone, or of any message during the isolation.
+    enum class Loss {
+        Silent, ///< it is lost without a sign
+        NotSent, ///< the link says that it is not connected
+    };
+
+    enum class Direction {
+        ToLeader,
+        FromLeader,
+    };
+
+    SearchModel(std::uint64_t seed, Loss loss)
+        : m_random(seed)
+        , m_loss(loss)
+        , m_client(
+              {.addresses = {"s0", "s1", "s2"}, .incarnation = 1, .seed = seed}, [this](const LinkPeer &to, const wire::Envelope &) { return send(to); },
+              [this](std::uint64_t sequence) {
+                  m_sequence = sequence;
+                  return wire::Envelope();
+              })
+    {
+    }
+
+    /// Names the members to the proxy. The seeds are gone.
+    void setMembers(const std::vector<std::string> &members)
+    {
+        m_members = members;
+        m_client.setMembers(members);
+    }
+
+    /// @param living the first of these leads
+    void setLiving(const std::vector<std::string> &living)
+    {
+        m_living = living;
+    }
+
+    void setIsolated(bool isolated)
+    {
+        m_isolated = isolated;
+        for (const auto &member : m_members) {
+            m_connectedAt[member] = m_now + m_random.upTo(longestConnect);
+        }
+    }
+
+    /// The link to the leader loses messages in one direction.
+    void setLosing(std::optional<Direction> losing)
+    {
+        m_losing = losing;
+    }
+
+    /// Runs until a time or a grant.
+    /// @return the time of the grant
+    std::optional<TimePoint> runUntilGrant(TimePoint end)
+    {
+        const auto before = m_grants;
+        while (m_now < end && m_grants == before) {
+            step();
+        }
+        return m_grants == before ? std::nullopt : std::optional(m_now);
+    }
+
+    void run(Duration duration)
+    {
+        for (const auto end = m_now + duration; m_now < end;) {
+            step();
+        }
+    }
+
+    TimePoint now() const
+    {
+        return m_now;
+    }
+
+    /// Time until which the lease holds.
+    TimePoint leaseEnd() const
+    {
+        return m_leaseEnd;
+    }
+
+    /// Messages that have reached a member.
+    std::size_t received() const
+    {
+        return m_received;
+    }
+
+    Random &random()
+    {
+        return m_random;
+    }
+
+    void hurry()
+    {
+        m_client.hurry();
+    }
+
+private:
+    static constexpr Duration longestConnect = 800ms; // pause between two attempts and the attempt itself
+    static constexpr Duration longestDelay = 80ms; // one way, between regions and with a queue
+
+    void step()
+    {
+        m_client.tick(m_now);
+        m_now += tickInterval;
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            const auto event = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            event();
+        }
+    }
+
+    void after(Duration delay, std::function<void()> event)
+    {
+        m_events.emplace(m_now + delay, std::move(event));
+    }
+
+    Duration delay()
+    {
+        return 1ms + m_random.upTo(longestDelay);
+    }
+
+    bool send(const LinkPeer &to)
+    {
+        const bool reaches = !m_isolated && std::find(m_living.begin(), m_living.end(), to.id) != m_living.end() && m_connectedAt[to.id] <= m_now;
+        if (!reaches) {
+            if (m_loss == Loss::NotSent) {
+                after(Duration(1), [this, to] { m_client.onNotSent(to); });
+            }
+            return true;
+        }
+        ++m_received;
+        const auto &leader = m_living.front();
+        const ControlClient::Answer answer {.sequence = m_sequence, .incarnation = 1, .relayed = to.id != leader};
+        const auto unreachable = m_client.unreachableLeader();
+        if (to.id == leader) {
+            if (m_losing != Direction::ToLeader) {
+                after(delay(), [this, to, answer] { grant(to, answer, true); });
+            }
+        } else if (unreachable == leader) {
+            after(delay() + delay(), [this, to, answer] { grant(to, answer, false); });
+        } else {
+            after(delay(), [this, to, leader] { m_client.onNotLeader(to, leader); });
+        }
+        return true;
+    }
+
+    void grant(const LinkPeer &from, const ControlClient::Answer &answer, bool isDirect)
+    {
+        if (m_isolated || (isDirect && m_losing == Direction::FromLeader)) {
+            return;
+        }
+        if (const auto sentAt = m_client.onGrant(from, answer)) {
+            ++m_grants;
+            m_leaseEnd = std::max(m_leaseEnd, *sentAt + lease);
+        }
+    }
+
+    Random m_random;
+    Loss m_loss;
+    TimePoint m_now {1s};
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::vector<std::string> m_members;
+    std::vector<std::string> m_living;
+    std::map<std::string, TimePoint> m_connectedAt;
+    bool m_isolated = false;
+    std::optional<Direction> m_losing;
+    std::uint64_t m_sequence = 0;
+    std::size_t m_grants = 0;
+    std::size_t m_received = 0;
+    TimePoint m_leaseEnd;
+    ControlClient m_client;
+};
+
+const std::vector<std::string> fiveMembers {"m0", "m1", "m2", "m3", "m4"};
+
 const LinkPeer leader {LinkPeer::Kind::Dialed, "leader"};
 const LinkPeer other {LinkPeer::Kind::Dialed, "other"};
 
@@ -77,6 +266,11 @@
     CPPUNIT_TEST(formerLeaderThatReturnsIsFound);
     CPPUNIT_TEST(seedsAreAskedWhenNoMemberAnswers);
     CPPUNIT_TEST(replacedMembersAreForgotten);
+    CPPUNIT_TEST(controlAnswersInTimeOnceTheLinksAreWhole);
+    CPPUNIT_TEST(isolatedProxiesSpareTheMembers);
+    CPPUNIT_TEST(membersThatLiveAreSparedWhileSeedsAreGone);
+    CPPUNIT_TEST(leaderThatIsNotConnectedYetIsAskedAgain);
+    CPPUNIT_TEST(leaseOutlastsALeaderThatIsSilentInOneDirection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +474,154 @@
         const std::set<std::string> asked(fixture.sent.begin(), fixture.sent.end());
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), asked.size()); // two members and two seeds
     }
+
+    // Guards against a proxy that is connected again and acts on an old configuration for many seconds, because its search asks members
+    // and seeds that are gone, with pauses that grew while it was cut off.
+    void controlAnswersInTimeOnceTheLinksAreWhole()
+    {
+        for (std::uint64_t seed = 1; seed <= 2'000; ++seed) {
+            for (const auto loss : {SearchModel::Loss::Silent, SearchModel::Loss::NotSent}) {
+                SearchModel model(seed, loss);
+                auto living = fiveMembers;
+                model.setMembers(living);
+                model.setLiving(living);
+                model.run(3s);
+                model.setIsolated(true);
+                model.run(60s + model.random().upTo(3s));
+                while (living.size() > 1 + seed % 3) {
+                    living.erase(living.begin() + static_cast<std::ptrdiff_t>(model.random().between(0, living.size() - 1)));
+                }
+                model.setLiving(living);
+                model.setIsolated(false);
+                const auto whole = model.now();
+                const auto granted = model.runUntilGrant(whole + 60s);
+                const auto took = granted ? toMilliseconds(*granted - whole).count() : -1;
+                const auto message = "seed " + std::to_string(seed) + (loss == SearchModel::Loss::Silent ? ", silent" : ", not sent") + ", members living "
+                    + std::to_string(living.size()) + ", ms " + std::to_string(took);
+                CPPUNIT_ASSERT_MESSAGE(message, granted && *granted - whole <= longestSearch);
+            }
+        }
+    }
+
+    // Guards against a storm of renewals when many proxies are cut off together and come back: none of them knows the leader, and all
+    // members live. Bound: 100 a second for each of five members.
+    void isolatedProxiesSpareTheMembers()
+    {
+        for (const auto loss : {SearchModel::Loss::Silent, SearchModel::Loss::NotSent}) {
+            std::vector<std::unique_ptr<SearchModel>> models;
+            for (std::uint64_t seed = 1; seed <= 190; ++seed) {
+                auto &model = models.emplace_back(std::make_unique<SearchModel>(seed, loss));
+                model->setMembers(fiveMembers);
+                model->setLiving(fiveMembers);
+                model->setIsolated(true);
+                model->run(60s);
+                model->setIsolated(false);
+            }
+            std::size_t received = 0;
+            for (auto &model : models) {
+                model->run(4s);
+                received += model->received();
+            }
+            const auto message = std::to_string(received) + (loss == SearchModel::Loss::Silent ? ", silent" : ", not sent");
+            CPPUNIT_ASSERT_MESSAGE(message, received <= 4 * 100 * fiveMembers.size());
+        }
+    }
+
+    // Guards against a storm on the members that live, which have no leader and answer nobody, since those that are gone take no part of
+    // a search. Bound: 100 a second for each of five members.
+    void membersThatLiveAreSparedWhileSeedsAreGone()
+    {
+        std::map<std::string, unsigned> received;
+        std::vector<std::unique_ptr<ControlClient>> clients;
+        std::vector<std::pair<ControlClient *, LinkPeer>> notSent;
+        for (std::uint64_t seed = 1; seed <= 190; ++seed) {
+            clients.emplace_back();
+            clients.back() = std::make_unique<ControlClient>(
+                ControlClient::Options {.addresses = {"s0", "s1", "s2"}, .seed = seed},
+                [&, index = clients.size() - 1](const LinkPeer &to, const wire::Envelope &) {
+                    if (to.id.front() == 's') {
+                        notSent.emplace_back(clients[index].get(), to);
+                    } else {
+                        ++received[to.id];
+                    }
+                    return true;
+                },
+                [](std::uint64_t) { return wire::Envelope(); });
+            clients.back()->setMembers(fiveMembers);
+        }
+        TimePoint now(1s);
+        const auto run = [&](Duration duration) {
+            for (const auto end = now + duration; now < end; now += tickInterval) {
+                for (auto &client : clients) {
+                    client->tick(now);
+                }
+                for (const auto &[client, to] : std::exchange(notSent, {})) {
+                    client->onNotSent(to);
+                }
+            }
+        };
+        run(5s);
+        received.clear();
+        constexpr unsigned seconds = 20;
+        run(std::chrono::seconds(seconds));
+        CPPUNIT_ASSERT_EQUAL(fiveMembers.size(), received.size());
+        for (const auto &[member, count] : received) {
+            CPPUNIT_ASSERT_MESSAGE(member + ": " + std::to_string(count), count <= 100 * seconds);
+        }
+    }
+
+    // Guards against a search that gives up a living leader, or a renewal that comes late, because the link to it was not connected yet.
+    void leaderThatIsNotConnectedYetIsAskedAgain()
+    {
+        Fixture fixture;
+        fixture.client.tick(TimePoint(1s));
+        fixture.client.onNotLeader(other, "third");
+        const LinkPeer third {LinkPeer::Kind::Dialed, "third"};
+        fixture.sent.clear();
+        for (int i = 0; i < 3; ++i) {
+            fixture.client.tick(TimePoint(1'040ms) + i * tickInterval);
+            fixture.client.onNotSent(third);
+        }
+        CPPUNIT_ASSERT(fixture.sent == std::vector<std::string>({"third", "third", "third"}));
+    }
+
+    // Guards against a proxy without a lease although another member reaches the leader: the link to the leader loses messages in one
+    // direction, for seconds, again and again, and some members are gone.
+    void leaseOutlastsALeaderThatIsSilentInOneDirection()
+    {
+        for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+            for (const auto loss : {SearchModel::Loss::Silent, SearchModel::Loss::NotSent}) {
+                for (const auto direction : {SearchModel::Direction::ToLeader, SearchModel::Direction::FromLeader}) {
+                    SearchModel model(seed, loss);
+                    auto living = fiveMembers;
+                    model.setMembers(living);
+                    model.setLiving(living);
+                    model.run(3s);
+                    std::rotate(living.begin(), living.begin() + static_cast<std::ptrdiff_t>(seed % living.size()), living.end());
+                    living.resize(3);
+                    model.setLiving(living);
+                    model.run(10s);
+                    for (int round = 0; round < 10; ++round) {
+                        const bool isLosing = round % 2 == 0;
+                        model.setLosing(isLosing ? std::optional(direction) : std::nullopt);
+                        // The first loss may end the lease: nobody has relayed yet.
+                        if (round == 0) {
+                            const auto found = model.now();
+                            model.run(longestSearch);
+                            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), model.leaseEnd() > found + longestSearch);
+                        }
+                        for (const auto end = model.now() + 200ms + model.random().upTo(4s); model.now() < end;) {
+                            model.run(tickInterval);
+                            const auto message = "seed " + std::to_string(seed) + (loss == SearchModel::Loss::Silent ? ", silent" : ", not sent")
+                                + (direction == SearchModel::Direction::ToLeader ? ", to the leader" : ", from the leader") + ", round "
+                                + std::to_string(round);
+                            CPPUNIT_ASSERT_MESSAGE(message, model.now() < model.leaseEnd());
+                        }
+                    }
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlClientTest);
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -107,9 +107,11 @@
         options.key = std::move(key);
         auto link = MessageLink::start(
             m_context, std::move(options), [this](const LinkPeer &from, wire::Envelope &&message) { receive(from, message); },
-            [this](const LinkPeer &, wire::Envelope &&message) {
+            [this](const LinkPeer &to, wire::Envelope &&message) {
                 if (message.has_pool() && message.pool().has_forward()) {
                     m_server.forwarder().recordNotSent(message.pool().forward());
+                } else if (message.has_pool() && message.pool().has_renewal()) {
+                    m_control.onNotSent(to);
                 }
             });
         if (!link) {
