Log what a proxy forwards and sets on connections

Change: two events at the level debug, since they are a line for each statement: "statement forwarded" (request, holder, transaction, access, shape) at the proxy of the caller, and "connection state sent" (request, connection, whether it was discarded first, names of the values that were set) at the holder.

--- a/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_exchange.cpp
@@ -7,6 +7,8 @@
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
 
+#include <boost/json/array.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -64,6 +66,19 @@
     for (const auto &[name, value] : preparation.values) {
         addOwn(setCommand, platform::setText(name, value));
     }
+    if (log::isEnabled(log::Level::Debug) && (preparation.discard || !preparation.values.empty())) {
+        boost::json::array names;
+        for (const auto &[name, value] : preparation.values) {
+            names.emplace_back(name);
+        }
+        log::write(log::Level::Debug, "connection state sent",
+                   {{"request", job.id},
+                    {"service", job.route.service},
+                    {"database", m_database},
+                    {"connection", m_connection},
+                    {"discard", preparation.discard},
+                    {"values", std::move(names)}});
+    }
     if (preparation.prepare) {
         const auto &prepared = *job.prepared;
         const auto name = m_state.nameOf(prepared);
--- a/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
@@ -45,6 +45,20 @@
     return std::chrono::milliseconds(std::uint64_t(answer.queued_ms()) + answer.ran_ms());
 }
 
+void logForwarded(const wire::PoolForward &message, const StatementHolder &holder)
+{
+    if (!log::isEnabled(log::Level::Debug)) { // as many lines as forwarded statements
+        return;
+    }
+    log::write(log::Level::Debug, "statement forwarded",
+               {{"request", message.request()},
+                {"service", message.service()},
+                {"holder", holder.proxy},
+                {"transaction", message.transaction()},
+                {"writes", message.writes()},
+                {"shape", message.prepared_shape()}});
+}
+
 } // namespace
 
 StatementForwarder::StatementForwarder(asio::any_io_executor executor, std::uint64_t incarnation, Send send)
@@ -63,6 +77,7 @@
     auto &peer = findPeer(holder.proxy, distance);
     const auto remaining = limit - now - std::min(peer.transfer.upperBound(), (limit - now) / maxTransferPart);
     message.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(remaining).count())));
+    logForwarded(message, holder);
     Waiter waiter(m_executor);
     waiter.signal.expires_after(limit - now);
     m_waiting[correlation] = &waiter;
