Acknowledge draining only once the leader has heard of it

A member of control that does not lead acknowledged each heartbeat as soon as it had handed it to the link, whether or not the leader got it. A database that announces that it drains relies on this answer: it keeps serving for the drain limit from then on, and ends. If the message was lost or went to a former leader, proxies would learn of the draining with a later heartbeat only, and could send it statements after its limit.

A draining heartbeat now waits for the leader's answer, as a deregistration does, for up to 800 ms; without one it gets 503, so that the database calls the next member. A leader answers a forwarded heartbeat that asks for it. DeregistrationForwarder is BeatForwarder now. The leader still acknowledges draining before its log has it.

Fails before: SessionControlTest::drainingIsNotAcknowledgedWhenIts- ForwardingIsLost (acknowledged), drainingIsAcknowledgedOnceTheLeaderHasIt (the leader sends no answer).

--- a/programs/control/deregistration_forwarder.cpp
+++ b/programs/control/beat_forwarder.cpp
@@ -1,4 +1,4 @@
-#include "deregistration_forwarder.h"
+#include "beat_forwarder.h"
 
 #include <waxwing/support/identifier.h>
 
@@ -8,13 +8,13 @@
 namespace waxwing::control
 {
 
-DeregistrationForwarder::DeregistrationForwarder(Send send)
+BeatForwarder::BeatForwarder(Send send)
     : m_send(std::move(send))
     , m_incarnation(randomIdentifier())
 {
 }
 
-void DeregistrationForwarder::forward(const std::string &leader, const wire::PoolMember &member, TimePoint now, Handler handler)
+void BeatForwarder::forward(const std::string &leader, const wire::PoolMember &member, TimePoint now, Handler handler)
 {
     wire::PoolEnvelope message;
     auto &beat = *message.mutable_beat();
@@ -25,7 +25,7 @@
     m_send(leader, message);
 }
 
-void DeregistrationForwarder::receive(const wire::PoolBeatAnswer &answer)
+void BeatForwarder::receive(const wire::PoolBeatAnswer &answer)
 {
     if (answer.incarnation() != m_incarnation) {
         return;
@@ -36,7 +36,7 @@
     }
 }
 
-void DeregistrationForwarder::tick(TimePoint now)
+void BeatForwarder::tick(TimePoint now)
 {
     std::vector<Handler> expired;
     std::erase_if(m_pending, [&](auto &item) {
--- a/programs/control/deregistration_forwarder.h
+++ b/programs/control/beat_forwarder.h
@@ -11,8 +11,8 @@
 namespace waxwing::control
 {
 
-/// @brief Passes deregistrations of databases on to the leader, and tells whether its log has them. Single-threaded.
-class DeregistrationForwarder
+/// @brief Passes deregistrations and draining heartbeats of databases on to the leader, and tells whether it has them. Single-threaded.
+class BeatForwarder
 {
 public:
     using Handler = std::function<void(bool recorded)>;
@@ -22,9 +22,9 @@
     static constexpr Duration answerTimeout = 800ms;
 
     /// @param send sends a message to a member by its link address; it may be lost
-    explicit DeregistrationForwarder(Send send);
+    explicit BeatForwarder(Send send);
 
-    /// @brief Passes a deregistration on.
+    /// @brief Passes what a database says of itself on.
     /// @param leader link address
     /// @param handler called once; with false if there is no answer in time
     void forward(const std::string &leader, const wire::PoolMember &member, TimePoint now, Handler handler);
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -358,10 +358,10 @@
         if (!member) {
             m_control.ignoreHeartbeat("not-readable");
             reply.send({.status = 400, .body = R"({"error":"the heartbeat is not readable"})"});
-        } else if (m_control.heartbeat(*member)) {
-            reply.send({.status = 200, .body = "{}"});
         } else {
-            reply.send({.status = 503, .body = R"({"error":"no leader is known"})"});
+            m_control.heartbeat(*member, [reply](bool acknowledged) {
+                reply.send({.status = acknowledged ? okStatus : unavailableStatus, .body = acknowledged ? "{}" : R"({"error":"not confirmed by a leader"})"});
+            });
         }
     }
 
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -44,7 +44,7 @@
     , m_machine(machine)
     , m_ports(std::move(ports))
     , m_leases(m_options.leases)
-    , m_deregistrations([this](const std::string &member, const wire::PoolEnvelope &message) { m_ports.sendToMember(member, message); })
+    , m_beats([this](const std::string &member, const wire::PoolEnvelope &message) { m_ports.sendToMember(member, message); })
     , m_sendDirectly(std::exchange(m_ports.sendToProxy, [this](const std::string &proxy, const wire::PoolEnvelope &message) { sendToProxy(proxy, message); }))
     , m_supervisor(context, PrimarySupervisor::State {m_machine, m_directory, m_leases, m_holders}, m_ports, m_options.primaries,
                    [this] { m_directoryChanged = true; })
@@ -57,7 +57,7 @@
     if (message.has_beat()) {
         handleBeat(from, message.beat());
     } else if (message.has_beat_answer()) {
-        m_deregistrations.receive(message.beat_answer());
+        m_beats.receive(message.beat_answer());
     } else if (message.has_relay()) {
         handleRelay(from, message.relay());
     } else if (m_active) {
@@ -73,17 +73,21 @@
     if (!m_active) {
         return;
     }
-    if (!beat.member().leaving()) {
-        handleHeartbeat(beat.member());
-        return;
-    }
-    handleDeregistration(beat.member(), [this, from, correlation = beat.correlation(), incarnation = beat.incarnation()](bool recorded) {
+    const auto answer = [this, from, correlation = beat.correlation(), incarnation = beat.incarnation()](bool recorded) {
         wire::PoolEnvelope message;
         message.mutable_beat_answer()->set_correlation(correlation);
         message.mutable_beat_answer()->set_incarnation(incarnation);
         message.mutable_beat_answer()->set_recorded(recorded);
         m_ports.sendToMember(from, message);
-    });
+    };
+    if (beat.member().leaving()) {
+        handleDeregistration(beat.member(), answer);
+        return;
+    }
+    handleHeartbeat(beat.member());
+    if (beat.correlation() != 0) {
+        answer(true);
+    }
 }
 
 void SessionControl::handleProxy(const std::string &proxy, const wire::PoolEnvelope &message)
@@ -277,7 +281,7 @@
 void SessionControl::tick()
 {
     updateLeadership();
-    m_deregistrations.tick(Clock::now());
+    m_beats.tick(Clock::now());
     if (!m_active) {
         followLeader();
         return;
@@ -576,21 +580,27 @@
     }
 }
 
-bool SessionControl::heartbeat(const wire::PoolMember &member)
+void SessionControl::heartbeat(const wire::PoolMember &member, std::function<void(bool acknowledged)> handler)
 {
     updateLeadership();
     if (m_active) {
         handleHeartbeat(member);
-        return true;
+        handler(true);
+        return;
     }
     const auto leader = m_ports.log.leaderHint();
     if (leader.empty()) {
-        return false;
+        handler(false);
+        return;
+    }
+    if (member.draining()) {
+        m_beats.forward(leader, member, Clock::now(), std::move(handler));
+        return;
     }
     wire::PoolEnvelope message;
     *message.mutable_beat()->mutable_member() = member;
     m_ports.sendToMember(leader, message);
-    return true;
+    handler(true); // the next heartbeat repeats it
 }
 
 void SessionControl::deregister(const wire::PoolMember &member, std::function<void(bool recorded)> handler)
@@ -602,7 +612,7 @@
     } else if (leader.empty()) {
         handler(false);
     } else {
-        m_deregistrations.forward(leader, member, Clock::now(), std::move(handler));
+        m_beats.forward(leader, member, Clock::now(), std::move(handler));
     }
 }
 
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "beat_forwarder.h"
 #include "connection_holders.h"
-#include "deregistration_forwarder.h"
 #include "numbered_directory.h"
 #include "primary_supervisor.h"
 #include "session_control_ports.h"
@@ -63,9 +63,10 @@
     /// @brief Expires leases and databases, and sends changed grants to proxies. Must be called about every 20 ms.
     void tick();
 
-    /// @brief Handles a heartbeat.
-    /// @return false if no leader is known, so that the database should try another member
-    bool heartbeat(const wire::PoolMember &member);
+    /// @brief Handles a heartbeat. A draining database relies on the acknowledgement, which waits for the leader then.
+    /// @param handler called once; with false if the database should try another member: no leader is known, or it does not confirm that
+    /// the database drains
+    void heartbeat(const wire::PoolMember &member, std::function<void(bool acknowledged)> handler);
 
     /// @brief Handles a database's notice that it ends.
     /// @param member id, and the start of the run if the database tells it
@@ -152,7 +153,7 @@
     PoolDirectory m_directory;
     SessionLeases m_leases;
     ConnectionHolders m_holders; ///< declared before the supervisor, which reads it
-    DeregistrationForwarder m_deregistrations;
+    BeatForwarder m_beats;
     std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> m_sendDirectly;
     std::map<std::string, std::string> m_relayMembers; ///< by proxy: the member that relays messages to a proxy out of reach of this leader
     PrimarySupervisor m_supervisor;
--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(deregistrationIsAnsweredOnceItIsRecorded);
     CPPUNIT_TEST(followerAnswersADeregistrationAsTheLeaderDoes);
     CPPUNIT_TEST(heartbeatOfADeregisteredDatabaseIsIgnored);
+    CPPUNIT_TEST(drainingIsNotAcknowledgedWhenItsForwardingIsLost);
+    CPPUNIT_TEST(drainingIsAcknowledgedOnceTheLeaderHasIt);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::string_view smallConfig
@@ -621,6 +623,38 @@
         fixture.sendHeartbeat(database, true, false, 2);
         CPPUNIT_ASSERT(fixture.machine.members().contains("a"));
     }
+
+    // Guards against a database that ends while proxies still use it: a member acknowledged that it drains, and the message to the leader
+    // was lost, or went to a former leader.
+    void drainingIsNotAcknowledgedWhenItsForwardingIsLost()
+    {
+        SessionControlFixture fixture;
+        fixture.leads = false;
+        const auto &database = fixture.addDatabase("a", true);
+        CPPUNIT_ASSERT(fixture.heartbeats == std::vector<bool> {true});
+        fixture.heartbeats.clear();
+        fixture.sendHeartbeat(database, true, true);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return !fixture.heartbeats.empty(); }));
+        CPPUNIT_ASSERT(fixture.heartbeats == std::vector<bool> {false});
+    }
+
+    // Guards against a database whose draining is never acknowledged, since the member that it calls is not the leader.
+    void drainingIsAcknowledgedOnceTheLeaderHasIt()
+    {
+        SessionControlFixture leader;
+        CPPUNIT_ASSERT(leader.runUntil([&] { return leader.control.isActive(); }));
+        SessionControlFixture fixture;
+        fixture.leads = false;
+        const auto &database = fixture.addDatabase("a", true);
+        fixture.heartbeats.clear();
+        fixture.sendHeartbeat(database, true, true);
+        leader.control.handleMessage("core-3", fixture.memberMessages.back().second);
+        CPPUNIT_ASSERT(leader.machine.members().at("a").draining());
+        CPPUNIT_ASSERT(!leader.memberMessages.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("core-3"), leader.memberMessages.back().first);
+        fixture.control.handleMessage("core-2", leader.memberMessages.back().second);
+        CPPUNIT_ASSERT(fixture.heartbeats == std::vector<bool> {true});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionControlTest);
--- a/programs/control/testing/session_control_fixture.h
+++ b/programs/control/testing/session_control_fixture.h
@@ -65,7 +65,7 @@
         member.set_slots(3);
         member.set_primary(primary);
         member.set_draining(draining);
-        control.heartbeat(member);
+        control.heartbeat(member, [this](bool acknowledged) { heartbeats.push_back(acknowledged); });
     }
 
     /// Sends a database's notice that it ends.
@@ -147,6 +147,7 @@
     std::string leader = "core-2"; ///< link address of the leader, as this member knows it
     std::list<waxwing::testing::FakeDatabase> databases;
     std::vector<bool> deregistrations; ///< whether each was recorded
+    std::vector<bool> heartbeats; ///< whether each was acknowledged, in the order of the answers
     std::set<std::string> goingOn; ///< databases that don't learn of promotions
     std::vector<Order> orders; ///< in the order of arrival
     std::function<OrderAnswer(const Order &order)> answerOrder; ///< promotes the database if empty
