Renew ahead of time when a grant names what the proxy lacks

Control learns that a copy of the configuration or a directory was lost from the next renewal, 400 to 800 ms later. A proxy that learns from a grant that it is behind renews at once, so that control learns it within a round trip.

Such renewals are at least 400 ms apart, so that a proxy that refuses the content, or whose copy is on a slower path, does not renew in a loop. On one path, content arrives before the grants that only name it, so that no renewal is added while a copy is merely slow.

Test: SessionDirectoryTest::proxyKnowsThatItIsBehind. The spacing and the call in SessionProcess have no test of their own; waxwing-proxy builds.

--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -114,6 +114,12 @@
         return m_databasesHash;
     }
 
+    /// @brief Tells whether control has named a configuration or a directory that is newer than the one in force.
+    bool isBehind() const
+    {
+        return m_announcedConfig > configVersion() || m_announcedDirectory > m_directoryVersion;
+    }
+
     /// @brief Term of the leadership of control whose grant was applied last.
     std::uint64_t controlTerm() const
     {
@@ -195,6 +201,7 @@
     std::uint64_t m_receivedNumber = 0; ///< see receivedNumber()
     std::uint64_t m_announcedConfig = 0; ///< latest version that a grant named
     std::uint64_t m_directoryVersion = 0;
+    std::uint64_t m_announcedDirectory = 0; ///< latest version that a grant named
     std::vector<std::string> m_controlMembers;
     bool m_waitsEnded = false; ///< see endWaits()
     std::uint64_t m_contentHash = 0; ///< see contentHash()
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -63,6 +63,7 @@
     noteAnnounced(grant.config_version());
     // A lease must not be extended with a directory that lacks a change of primary; the next renewal asks for the whole one.
     const bool current = applyDirectory(grant);
+    m_announcedDirectory = std::max(m_announcedDirectory, grant.directory_version());
     if (grant.sequence() != 0 && current) {
         const bool wasValid = m_lease.isValid(now);
         m_lease.renew(sentAt, std::chrono::milliseconds(grant.lease_ms()), now);
--- a/packages/sessions/src/waxwing/sessions/session_directory_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(serviceWithoutPrimaryGetsItsFirstEpoch);
     CPPUNIT_TEST(changesOfAnotherDirectoryExtendNoLease);
     CPPUNIT_TEST(directoryThatIsOnlyNamedExtendsNoLease);
+    CPPUNIT_TEST(proxyKnowsThatItIsBehind);
     CPPUNIT_TEST(sameDirectoryOfANewLeaderNeedsNoCopy);
     CPPUNIT_TEST(membersOfControlAreTakenFromEachForm);
     CPPUNIT_TEST_SUITE_END();
@@ -96,6 +97,30 @@
         CPPUNIT_ASSERT(directory.lease().covers("s", 9, Clock::now()));
     }
 
+    // Guards against a proxy that waits a whole renewal interval before control learns that a configuration or directory was lost, and
+    // against one that renews ahead of time without need.
+    void proxyKnowsThatItIsBehind()
+    {
+        boost::asio::io_context context;
+        SessionDirectory directory(context.get_executor(), {});
+        directory.apply(grantOf(1, 5, "i-1"), TimePoint());
+        CPPUNIT_ASSERT(!directory.isBehind());
+        wire::PoolGrant grant;
+        grant.set_control_term(1);
+        grant.set_directory_version(2);
+        directory.apply(grant, TimePoint());
+        CPPUNIT_ASSERT(directory.isBehind());
+        directory.apply(grantOf(2, 5, "i-1"), TimePoint());
+        CPPUNIT_ASSERT(!directory.isBehind());
+        grant.set_config_version(7);
+        directory.apply(grant, TimePoint());
+        CPPUNIT_ASSERT(directory.isBehind());
+        grant.set_document(R"({"version":7,"routes":[],"services":[],"limits":{}})");
+        directory.apply(grant, TimePoint());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), directory.configVersion());
+        CPPUNIT_ASSERT(!directory.isBehind());
+    }
+
     // Guards against a copy of the directory for each proxy after each election, and against a lease on a directory that is another one.
     void sameDirectoryOfANewLeaderNeedsNoCopy()
     {
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -47,6 +47,7 @@
 constexpr Duration stallLimit = 600ms; // writes wait for a replica as well, up to two round trips between regions
 constexpr double demandSeconds = 0.35; // a little less than the time between renewals
 constexpr double demandWeight = 0.5; // demand doubles within some seconds, which an average of two or three values follows
+constexpr Duration catchUpSpacing = 400ms; // between renewals ahead of time that state a lost configuration or directory
 constexpr Duration reportSpacing = 150ms; // between renewals ahead of time that repeat the same evidence
 // The thread of the log writes the last lines in this time. Ending the log waits for threads of its library, which took
 // longer than the stop limit on these machines.
@@ -312,6 +313,9 @@
             connectMembers();
             if (m_directory.configVersion() != before) {
                 m_control.hurry(); // control sends a newer configuration only once this one is in force
+            } else if (const auto now = Clock::now(); m_directory.isBehind() && now - m_lastCatchUp >= catchUpSpacing) {
+                m_lastCatchUp = now;
+                m_control.hurry(); // what this grant names was sent before and is lost; control learns it from the next renewal
             }
         } else if (body.has_withdraw()) {
             withdraw(from, body.withdraw());
@@ -417,6 +421,7 @@
     std::uint64_t m_linkedVersion = 0; ///< of the directory whose holders are connected
     std::set<std::string> m_holderLinks; ///< links that were dialed
     TimePoint m_lastReport;
+    TimePoint m_lastCatchUp;
     TimePoint m_demandAt = Clock::now();
     std::uint64_t m_demandStatements = 0;
     double m_statementRate = 0; ///< a second, moving average
