--- a/programs/control/session_control_test.cpp
+++ b/programs/control/session_control_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(directoryNumberStandsForOneContent);
     CPPUNIT_TEST(deregistrationIsAnsweredOnceItIsRecorded);
     CPPUNIT_TEST(followerAnswersADeregistrationAsTheLeaderDoes);
+    CPPUNIT_TEST(removalThatTheLogRefusedIsRecordedLater);
     CPPUNIT_TEST(heartbeatOfADeregisteredDatabaseIsIgnored);
     CPPUNIT_TEST(drainingIsNotAcknowledgedWhenItsForwardingIsLost);
     CPPUNIT_TEST(drainingIsAcknowledgedOnceTheLeaderHasIt);
@@ -610,6 +611,33 @@
         CPPUNIT_ASSERT((fixture.deregistrations == std::vector<bool> {false, false}));
     }
 
+    // Guards against a promotion that loses commits: the log refused, while it was overloaded, to record that a database is gone which
+    // may hold commits that the others lack, and control did not try again.
+    void removalThatTheLogRefusedIsRecordedLater()
+    {
+        SessionControlFixture fixture;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.control.isActive(); }));
+        fixture.addDatabase("a", false);
+        CPPUNIT_ASSERT(fixture.machine.members().contains("a"));
+        int published = -1;
+        fixture.onProxyMessage = [&](const std::string &, const wire::PoolEnvelope &message) {
+            if (message.grant().has_directory()) {
+                published = message.grant().services().empty() ? 0 : message.grant().services(0).members_size();
+            }
+        };
+        fixture.renewLease("p1", false);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return published == 1; }));
+        fixture.proposalsAreAccepted = false;
+        CPPUNIT_ASSERT(fixture.runUntil([&] {
+            fixture.renewLease("p1", false);
+            return published == 0;
+        }));
+        CPPUNIT_ASSERT(fixture.machine.members().contains("a"));
+        fixture.proposalsAreAccepted = true;
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return !fixture.machine.members().contains("a"); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.machine.absent("s").size());
+    }
+
     // Guards against a database that is in use again after it has deregistered, because its last heartbeat arrives at a later leader.
     void heartbeatOfADeregisteredDatabaseIsIgnored()
     {
