Let the soak's versions differ for longer than they need to be in force

Each version named the hosts of the last four versions only and changed the service every third one. About twelve versions are sent in the 4 s after which a version must be in force, and nearly any answer was allowed by one of them: the checker stayed silent at proxies that had lost control for 57 s.

Change: a host stays for 60 versions, a service for 40, a time-out for 25; names are drawn from as far back.

--- a/scripts/soak_configuration.py
+++ b/scripts/soak_configuration.py
@@ -13,7 +13,10 @@
 CONTACT_S = 5.0  # without a fault this long, a proxy is in touch
 REGRESSION_S = 0.25  # after a database saw the effect of a version, the same process does not act by an older one
 SLOWED_REGRESSION_S = 8 * REGRESSION_S
-LIFETIME = 4  # versions that name each added host
+# Far more versions than are sent within APPLY_LIMIT_S: otherwise one of those that may be in force allows any answer.
+LIFETIME = 60  # versions that name each added host
+SERVICE_VERSIONS, TIMEOUT_VERSIONS = 40, 25  # versions with the same service or time-out
+SHOWN = 4  # versions in a report
 SHORT_MS, LONG_MS = 60, 1000  # time-outs below and above soak_databases.SLOW_READ_S
 PROBE_S = (0.1, 0.4)
 READ_LIMIT_S = 1.0
@@ -27,8 +30,8 @@
         self.number = number
         added = {f"added-{n}" for n in range(max(1, number - LIFETIME + 1), number + 1)}
         self.names = added | {"moved", "short"} if number else set()
-        self.service = services[number // 3 % len(services)] if number else None
-        self.timeout_ms = (LONG_MS, SHORT_MS)[number // 2 % 2]
+        self.service = services[number // SERVICE_VERSIONS % len(services)] if number else None
+        self.timeout_ms = (LONG_MS, SHORT_MS)[number // TIMEOUT_VERSIONS % 2]
         self.sent = time.monotonic()
         self.acknowledged = float("inf")
         self.member = None
@@ -76,7 +79,7 @@
         self.proven = {}  # (proxy index, process id) -> (version, time at which its effect was seen)
         self.counts = {"in touch": 0, "out of touch": 0, "reads": 0, "late": 0, "regressions": 0, "stale reads": 0}
         self.worst = {}  # proxy name -> number of late requests
-        self.number = 0
+        self.number, self.outcomes = 0, {}
 
     async def run(self, index, long):
         """Probes one proxy with short sessions, or with long ones that outlive versions."""
@@ -98,7 +101,7 @@
             return "short"
         if draw < 0.3:
             return "never"
-        return f"added-{max(1, newest - self.random.randint(0, LIFETIME + 3))}"
+        return f"added-{max(1, newest - self.random.randint(0, 2 * LIFETIME))}"
 
     async def _probe(self, index, long):
         name = self._pick()
@@ -109,6 +112,7 @@
         sent = time.monotonic()
         session, refusal = await self._open(proxy.callers, name)
         if refusal is not None:
+            self._count(f"start {refusal or 'closed'}")
             if refusal == "NODB":
                 self._judge(index, process, name, sent, "was refused as unknown", lambda version: name not in version.names)
             return
@@ -121,6 +125,9 @@
         finally:
             session.close()
 
+    def _count(self, outcome):
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
     async def _open(self, address, name):
         """Opens a session; returns it, or the code of the refusal."""
         try:
@@ -138,6 +145,7 @@
         async with asyncio.timeout(soak_callers.ANSWER_LIMIT_S):
             _, _, word, rest = await session.call(f"QUERY {identifier} READ {item}")
         took = time.monotonic() - sent
+        self._count(word if word == "COMPLETE" else rest.split(" ", 1)[0])
         if word == "COMPLETE":
             service = self.ledger.services.get(identifier)
             if name == "short":
@@ -168,10 +176,10 @@
             self.worst[proxy.name] = self.worst.get(proxy.name, 0) + 1
             self.ledger.report(f"{proxy.name}: {name} {what} {sent - due.acknowledged if due else 0:.2f} s after version {lowest} was acknowledged by "
                                f"{due.member if due else '-'} at {time.strftime('%H:%M:%S', time.localtime(time.time() - now + due.acknowledged)) if due else '-'}; "
-                               f"allowed by the versions {allowed[-LIFETIME:]}")
+                               f"allowed by the versions {allowed[-SHOWN:]}")
         elif regression and not any(number >= proven for number in allowed):
             self.counts["regressions"] += 1
-            self.ledger.report(f"{proxy.name}: {name} {what} {sent - at:.2f} s after it acted by version {proven}; allowed by the versions {allowed[-LIFETIME:]}")
+            self.ledger.report(f"{proxy.name}: {name} {what} {sent - at:.2f} s after it acted by version {proven}; allowed by the versions {allowed[-SHOWN:]}")
 
     def read_members(self, stopped):
         """Reads the configuration at each member in turn; runs in a thread of its own."""
