Drop messages under names that ZeroMQ has made up

Cause, as suspected: a peer that connects again under its name replaces its former connection, which then gets a generated name; messages left on it arrive under that name. Control would record a proxy that does not exist and wait for its lease, and a holder would run a statement for it.

Such names begin with a zero byte, and no process may have one of its own. Their messages are dropped and counted as unnamed-peer.

Test: MessageLinkTest::messageUnderAGeneratedNameIsDropped, fails without the check (the sender is '\0...' instead of 'named').

--- a/packages/transport/src/waxwing/transport/link_thread.cpp
+++ b/packages/transport/src/waxwing/transport/link_thread.cpp
@@ -310,6 +310,12 @@
             countDrop("malformed");
             continue;
         }
+        // ZeroMQ gives a name that begins with a zero byte to peers that state none, and to the former connection of a peer that has
+        // connected again: what is left on it would come from a peer that does not exist.
+        if (parts[0].size() == 0 || *parts[0].data<char>() == '\0') {
+            countDrop("unnamed-peer");
+            continue;
+        }
         deliver({Item::Kind::Message, {LinkPeer::Kind::Accepted, parts[0].to_string()}, parts[1].to_string()});
     }
     wake();
--- a/packages/transport/src/waxwing/transport/message_link_test.cpp
+++ b/packages/transport/src/waxwing/transport/message_link_test.cpp
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace waxwing;
 
@@ -20,6 +22,7 @@
     CPPUNIT_TEST(unknownPeerIsReportedAsNotSent);
     CPPUNIT_TEST(otherKeyIsRefused);
     CPPUNIT_TEST(addressesThatCannotBeDialedAreCounted);
+    CPPUNIT_TEST(messageUnderAGeneratedNameIsDropped);
     CPPUNIT_TEST(queueOfAPeerThatDoesNotReadIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +51,36 @@
     }
 
 public:
+    // Guards against peers that do not exist: messages left on the former connection of a peer that has connected again arrive under a
+    // name that ZeroMQ has made up, as those of a peer that states no name.
+    void messageUnderAGeneratedNameIsDropped()
+    {
+        const auto address = freeAddress();
+        std::vector<std::string> senders;
+        std::optional<MessageLink> server;
+        server.emplace(std::move(MessageLink::start(
+                                     m_context, {.name = "server", .listen = address},
+                                     [&](const LinkPeer &from, wire::Envelope &&) { senders.push_back(from.id); }, [](const LinkPeer &, wire::Envelope &&) {})
+                                     .value()));
+        zmq::context_t context;
+        zmq::socket_t unnamed(context, zmq::socket_type::dealer);
+        zmq::socket_t named(context, zmq::socket_type::dealer);
+        named.set(zmq::sockopt::routing_id, "named");
+        for (auto *socket : {&unnamed, &named}) {
+            socket->set(zmq::sockopt::linger, 0);
+            socket->connect("tcp://" + address);
+        }
+        auto &dropped = Metrics::instance().counter("waxwing_link_refusals_total", "reason", "unnamed-peer");
+        const auto before = dropped.value();
+        const auto bytes = cancel(1).SerializeAsString();
+        unnamed.send(zmq::buffer(bytes), zmq::send_flags::none);
+        runUntil([&] { return dropped.value() != before || !senders.empty(); });
+        named.send(zmq::buffer(bytes), zmq::send_flags::none);
+        runUntil([&] { return !senders.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("named"), senders.front());
+        CPPUNIT_ASSERT_EQUAL(before + 1, dropped.value());
+    }
+
     // Guards against links that lose the name of the sender or don't encrypt with the given key.
     void messagesPassBothWaysWithKeys()
     {
