--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -117,7 +117,7 @@
     /// @brief Tells whether control has named a configuration or a directory that is newer than the one in force.
     bool isBehind() const
     {
-        return m_announcedConfig > configVersion() || m_announcedDirectory > m_directoryVersion;
+        return m_announcedConfigVersion > configVersion() || m_announcedDirectory > m_directoryVersion;
     }
 
     /// @brief Term of the leadership of control whose grant was applied last.
@@ -199,7 +199,6 @@
     Interruption m_leaseLoss; ///< from the end of the lease until the next one begins
     std::uint64_t m_controlTerm = 0;
     std::uint64_t m_receivedNumber = 0; ///< see receivedNumber()
-    std::uint64_t m_announcedConfig = 0; ///< latest version that a grant named
     std::uint64_t m_directoryVersion = 0;
     std::uint64_t m_announcedDirectory = 0; ///< latest version that a grant named
     std::vector<std::string> m_controlMembers;
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -58,7 +58,6 @@
     m_controlTerm = grant.control_term();
     const auto versionBefore = configVersion();
     const bool hadLatest = hasLatestConfig(now);
-    m_announcedConfigVersion = std::max(m_announcedConfigVersion, grant.config_version());
     applyDocument(grant);
     noteAnnounced(grant.config_version());
     // A lease must not be extended with a directory that lacks a change of primary; the next renewal asks for the whole one.
@@ -115,15 +114,15 @@
 
 void SessionDirectory::noteAnnounced(std::uint64_t version)
 {
-    if (version > m_announcedConfig) {
-        m_announcedConfig = version;
+    if (version > m_announcedConfigVersion) {
+        m_announcedConfigVersion = version;
         if (version > configVersion()) {
             log::write(log::Level::Info, "newer configuration announced", {{"announced", version}, {"in_force", configVersion()}});
         }
     }
     static auto &announced = Metrics::instance().gauge("waxwing_session_config_version_announced");
     static auto &inForce = Metrics::instance().gauge("waxwing_session_config_version");
-    announced.set(static_cast<std::int64_t>(m_announcedConfig));
+    announced.set(static_cast<std::int64_t>(m_announcedConfigVersion));
     inForce.set(static_cast<std::int64_t>(configVersion()));
 }
 
