--- a/packages/support/include/waxwing/support/identifier.h
+++ b/packages/support/include/waxwing/support/identifier.h
@@ -32,10 +32,6 @@
 /// @param text any bytes
 std::uint64_t hash64(std::string_view text);
 
-/// @brief Tells whether text is UTF-8, as the text fields of messages between processes must be.
-/// @param text any bytes
-bool isUtf8(std::string_view text);
-
 /// @brief Formats a number as 16 lower-case hexadecimal digits.
 std::string toHex(std::uint64_t value);
 
--- a/packages/support/src/waxwing/support/identifier.cpp
+++ b/packages/support/src/waxwing/support/identifier.cpp
@@ -4,7 +4,6 @@
 #include <xxhash.h>
 
 #include <array>
-#include <bit>
 #include <chrono>
 #include <cstdio>
 
@@ -110,35 +109,6 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
-bool isUtf8(std::string_view text)
-{
-    constexpr unsigned payloadBits = 6; // of each byte that continues a character
-    constexpr std::array<std::uint32_t, 4> smallest {0, 0x80, 0x800, 0x10000}; // by the number of continuing bytes
-    for (std::size_t i = 0; i < text.size();) {
-        const auto first = static_cast<unsigned char>(text[i++]);
-        if (first < 0x80U) {
-            continue;
-        }
-        const auto more = static_cast<std::size_t>(std::countl_one(first)) - 1;
-        if (more < 1 || more >= smallest.size() || text.size() - i < more) {
-            return false;
-        }
-        std::uint32_t character = first & (0x3fU >> more);
-        for (const auto end = i + more; i < end; ++i) {
-            const auto next = static_cast<unsigned char>(text[i]);
-            if ((next & 0xc0U) != 0x80U) {
-                return false;
-            }
-            character = (character << payloadBits) | (next & 0x3fU);
-        }
-        const bool isSurrogate = character >= 0xd800U && character <= 0xdfffU;
-        if (character < smallest.at(more) || isSurrogate || character > 0x10ffffU) {
-            return false;
-        }
-    }
-    return true;
-}
-
 std::string toHex(std::uint64_t value)
 {
     std::array<char, 17> text {};
--- a/programs/proxy/transaction_table.cpp
+++ b/programs/proxy/transaction_table.cpp
@@ -1,6 +1,7 @@
 #include "transaction_table.h"
 
 #include <waxwing/support/identifier.h>
+#include <waxwing/support/utf8.h>
 
 namespace waxwing
 {
