--- a/programs/control/promotion_random_test.cpp
+++ b/programs/control/promotion_random_test.cpp
@@ -135,7 +135,7 @@
     {
         if (log::isEnabled(log::Level::Info)) {
             fields["at_ms"] = toMilliseconds(m_world.now()).count();
-            log::write(log::Level::Info, event, std::move(fields));
+            log::write(log::Level::Info, event, fields);
         }
     }
 
