Identify the workspace of a caller by its key

Cause: the configuration names workspaces with API keys, but nothing in the sources knew one: every caller was served, whatever key it stated.

A session belongs to the workspace of its key at each operation and at each statement of a transaction. An unknown key is refused as such only under the latest configuration. Forwarded statements name the workspace.

Without workspaces in the configuration nothing changes. Databases are not told the workspace yet.

--- a/packages/protocol/include/waxwing/protocol/session_error.h
+++ b/packages/protocol/include/waxwing/protocol/session_error.h
@@ -23,6 +23,8 @@
     UnknownStatement, ///< no prepared statement of this name
     TooLarge,
     Malformed,
+    // Proxies state errors to each other by number, so that later ones are added at the end.
+    Unauthorized, ///< no workspace has the key of the session
 };
 
 } // namespace waxwing
--- a/packages/protocol/include/waxwing/protocol/session_request.h
+++ b/packages/protocol/include/waxwing/protocol/session_request.h
@@ -19,6 +19,7 @@
 
     Kind kind = Kind::Malformed;
     std::string database; ///< Start
+    std::string key; ///< Start; API key of the caller, empty if it stated none
     SessionStatement statement; ///< Statement
 };
 
--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -52,10 +52,31 @@
     }
 
 private:
+    /// Workspace on whose behalf a statement runs.
+    struct Caller
+    {
+        std::string workspace; ///< empty if the deployment has none, or the route is public and the key unknown
+        int priority = 0;
+    };
+
+    /// What the configuration in force lets the session use.
+    struct Access
+    {
+        const PoolRoute *route = nullptr; ///< null if the session's name has none
+        bool isAuthorized = false;
+        Caller caller;
+
+        explicit operator bool() const
+        {
+            return route != nullptr && isAuthorized;
+        }
+    };
+
     /// Current transaction of the session.
     struct Transaction
     {
         PoolRoute route; ///< at the begin of the transaction; later configurations do not affect it
+        Caller caller; ///< at the begin of the transaction; it ends with the caller's key
         bool readOnly = false;
         bool writes = false; ///< a writing statement was sent
         SessionTransaction begun; ///< empty until the first statement has run
@@ -66,7 +87,7 @@
     boost::asio::awaitable<bool> readLine(std::string &line);
     boost::asio::awaitable<bool> send(std::string bytes);
     boost::asio::awaitable<std::string> handle(SessionRequest request);
-    boost::asio::awaitable<std::string> start(std::string database);
+    boost::asio::awaitable<std::string> start(std::string database, std::string key);
     boost::asio::awaitable<std::string> handleStatement(SessionStatement statement);
     boost::asio::awaitable<std::string> handleFailed(const SessionStatement &statement);
     std::string refuseTooLarge(std::string_view text, bool endsTransaction);
@@ -78,19 +99,22 @@
     boost::asio::awaitable<std::string> runSingle(SessionStatement statement);
     boost::asio::awaitable<std::string> runInTransaction(SessionStatement statement);
     boost::asio::awaitable<std::string> beginWith(SessionStatement statement, bool commits);
-    std::optional<SessionJob> makeJob(const SessionStatement &statement, const PoolRoute &route) const;
-    const PoolRoute *route() const;
+    std::optional<SessionJob> makeJob(const SessionStatement &statement, const PoolRoute &route, const Caller &caller) const;
+    Access access() const;
+    /// Tells whether the key of the session still belongs to the workspace of its open transaction.
+    bool mayContinueTransaction() const;
     /// Time by which a statement that was just received must be answered.
     TimePoint answerLimit(Duration statementTimeout) const;
-    /// Waits until there is a route for the name of the session, or it is known that there is none.
-    boost::asio::awaitable<void> awaitRoute(TimePoint limit);
-    /// What to answer while there is no route.
-    struct NoRoute
+    /// Waits until the configuration lets the session in, or it is known that the latest one does not.
+    boost::asio::awaitable<void> awaitAccess(TimePoint limit);
+    /// What to answer while the session has no access.
+    struct Refusal
     {
         SessionError error;
         std::string text;
+        bool isKeyUnknown = false; ///< there is a route, but no workspace has the key
     };
-    NoRoute refuseWithoutRoute() const;
+    Refusal refuseAccess() const;
     std::string failTransaction(SessionError error, std::string_view text);
     void rollBackTransaction();
     void recordCommit(const std::string &service, const StatementResult &result);
@@ -104,6 +128,7 @@
     SessionState m_state;
     std::size_t m_storedBytes = 0; ///< size of the values and prepared statements of m_state
     std::string m_database; ///< empty before the start of the session
+    std::string m_key; ///< API key of the caller; secret
     Duration m_statementTimeout {}; ///< of the latest route of the session
     std::string m_requestId; ///< of the current or most recent statement
     TransactionState m_transactionState = TransactionState::Idle;
--- a/packages/sessions/include/waxwing/sessions/session_job.h
+++ b/packages/sessions/include/waxwing/sessions/session_job.h
@@ -16,6 +16,8 @@
     PoolRoute route;
     const SessionState *session = nullptr;
     std::string id; ///< request id of the caller
+    std::string workspace; ///< that the caller belongs to; empty if the deployment has none
+    int workspacePriority = 0; ///< 0 is the highest
     std::string text; ///< text for the database; for a prepared statement only what follows its name, with the blank before it
     std::optional<SessionState::Prepared> prepared; ///< prepared statement to execute; its name depends on the connection
     bool writes = false;
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -170,30 +170,31 @@
         co_return answer;
     }
     if (request.kind == SessionRequest::Kind::Start && m_database.empty()) {
-        std::string answer = co_await start(std::move(request.database));
+        std::string answer = co_await start(std::move(request.database), std::move(request.key));
         co_return answer;
     }
     m_ended = true;
     co_return platform::encodeStartRefusal(SessionError::Malformed, "not a valid message");
 }
 
-asio::awaitable<std::string> ClientSession::start(std::string database)
+asio::awaitable<std::string> ClientSession::start(std::string database, std::string key)
 {
     m_database = std::move(database);
+    m_key = std::move(key);
     // After the start of the process the configuration arrives within moments, which is sooner than the caller's next attempt.
-    if (route() == nullptr) {
-        co_await awaitRoute(m_backend.limitDeadline(m_receivedAt + configTimeout));
+    if (!access()) {
+        co_await awaitAccess(m_backend.limitDeadline(m_receivedAt + configTimeout));
     }
     if (m_backend.isStopping()) {
         co_return refuseStart();
     }
-    const auto *known = route();
-    if (known == nullptr) {
+    const auto granted = access();
+    if (!granted) {
         m_ended = true;
-        const auto refusal = refuseWithoutRoute();
+        const auto refusal = refuseAccess();
         co_return platform::encodeStartRefusal(refusal.error, refusal.text);
     }
-    m_statementTimeout = known->statementTimeout;
+    m_statementTimeout = granted.route->statementTimeout;
     co_return platform::encodeReady(m_transactionState);
 }
 
@@ -205,14 +206,32 @@
                                         "not run, the proxy stops, retry after " + std::to_string(toMilliseconds(otherProxyRetryDelay).count()) + " ms");
 }
 
-const PoolRoute *ClientSession::route() const
+ClientSession::Access ClientSession::access() const
 {
     const auto &config = m_directory.config();
     if (!config) {
-        return nullptr;
+        return {};
     }
-    const auto found = config->routes.find(m_database);
-    return found == config->routes.end() ? nullptr : &found->second;
+    Access result;
+    if (const auto found = config->routes.find(m_database); found != config->routes.end()) {
+        result.route = &found->second;
+    }
+    const auto *workspace = config->findWorkspaceByKey(m_key);
+    if (workspace != nullptr) {
+        result.caller = {workspace->name, workspace->priority};
+    }
+    result.isAuthorized = workspace != nullptr || !config->hasWorkspaces || (result.route != nullptr && result.route->isPublic);
+    return result;
+}
+
+bool ClientSession::mayContinueTransaction() const
+{
+    const auto &config = m_directory.config();
+    if (!config || m_transaction.caller.workspace.empty()) {
+        return true;
+    }
+    const auto *workspace = config->findWorkspaceByKey(m_key);
+    return workspace != nullptr && workspace->name == m_transaction.caller.workspace;
 }
 
 TimePoint ClientSession::answerLimit(Duration statementTimeout) const
@@ -220,28 +239,32 @@
     return m_backend.limitDeadline(m_receivedAt + statementTimeout - std::min(answerMargin, statementTimeout / 4));
 }
 
-asio::awaitable<void> ClientSession::awaitRoute(TimePoint limit)
+asio::awaitable<void> ClientSession::awaitAccess(TimePoint limit)
 {
     const auto deadline = std::min(limit, m_receivedAt + configTimeout);
     for (auto now = Clock::now(); now < deadline; now = Clock::now()) {
-        if (route() != nullptr || m_directory.hasLatestConfig(now) || m_backend.isStopping()) {
+        if (access() || m_directory.hasLatestConfig(now) || m_backend.isStopping()) {
             co_return;
         }
         co_await m_directory.waitForConfig(deadline);
     }
 }
 
-ClientSession::NoRoute ClientSession::refuseWithoutRoute() const
+ClientSession::Refusal ClientSession::refuseAccess() const
 {
     const auto now = Clock::now();
-    NoRoute refusal {SessionError::UnknownDatabase, "no such database"};
+    Refusal refusal {SessionError::UnknownDatabase, "no such database"};
+    if (access().route != nullptr) {
+        refusal = {SessionError::Unauthorized, "no such key", true};
+    }
     if (!m_directory.hasLatestConfig(now)) {
         const std::string_view reason = m_backend.isStopping() ? stoppingReason : m_directory.config() ? unconfirmedReason : noConfigReason;
         Metrics::instance().counter("waxwing_session_refusals_total", "reason", reason).add();
-        refusal = {SessionError::Busy, RetryAdvice::text(RetryAdvice::otherProxy, reason, false)};
+        refusal.error = SessionError::Busy;
+        refusal.text = RetryAdvice::text(RetryAdvice::otherProxy, reason, false);
     }
     countOutcome(refusal.error);
-    log::write(log::Level::Info, "name without a route",
+    log::write(log::Level::Info, refusal.isKeyUnknown ? "unknown key" : "name without a route",
                {{"request", m_requestId},
                 {"name", excerpt(m_database)},
                 {"answer", refusal.text},
@@ -260,6 +283,9 @@
         co_return co_await handleFailed(statement);
     }
     const bool open = m_transactionState == TransactionState::Open;
+    if (open && !mayContinueTransaction()) {
+        co_return failTransaction(SessionError::Unauthorized, "the key was withdrawn; nothing is kept");
+    }
     if (isTooLarge(statement)) {
         co_return refuseTooLarge(messageTooLongText, open && statement.kind != Kind::Prepare);
     }
@@ -360,22 +386,23 @@
 
 asio::awaitable<std::string> ClientSession::begin(bool readOnly)
 {
-    if (route() == nullptr) {
-        co_await awaitRoute(answerLimit(m_statementTimeout));
+    if (!access()) {
+        co_await awaitAccess(answerLimit(m_statementTimeout));
     }
-    const auto *known = route();
-    if (known == nullptr) {
-        const auto refusal = refuseWithoutRoute();
+    const auto granted = access();
+    if (!granted) {
+        const auto refusal = refuseAccess();
         co_return platform::encodeError(refusal.error, refusal.text, m_transactionState);
     }
-    m_statementTimeout = known->statementTimeout;
+    m_statementTimeout = granted.route->statementTimeout;
     if (m_backend.isStopping()) {
         countOutcome(SessionError::Busy);
         co_return platform::encodeError(
             SessionError::Busy, "not run, retry after " + std::to_string(toMilliseconds(otherProxyRetryDelay).count()) + " ms: stopping", m_transactionState);
     }
     m_transaction = {};
-    m_transaction.route = *known;
+    m_transaction.route = *granted.route;
+    m_transaction.caller = granted.caller;
     m_transaction.readOnly = readOnly;
     m_transactionState = TransactionState::Open;
     co_return platform::encodeAccepted(m_transactionState);
@@ -438,10 +465,12 @@
     m_socket.cancel(ignored);
 }
 
-std::optional<SessionJob> ClientSession::makeJob(const SessionStatement &statement, const PoolRoute &route) const
+std::optional<SessionJob> ClientSession::makeJob(const SessionStatement &statement, const PoolRoute &route, const Caller &caller) const
 {
     SessionJob job;
     job.route = route;
+    job.workspace = caller.workspace;
+    job.workspacePriority = caller.priority;
     job.session = &m_state;
     job.id = statement.id;
     job.text = statement.text;
@@ -483,16 +512,16 @@
 
 asio::awaitable<std::string> ClientSession::runSingle(SessionStatement statement)
 {
-    if (route() == nullptr) {
-        co_await awaitRoute(answerLimit(m_statementTimeout));
+    if (!access()) {
+        co_await awaitAccess(answerLimit(m_statementTimeout));
     }
-    const auto *known = route();
-    if (known == nullptr) {
-        const auto refusal = refuseWithoutRoute();
+    const auto granted = access();
+    if (!granted) {
+        const auto refusal = refuseAccess();
         co_return platform::encodeError(refusal.error, refusal.text, m_transactionState);
     }
-    m_statementTimeout = known->statementTimeout;
-    const auto job = makeJob(statement, *known);
+    m_statementTimeout = granted.route->statementTimeout;
+    const auto job = makeJob(statement, *granted.route, granted.caller);
     if (!job) {
         co_return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
     }
@@ -509,7 +538,7 @@
 
 asio::awaitable<std::string> ClientSession::beginWith(SessionStatement statement, bool commits)
 {
-    auto job = makeJob(statement, m_transaction.route);
+    auto job = makeJob(statement, m_transaction.route, m_transaction.caller);
     if (!job) {
         co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement");
     }
@@ -540,7 +569,7 @@
         std::string answer = co_await beginWith(std::move(statement), false);
         co_return answer;
     }
-    const auto job = makeJob(statement, m_transaction.route);
+    const auto job = makeJob(statement, m_transaction.route, m_transaction.caller);
     if (!job) {
         co_return failTransaction(SessionError::UnknownStatement, "no such prepared statement");
     }
@@ -560,7 +589,7 @@
         std::string answer = co_await beginWith(std::move(statement), true);
         co_return answer;
     }
-    auto job = makeJob(statement, m_transaction.route);
+    auto job = makeJob(statement, m_transaction.route, m_transaction.caller);
     job->writes = m_transaction.writes;
     const auto result = co_await m_backend.commit(m_transaction.begun, *job);
     recordCommit(job->route.service, result);
--- a/packages/sessions/src/waxwing/sessions/forward_codec.cpp
+++ b/packages/sessions/src/waxwing/sessions/forward_codec.cpp
@@ -20,6 +20,8 @@
     wire::PoolForward message;
     message.set_kind(kind);
     message.set_request(job.id);
+    message.set_workspace(job.workspace);
+    message.set_workspace_priority(job.workspacePriority);
     message.set_service(job.route.service);
     message.set_freshness(static_cast<std::uint32_t>(job.route.freshness));
     message.set_max_age_ms(milliseconds(job.route.maxAge));
@@ -74,6 +76,8 @@
     job.route.priority = message.priority();
     job.session = &session;
     job.id = message.request();
+    job.workspace = message.workspace();
+    job.workspacePriority = message.workspace_priority();
     job.text = message.executes() ? message.arguments() : message.text();
     if (message.executes()) {
         job.prepared = {message.prepared_writes(), message.prepared_shape()};
--- a/packages/state/include/waxwing/state/pool_route.h
+++ b/packages/state/include/waxwing/state/pool_route.h
@@ -19,6 +19,7 @@
     Duration latencyTarget {}; ///< for a whole operation
     Duration maxAge {}; ///< for BoundedAge and OwnWrites
     int priority = 0; ///< 0 is the highest
+    bool isPublic = false; ///< callers need no key
 };
 
 } // namespace waxwing
