Open connections for the workspace of a statement

Change: a pooled connection belongs to one workspace. A statement takes an idle connection of its workspace, has one opened, or has an idle one of another workspace closed for it. Statements wait by priority of the route, then of the workspace, then in start-time fair order among workspaces. A database that has not noticed a closing yet is asked again after 15 ms.

--- a/packages/sessions/include/waxwing/sessions/database_connection.h
+++ b/packages/sessions/include/waxwing/sessions/database_connection.h
@@ -30,6 +30,7 @@
         std::string service;
         std::string database; ///< id that the database has to confirm
         std::string caller; ///< name of this process
+        std::string workspace; ///< to which the database attributes what runs on the connection; empty for this process
     };
 
     enum class OpenResult {
@@ -59,6 +60,12 @@
     DatabaseConnection(const DatabaseConnection &) = delete;
     DatabaseConnection &operator=(const DatabaseConnection &) = delete;
 
+    /// @brief Workspace for which the connection was opened; empty if it belongs to none.
+    const std::string &workspace() const
+    {
+        return m_workspace;
+    }
+
     /// @brief Connects and starts a session.
     boost::asio::awaitable<OpenResult> open(Target target, TimePoint deadline);
 
@@ -102,6 +109,7 @@
     boost::asio::awaitable<bool> readReply(PoolReply &reply);
 
     boost::asio::ip::tcp::socket m_socket;
+    std::string m_workspace; ///< see workspace()
     DeadlineTimer m_timer;
     platform::LineReader m_lines;
     platform::ReplyReader m_replies;
--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <waxwing/coordination/fair_queue_tags.h>
 #include <waxwing/coordination/session_state.h>
+#include <waxwing/sessions/connection_assignment.h>
 #include <waxwing/sessions/database_connection.h>
 #include <waxwing/support/back_off.h>
 #include <waxwing/support/time.h>
@@ -44,11 +46,12 @@
     DatabasePool(const boost::asio::any_io_executor &executor, const wire::PoolMember &member, Options options);
     ~DatabasePool();
 
-    /// @brief Takes a connection. Statements wait in order of rank, then arrival.
+    /// @brief Takes a connection. Statements wait in order of rank, then by turns of their workspaces, then arrival.
     /// @param session the idle connection whose state is closest to this session's is preferred
+    /// @param workspace the database attributes what runs on the connection to it; nothing for commands that belong to none
     /// @param rank lower ranks are served first, see SessionJob::rank()
     /// @return null if no connection became free before the deadline, or the database can't be reached
-    boost::asio::awaitable<ConnectionPointer> acquire(const SessionState &session, int rank, TimePoint deadline);
+    boost::asio::awaitable<ConnectionPointer> acquire(const SessionState &session, std::optional<std::string> workspace, int rank, TimePoint deadline);
 
     /// @brief Returns a connection that was taken with acquire(); a closed connection is discarded.
     void release(ConnectionPointer connection);
@@ -160,6 +163,8 @@
     struct Waiter
     {
         int rank = 0;
+        std::uint64_t tag = 0; ///< see FairQueueTags
+        std::optional<std::string> workspace;
         const SessionState *session = nullptr;
         boost::asio::steady_timer signal;
         ConnectionPointer connection;
@@ -172,19 +177,29 @@
         TimePoint since;
     };
 
-    ConnectionPointer takeIdle(const SessionState &session);
+    ConnectionPointer takeIdle(const SessionState &session, const std::optional<std::string> &workspace);
+    void removeEndedIdle();
+    std::vector<connection_assignment::Waiting> describeWaiting() const;
+    /// Chooses the waiting statement for a connection that was just returned.
+    std::list<Waiter *>::iterator chooseWaiter(const DatabaseConnection &connection);
+    /// Closes an idle connection of another workspace.
+    bool evictIdle(std::string_view workspace);
+    std::size_t maxOpening() const;
+    void open(std::string workspace);
     ConnectionPointer handOut(ConnectionPointer connection);
     void openMore();
-    boost::asio::awaitable<void> openOne();
+    boost::asio::awaitable<void> openOne(std::string workspace);
     void recordOpenFailure(DatabaseConnection::OpenResult result, TimePoint now);
 
     boost::asio::any_io_executor m_executor;
     wire::PoolMember m_member;
     Options m_options;
     std::vector<Idle> m_idle;
-    std::list<Waiter *> m_waiting; ///< by rank, then arrival
+    std::list<Waiter *> m_waiting; ///< by rank, then tag, then arrival
+    FairQueueTags m_tags;
+    std::string m_lastWorkspace; ///< of the statement that was accepted last
     std::size_t m_count = 0; ///< connections that are open or being opened
-    std::size_t m_opening = 0;
+    std::vector<std::string> m_opening; ///< workspaces for which connections are being opened
     std::size_t m_busy = 0;
     std::set<DatabaseConnection *> m_inUse; ///< connections handed out by acquire()
     std::size_t m_warmConnections = 0;
@@ -201,6 +216,7 @@
     TimePoint m_drainingSince; ///< set while the member drains
     TimePoint m_openAfter; ///< no connection is opened before this time
     TimePoint m_nextFullLog;
+    TimePoint m_evictedAt; ///< an idle connection was last closed to make room for one of another workspace
     unsigned m_failures = 0;
     bool m_closed = false;
     BackOff m_fullPauses; ///< after refusals because the database has too many connections
--- a/packages/sessions/include/waxwing/sessions/session_job.h
+++ b/packages/sessions/include/waxwing/sessions/session_job.h
@@ -13,6 +13,8 @@
 /// @brief One statement with everything needed to run it on a database.
 struct SessionJob
 {
+    static constexpr int workspacePriorities = 1'001; ///< priorities of workspaces are below this
+
     PoolRoute route;
     const SessionState *session = nullptr;
     std::string id; ///< request id of the caller
@@ -28,11 +30,11 @@
     TimePoint receivedAt; ///< reference time for the required freshness
     TimePoint deadline;
 
-    /// @brief Rank in a queue for connections; lower ranks come first. Within a priority, statements that release their connection
-    /// immediately come before transactions, which hold it while their callers pause.
+    /// @brief Rank in a queue for connections; lower ranks come first: by priority of the route, then of the workspace. Within both,
+    /// statements that release their connection immediately come before transactions, which hold it while their callers pause.
     int rank() const
     {
-        return route.priority * 2 + static_cast<int>(begins && !commits);
+        return (route.priority * workspacePriorities + workspacePriority) * 2 + static_cast<int>(begins && !commits);
     }
 
     /// @brief Tells whether only the primary can run the statement.
--- a/packages/sessions/src/waxwing/sessions/database_connection.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_connection.cpp
@@ -86,7 +86,8 @@
     configureSocket(m_socket, unacknowledgedTimeout, keepAliveIdle);
     m_open = true;
     m_timer.cancel();
-    std::string start = platform::encodeDatabaseStart(target.service, target.caller, target.database);
+    m_workspace = std::move(target.workspace);
+    std::string start = platform::encodeDatabaseStart(target.service, m_workspace.empty() ? target.caller : m_workspace, target.database);
     auto result = co_await run(std::move(start), 1, deadline);
     if (result.status != RunStatus::Complete) {
         co_return OpenResult::Silent;
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -12,6 +12,8 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace waxwing
@@ -26,13 +28,17 @@
 constexpr int averageWindow = 8; // values in a moving average; a load peak builds up over some tens of statements
 constexpr double replyTimeDecaySeconds = 1.0; // time constant: after this time the weight of a measurement is about a third
 // Number of connections opened concurrently; each occupies a slot of the database while it is opened.
-constexpr std::size_t maxOpening = 2;
+constexpr std::size_t minOpening = 2;
 // A replica that lacked a position is used again after this delay, which doubles with each refusal up to 480 ms. The replication
 // lag is 60 ms on average.
 constexpr Duration initialLagRetryDelay = 30ms;
 constexpr unsigned maxLagCount = 5;
 // After two lost or refused connections, the database counts as unresponsive without an answer for this long.
 constexpr Duration lostConnectionTimeout = 60ms;
+// A database may notice that a connection was closed only after the start of the one that replaces it, which it then refuses as too many.
+constexpr unsigned maxFullRetries = 3;
+constexpr Duration evictionRetryDelay = 15ms;
+constexpr Duration evictionTime = 1s;
 constexpr Duration fullLogInterval = 5s; // connecting to a full database is retried, which would flood the log
 // A database that left a statement unanswered is avoided for this long if another one is available.
 constexpr Duration avoidanceTime = 500ms;
@@ -72,19 +78,24 @@
 
 DatabasePool::~DatabasePool() = default;
 
-asio::awaitable<DatabasePool::ConnectionPointer> DatabasePool::acquire(const SessionState &session, int rank, TimePoint deadline)
+asio::awaitable<DatabasePool::ConnectionPointer> DatabasePool::acquire(const SessionState &session, std::optional<std::string> workspace, int rank,
+                                                                       TimePoint deadline)
 {
     if (m_closed || m_options.limit == 0) {
         co_return nullptr;
     }
-    if (m_waiting.empty()) {
-        if (auto idle = takeIdle(session)) {
-            co_return handOut(std::move(idle));
-        }
+    if (workspace) {
+        m_lastWorkspace = *workspace;
+    }
+    // Statements that wait can't use an idle connection, which belongs to another workspace.
+    if (auto idle = takeIdle(session, workspace)) {
+        co_return handOut(std::move(idle));
     }
     const auto self = shared_from_this();
-    Waiter waiter {rank, &session, asio::steady_timer(m_executor), nullptr, false};
-    const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [rank](const Waiter *other) { return other->rank > rank; });
+    const auto tag = m_tags.next(workspace.value_or(std::string()));
+    Waiter waiter {rank, tag, std::move(workspace), &session, asio::steady_timer(m_executor), nullptr, false};
+    const auto place = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                    [&](const Waiter *other) { return std::tie(other->rank, other->tag) > std::tie(waiter.rank, waiter.tag); });
     const auto position = m_waiting.insert(place, &waiter);
     openMore();
     if (m_count == 0) {
@@ -96,24 +107,74 @@
     if (waiter.connection == nullptr && !waiter.failed) {
         m_waiting.erase(position);
     }
+    if (m_waiting.empty()) {
+        m_tags.clear();
+    }
     co_return std::move(waiter.connection);
 }
 
-DatabasePool::ConnectionPointer DatabasePool::takeIdle(const SessionState &session)
+void DatabasePool::removeEndedIdle()
 {
     m_count -= std::erase_if(m_idle, [](const Idle &idle) { return !idle.connection->isOpen(); });
-    if (m_idle.empty()) {
+}
+
+DatabasePool::ConnectionPointer DatabasePool::takeIdle(const SessionState &session, const std::optional<std::string> &workspace)
+{
+    removeEndedIdle();
+    // Searches from the back, so that among equal connections the most recently used one is chosen.
+    auto best = m_idle.rend();
+    for (auto idle = m_idle.rbegin(); idle != m_idle.rend(); ++idle) {
+        const bool usable = !workspace || idle->connection->workspace() == *workspace;
+        if (usable && (best == m_idle.rend() || idle->connection->state().distance(session) < best->connection->state().distance(session))) {
+            best = idle;
+        }
+    }
+    if (best == m_idle.rend()) {
         return nullptr;
     }
-    // Searches from the back, so that among equal connections the most recently used one is chosen.
-    const auto best = std::min_element(m_idle.rbegin(), m_idle.rend(), [&](const Idle &one, const Idle &other) {
-        return one.connection->state().distance(session) < other.connection->state().distance(session);
-    });
     auto connection = std::move(best->connection);
     m_idle.erase(std::next(best).base());
     return connection;
 }
 
+std::vector<connection_assignment::Waiting> DatabasePool::describeWaiting() const
+{
+    std::vector<connection_assignment::Waiting> waiting;
+    waiting.reserve(m_waiting.size());
+    for (const auto *waiter : m_waiting) {
+        waiting.push_back({waiter->workspace ? std::optional<std::string_view>(*waiter->workspace) : std::nullopt, waiter->rank, waiter->tag});
+    }
+    return waiting;
+}
+
+std::list<DatabasePool::Waiter *>::iterator DatabasePool::chooseWaiter(const DatabaseConnection &connection)
+{
+    const auto chosen = connection_assignment::chooseWaiting(describeWaiting(), connection.workspace());
+    return chosen ? std::next(m_waiting.begin(), static_cast<std::ptrdiff_t>(*chosen)) : m_waiting.end();
+}
+
+bool DatabasePool::evictIdle(std::string_view workspace)
+{
+    removeEndedIdle();
+    if (m_count < m_options.limit) {
+        return true;
+    }
+    std::vector<connection_assignment::Idle> idle;
+    for (const auto &one : m_idle) {
+        idle.push_back({one.connection->workspace(), one.since});
+    }
+    const auto chosen = connection_assignment::chooseEvicted(idle, workspace);
+    if (!chosen) {
+        return false;
+    }
+    static auto &evictions = Metrics::instance().counter("waxwing_pool_evictions_total");
+    evictions.add();
+    m_evictedAt = Clock::now();
+    m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(*chosen));
+    --m_count;
+    return true;
+}
+
 DatabasePool::ConnectionPointer DatabasePool::handOut(ConnectionPointer connection)
 {
     ++m_busy;
@@ -139,34 +200,66 @@
         openMore();
         return;
     }
-    if (m_waiting.empty()) {
+    const auto chosen = m_waiting.empty() ? m_waiting.end() : chooseWaiter(*connection);
+    if (chosen == m_waiting.end()) {
         m_idle.push_back({std::move(connection), Clock::now()});
+        openMore(); // it may make room for a connection of another workspace
         return;
     }
-    auto *waiter = m_waiting.front();
-    m_waiting.pop_front();
+    auto *waiter = *chosen;
+    m_waiting.erase(chosen);
+    m_tags.serve(waiter->tag);
     waiter->connection = handOut(std::move(connection));
     waiter->signal.cancel();
 }
 
+std::size_t DatabasePool::maxOpening() const
+{
+    // With workspaces a connection is opened for many statements, at times over a long way.
+    return m_lastWorkspace.empty() ? minOpening : std::max(minOpening, m_options.limit / 2);
+}
+
+void DatabasePool::open(std::string workspace)
+{
+    ++m_count;
+    m_opening.push_back(workspace);
+    asio::co_spawn(m_executor, openOne(std::move(workspace)), asio::detached);
+}
+
 void DatabasePool::openMore()
 {
-    const auto wanted = std::min(m_options.limit, std::max(m_warmConnections, m_count - m_opening + m_waiting.size()));
-    while (!m_closed && m_opening < maxOpening && m_count < wanted && Clock::now() >= m_openAfter) {
-        ++m_count;
-        ++m_opening;
-        asio::co_spawn(m_executor, openOne(), asio::detached);
+    const auto mayOpen = [this] {
+        return !m_closed && m_opening.size() < maxOpening() && Clock::now() >= m_openAfter;
+    };
+    if (!m_waiting.empty() && mayOpen()) {
+        for (auto &workspace : connection_assignment::missingConnections(describeWaiting(), m_opening, m_lastWorkspace)) {
+            if (!mayOpen() || m_options.limit == 0 || !evictIdle(workspace)) {
+                return;
+            }
+            open(std::move(workspace));
+        }
+    }
+    const auto warm = std::min(m_options.limit, m_warmConnections);
+    while (mayOpen() && m_count < warm) {
+        open({});
     }
 }
 
-asio::awaitable<void> DatabasePool::openOne()
+asio::awaitable<void> DatabasePool::openOne(std::string workspace)
 {
     const auto self = shared_from_this();
     static auto &opened = Metrics::instance().counter("waxwing_pool_connections_total");
     auto connection = std::make_unique<DatabaseConnection>(m_executor);
-    DatabaseConnection::Target target {m_member.address(), m_member.service(), m_member.id(), m_options.caller};
-    const auto result = co_await connection->open(std::move(target), Clock::now() + m_options.connectTimeout);
-    --m_opening;
+    DatabaseConnection::Target target {m_member.address(), m_member.service(), m_member.id(), m_options.caller, workspace};
+    auto result = co_await connection->open(target, Clock::now() + m_options.connectTimeout);
+    asio::steady_timer pause(m_executor);
+    for (unsigned i = 0; i < maxFullRetries && result == DatabaseConnection::OpenResult::Full && Clock::now() - m_evictedAt < evictionTime; ++i) {
+        pause.expires_after(evictionRetryDelay);
+        co_await pause.async_wait(useTuple);
+        connection = std::make_unique<DatabaseConnection>(m_executor);
+        result = co_await connection->open(target, Clock::now() + m_options.connectTimeout);
+    }
+    m_opening.erase(std::find(m_opening.begin(), m_opening.end(), workspace));
     const auto now = Clock::now();
     if (result != DatabaseConnection::OpenResult::Open) {
         --m_count;
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -250,7 +250,9 @@
         }
         for (const auto &[id, pool] : service->pools()) {
             pool->setLimits(share, limit);
-            pool->warm(pool->member().draining() ? 0 : std::min(share, m_options.warmConnections));
+            // Ahead of a statement it is not known which workspace will need a connection.
+            const bool warms = !pool->member().draining() && !(m_config && m_config->hasWorkspaces);
+            pool->warm(warms ? std::min(share, m_options.warmConnections) : 0);
         }
     }
 }
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -372,7 +372,7 @@
     }
     // With a connection that comes too late for the answer, a write would run without its caller learning so.
     const auto lastStart = limit - pool->expectedReply(Duration::zero(), Clock::now());
-    auto connection = co_await pool->acquire(*job.session, job.rank(), refusesToWait(job) ? Clock::now() : lastStart);
+    auto connection = co_await pool->acquire(*job.session, job.workspace, job.rank(), refusesToWait(job) ? Clock::now() : lastStart);
     if (!connection) {
         attempts.excluded.insert(pool->member().id());
         attempts.lastReason = noConnectionReason;
--- a/programs/control/many_proxies_test.cpp
+++ b/programs/control/many_proxies_test.cpp
@@ -93,7 +93,7 @@
         int finishedAcquisitions = 0;
         const SessionState session;
         const auto acquire = [&](std::shared_ptr<DatabasePool> pool) -> boost::asio::awaitable<void> {
-            auto connection = co_await pool->acquire(session, 0, Clock::now() + 1s);
+            auto connection = co_await pool->acquire(session, std::string(), 0, Clock::now() + 1s);
             if (connection) {
                 heldConnections.emplace_back(pool, std::move(connection));
             }
--- a/programs/proxy/position_poll.cpp
+++ b/programs/proxy/position_poll.cpp
@@ -47,7 +47,7 @@
     const auto epoch = service->epoch();
     const SessionState session;
     const auto limit = Clock::now() + pollLimit;
-    auto connection = co_await pool->acquire(session, pollRank, limit);
+    auto connection = co_await pool->acquire(session, std::nullopt, pollRank, limit);
     if (connection) {
         asked.add();
         // An empty transaction takes no slot; every answer tells the position. One that may write is refused by a database that
