Limit the operations of workspaces over all proxies

Change: renewals state demand and rates in force, grants carry the proxy's part of each limit, and sessions ask OperationAdmission before an operation takes a place in any queue.

--- a/packages/coordination/include/waxwing/coordination/operation_limiter.h
+++ b/packages/coordination/include/waxwing/coordination/operation_limiter.h
@@ -80,7 +80,6 @@
         TimePoint filledAt;
         bool isLimited = false;
         double demand = 0; ///< operations a second, moving average
-        double slowDemand = 0; ///< the same over a longer time
         TimePoint demandAt;
         std::size_t sessions = 0;
         TimePoint promisedUntil; ///< tokens up to then were promised to refused callers
@@ -89,7 +88,6 @@
     Bucket &bucket(std::string_view workspace, TimePoint now);
     static void fill(Bucket &bucket, TimePoint now);
     static void decay(Bucket &bucket, TimePoint now);
-    static double wanted(const Bucket &bucket);
 
     std::unordered_map<std::string, Bucket, StringHash, std::equal_to<>> m_buckets; ///< by workspace
     std::uint64_t m_term = 0;
--- a/packages/coordination/include/waxwing/coordination/rate_shares.h
+++ b/packages/coordination/include/waxwing/coordination/rate_shares.h
@@ -17,9 +17,10 @@
 
 /// @brief Divides the rate limits of workspaces among the proxies; used by the leader of control. No I/O.
 ///
-/// The rates that may be in force together never exceed a limit: a rate that was lowered counts until its proxy has confirmed the grant,
-/// was replaced by a new process, or has lost its lease. Answers demand that moves between proxies within a second or two, and a
-/// workspace that sends many times its limit.
+/// While the demand for a workspace is well below its limit, each proxy holds more than its demand, so that callers who move between
+/// proxies are served at once. Once the demand comes close to what the limit allows, the rates in force together never exceed rate and burst:
+/// a rate that was lowered counts until its proxy has confirmed the grant, was replaced by a new process, or has lost its lease.
+/// Answers the load of a workspace that sends many times its usual.
 class RateShares
 {
 public:
@@ -86,17 +87,19 @@
         double demand = 0; ///< sum over the entries
         double inForce = 0; ///< sum of the ceilings
         double stated = 0; ///< sum of what proxies held when they first renewed with this leader
-        double credit = 0; ///< operations that may be granted at once
-        TimePoint creditAt;
+        bool isLimited = false; ///< the demand is close to what may run
+        TimePoint limitedSince;
     };
 
     static void change(Workspace &workspace, Entry &entry, const std::function<void(Entry &)> &change);
     void confirm(Workspace &workspace, Entry &entry, std::uint64_t received);
-    double target(const Workspace &workspace, const Entry &entry) const;
-    unsigned takeCredit(Workspace &workspace, TimePoint now) const;
-    /// Tells whether another proxy may hold a rate: each needs a burst of one operation at least.
-    bool hasRoomForBurst(const Workspace &workspace) const;
-    unsigned burst(const Workspace &workspace, double rate) const;
+    /// Operations a second that may run, averaged over a window, with overage and tolerance.
+    double allowed(const Workspace &workspace) const;
+    /// Operations a second over all proxies while the workspace is limited: rate and burst, spread over a window.
+    double limitedRate(const Workspace &workspace, TimePoint now) const;
+    void updateLimitation(Workspace &workspace, TimePoint now) const;
+    double target(const Workspace &workspace, const Entry &entry, TimePoint now) const;
+    unsigned burst(const Workspace &workspace, const Entry &entry) const;
 
     Options m_options;
     std::map<std::string, Workspace, std::less<>> m_workspaces;
--- a/packages/coordination/src/waxwing/coordination/operation_limiter.cpp
+++ b/packages/coordination/src/waxwing/coordination/operation_limiter.cpp
@@ -11,11 +11,6 @@
 
 // Time constant of the moving average of arrivals: demand that moves between proxies is followed within two seconds.
 constexpr double demandSeconds = 1.5;
-// A second average with this time constant keeps up a small demand between operations that come seconds apart.
-constexpr double smallDemandSeconds = 6.0;
-constexpr double smallDemand = 1.0;
-// Operations a second that are expected of an open session before it has sent one, so that the first finds a token.
-constexpr double sessionDemand = 0.05;
 // A workspace without sessions is forgotten below this demand.
 constexpr double negligibleDemand = 0.01;
 // Callers are not told to return later than this, since shares change sooner.
@@ -56,26 +51,16 @@
 void OperationLimiter::decay(Bucket &bucket, TimePoint now)
 {
     if (now > bucket.demandAt) {
-        const auto elapsed = seconds(now - bucket.demandAt);
-        bucket.demand *= std::exp(-elapsed / demandSeconds);
-        bucket.slowDemand *= std::exp(-elapsed / smallDemandSeconds);
+        bucket.demand *= std::exp(-seconds(now - bucket.demandAt) / demandSeconds);
         bucket.demandAt = now;
     }
 }
 
-double OperationLimiter::wanted(const Bucket &bucket)
-{
-    // A single operation would count as much as the demand of a busy session.
-    const double fast = bucket.demand - 1 / demandSeconds;
-    return std::max({fast, std::min(bucket.slowDemand, smallDemand), sessionDemand * static_cast<double>(bucket.sessions)});
-}
-
 void OperationLimiter::recordArrival(std::string_view workspace, TimePoint now)
 {
     auto &arrivals = bucket(workspace, now);
     decay(arrivals, now);
     arrivals.demand += 1 / demandSeconds;
-    arrivals.slowDemand += 1 / smallDemandSeconds;
 }
 
 void OperationLimiter::recordSession(std::string_view workspace, bool opened)
@@ -143,11 +128,11 @@
     for (auto item = m_buckets.begin(); item != m_buckets.end();) {
         auto &[workspace, bucket] = *item;
         decay(bucket, now);
-        if (wanted(bucket) < negligibleDemand && bucket.rate <= 0) {
-            item = m_buckets.erase(item);
+        if (bucket.demand < negligibleDemand && bucket.sessions == 0) {
+            item = m_buckets.erase(item); // its rate is given back
             continue;
         }
-        demands.push_back({workspace, wanted(bucket), bucket.rate});
+        demands.push_back({workspace, bucket.demand, bucket.rate});
         ++item;
     }
     return demands;
--- a/packages/coordination/src/waxwing/coordination/rate_shares.cpp
+++ b/packages/coordination/src/waxwing/coordination/rate_shares.cpp
@@ -11,14 +11,19 @@
 namespace
 {
 
-// Part of a limit that stays with the leader, for proxies whose demand rises before others have given theirs back.
-constexpr double reservePart = 0.1;
-// A share is at most this many times the demand, so that a small demand does not hold the whole limit.
-constexpr double maxHeadroom = 4;
-// A share that differs less from its target stays, which spares messages.
+// A workspace is limited once its demand comes this close to what may run within a window, overage and tolerance included. The rest
+// covers operations that run until the proxies have learned of it.
+constexpr double limitedPart = 0.85;
+// Demand at which a workspace is no longer limited, as a part of the one above; the distance prevents it from alternating.
+constexpr double releasedPart = 0.8;
+// While a workspace is not limited, a proxy's rate is this many times its demand, so that demand may double between renewals.
+constexpr double headroom = 2;
+// Rate for a proxy that has sessions of the workspace but no demand, operations a second; less where many proxies have some.
+constexpr double presenceRate = 0.5;
+// Operations that each proxy may run at once beside its part of the burst.
+constexpr double presenceBurst = 2;
+// A rate that differs less from its target stays, which spares messages.
 constexpr double insignificantPart = 0.1;
-// Part of the tolerance that is added to the bursts; credits use the rest.
-constexpr double burstTolerancePart = 0.6;
 // Rate for a workspace without a limit, by far more than one proxy serves.
 constexpr double unlimitedRate = 1e6;
 constexpr unsigned unlimitedBurst = 1'000'000;
@@ -58,8 +63,7 @@
         workspace.demand = 0;
         workspace.inForce = 0;
         workspace.stated = 0;
-        workspace.credit = 0;
-        workspace.creditAt = {};
+        workspace.isLimited = false;
     }
 }
 
@@ -127,6 +131,11 @@
         confirm(workspace, entry->second, received);
         const auto demand = stated.find(name);
         change(workspace, entry->second, [&](Entry &changed) { changed.demand = demand == stated.end() ? 0 : std::max(0.0, demand->second->demand); });
+        if (demand == stated.end()) {
+            // The proxy has neither sessions nor demand, and holds no rate any more.
+            workspace.inForce -= entry->second.ceiling();
+            workspace.entries.erase(entry);
+        }
     }
 }
 
@@ -143,45 +152,50 @@
     }
 }
 
-double RateShares::target(const Workspace &workspace, const Entry &entry) const
+double RateShares::allowed(const Workspace &workspace) const
 {
-    if (entry.demand <= 0 || !workspace.isKnown) {
-        return 0;
-    }
-    const auto &limit = workspace.limit;
-    if (workspace.demand > limit.rate * (1 - reservePart)) {
-        return entry.demand * limit.rate / std::max(workspace.demand, limit.rate);
-    }
-    return entry.demand * std::min(maxHeadroom, limit.rate * (1 - reservePart) / workspace.demand);
+    const double window = std::chrono::duration<double>(m_options.window).count();
+    return ((workspace.limit.rate * window + workspace.limit.burst) * (1 + m_options.overage) + m_options.tolerance) / window;
 }
 
-unsigned RateShares::takeCredit(Workspace &workspace, TimePoint now) const
+double RateShares::limitedRate(const Workspace &workspace, TimePoint now) const
 {
-    const double window = std::chrono::duration<double>(m_options.window).count();
-    const double perWindow = m_options.overage * (workspace.limit.rate * window + workspace.limit.burst) + m_options.tolerance * (1 - burstTolerancePart);
-    const double capacity = perWindow / 2; // with as much again that accrues within a window
-    const double elapsed = workspace.creditAt == TimePoint() ? window : std::chrono::duration<double>(now - workspace.creditAt).count();
-    workspace.credit = std::min(capacity, workspace.credit + capacity * elapsed / window);
-    workspace.creditAt = now;
-    if (workspace.credit < 1) {
-        return 0;
+    // Within the first window the burst makes up for what ran before the proxies learned of the limitation.
+    const bool isFirstWindow = now - workspace.limitedSince < m_options.window;
+    return workspace.limit.rate + (isFirstWindow ? 0 : workspace.limit.burst / std::chrono::duration<double>(m_options.window).count());
+}
+
+void RateShares::updateLimitation(Workspace &workspace, TimePoint now) const
+{
+    const double threshold = limitedPart * allowed(workspace);
+    if (!workspace.isLimited && workspace.demand > threshold) {
+        workspace.isLimited = true;
+        workspace.limitedSince = now;
+    } else if (workspace.isLimited && workspace.demand < threshold * releasedPart) {
+        workspace.isLimited = false;
     }
-    workspace.credit -= 1;
-    return 1;
 }
 
-bool RateShares::hasRoomForBurst(const Workspace &workspace) const
+double RateShares::target(const Workspace &workspace, const Entry &entry, TimePoint now) const
 {
-    const auto holders = std::count_if(workspace.entries.begin(), workspace.entries.end(), [](const auto &item) { return item.second.ceiling() > 0; });
-    return static_cast<double>(holders) + 1 <= workspace.limit.burst + m_options.tolerance * burstTolerancePart;
+    if (!workspace.isKnown) {
+        return 0;
+    }
+    if (workspace.isLimited) {
+        return limitedRate(workspace, now) * entry.demand / workspace.demand;
+    }
+    const double window = std::chrono::duration<double>(m_options.window).count();
+    const double shared = (workspace.limit.rate + m_options.tolerance / window) / static_cast<double>(workspace.entries.size());
+    return std::max(headroom * entry.demand, std::min(presenceRate, shared));
 }
 
-unsigned RateShares::burst(const Workspace &workspace, double rate) const
+unsigned RateShares::burst(const Workspace &workspace, const Entry &entry) const
 {
-    const double total = workspace.limit.burst + m_options.tolerance * burstTolerancePart;
-    const auto proxies = static_cast<double>(workspace.entries.size());
-    const double shared = std::max(0.0, total - proxies) * rate / workspace.limit.rate;
-    return static_cast<unsigned>(std::min(maxBurst, 1 + std::floor(shared)));
+    if (workspace.isLimited) {
+        return 1;
+    }
+    const double part = workspace.demand > 0 ? entry.demand / workspace.demand : 0;
+    return static_cast<unsigned>(std::min(maxBurst, presenceBurst + std::floor(workspace.limit.burst * part)));
 }
 
 std::vector<RateShare> RateShares::grant(const std::string &proxy, std::uint64_t number, bool complete, TimePoint now)
@@ -197,30 +211,32 @@
             shares.push_back({name, unlimitedRate, unlimitedBurst, unlimitedBurst, false});
             continue;
         }
-        auto wanted = target(workspace, entry);
+        updateLimitation(workspace, now);
         const auto latest = entry.latest();
-        if (wanted > 0 && std::abs(wanted - latest) < latest * insignificantPart && workspace.inForce <= workspace.limit.rate) {
-            wanted = latest;
+        const auto ceiling = entry.ceiling();
+        auto rate = target(workspace, entry, now);
+        if (rate > 0 && std::abs(rate - latest) < latest * insignificantPart && !workspace.isLimited) {
+            rate = latest;
         }
-        // The reserve is for proxies that hold less than their demand. What proxies hold that have not renewed yet counts as in force.
-        const double ceiling = entry.ceiling();
-        const double usable = workspace.limit.rate * (ceiling < entry.demand ? 1 : 1 - reservePart);
-        const double bound = complete ? usable : std::min(usable, workspace.stated);
-        double rate = std::max(0.0, std::min(wanted, ceiling + std::max(0.0, bound - workspace.inForce)));
-        const bool isNew = latest <= 0 && rate > 0;
-        if (isNew && !hasRoomForBurst(workspace)) {
-            rate = 0;
+        if (workspace.isLimited) {
+            // What proxies hold that have not renewed yet counts as in force.
+            const double usable = limitedRate(workspace, now);
+            const double bound = complete ? usable : std::min(usable, workspace.stated);
+            rate = std::max(0.0, std::min(rate, ceiling + std::max(0.0, bound - workspace.inForce)));
+        } else if (!complete) {
+            rate = std::max(latest, std::min(rate, presenceRate)); // the demand of the others is not known yet
         }
+        const bool isNew = latest <= 0 && rate > 0;
         if (rate != latest || !entry.sent.empty()) {
             change(workspace, entry, [&](Entry &changed) { changed.sent[number] = rate; });
         }
-        if (rate <= 0) {
-            if (entry.demand <= 0 && entry.ceiling() <= 0) {
-                workspace.entries.erase(found);
-            }
+        if (!workspace.isKnown && entry.ceiling() <= 0) {
+            workspace.entries.erase(found);
             continue;
         }
-        shares.push_back({name, rate, burst(workspace, rate), isNew ? takeCredit(workspace, now) : 0U, workspace.demand > workspace.limit.rate});
+        if (rate > 0) {
+            shares.push_back({name, rate, burst(workspace, entry), isNew && !workspace.isLimited ? 1U : 0U, workspace.isLimited});
+        }
     }
     return shares;
 }
--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -94,6 +94,9 @@
     std::string storeInSession(const SessionStatement &statement);
     boost::asio::awaitable<std::string> begin(bool readOnly);
     std::string refuseStart();
+    /// Admits an operation within the rate limit of its workspace.
+    /// @return the answer if it is refused, otherwise nothing
+    boost::asio::awaitable<std::string> admit(Caller caller);
     std::string rollback();
     boost::asio::awaitable<std::string> commit(SessionStatement statement);
     boost::asio::awaitable<std::string> runSingle(SessionStatement statement);
@@ -129,6 +132,7 @@
     std::size_t m_storedBytes = 0; ///< size of the values and prepared statements of m_state
     std::string m_database; ///< empty before the start of the session
     std::string m_key; ///< API key of the caller; secret
+    std::string m_startedWorkspace; ///< workspace of the key at the start of the session
     Duration m_statementTimeout {}; ///< of the latest route of the session
     std::string m_requestId; ///< of the current or most recent statement
     TransactionState m_transactionState = TransactionState::Idle;
--- a/packages/sessions/include/waxwing/sessions/session_directory.h
+++ b/packages/sessions/include/waxwing/sessions/session_directory.h
@@ -3,6 +3,7 @@
 #include <waxwing/coordination/epoch_lease.h>
 #include <waxwing/sessions/change_signal.h>
 #include <waxwing/sessions/interruption.h>
+#include <waxwing/sessions/operation_admission.h>
 #include <waxwing/sessions/service_state.h>
 #include <waxwing/state/pool_config.h>
 #include <waxwing/support/time.h>
@@ -147,6 +148,12 @@
         return m_lease;
     }
 
+    /// @brief Rate limits of the workspaces at this proxy.
+    OperationAdmission &admission()
+    {
+        return m_admission;
+    }
+
     /// @brief Returns whether a commit of an epoch may be acknowledged. Once the epoch is withdrawn this takes a replica that must have
     /// received it, or a primary that stops when it is replaced.
     /// @param now time taken after the response of the database was read
@@ -196,6 +203,7 @@
     std::uint64_t m_announcedConfigVersion = 0; ///< highest one that a grant has named
     ChangeSignal m_configChange; ///< see waitForConfig()
     EpochLease m_lease;
+    OperationAdmission m_admission;
     Interruption m_leaseLoss; ///< from the end of the lease until the next one begins
     std::uint64_t m_controlTerm = 0;
     std::uint64_t m_receivedNumber = 0; ///< see receivedNumber()
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -117,6 +117,9 @@
     if (m_transactionState == TransactionState::Open) {
         rollBackTransaction();
     }
+    if (!m_startedWorkspace.empty()) {
+        m_directory.admission().recordSession(m_startedWorkspace, false);
+    }
     boost::system::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
@@ -195,6 +198,10 @@
         co_return platform::encodeStartRefusal(refusal.error, refusal.text);
     }
     m_statementTimeout = granted.route->statementTimeout;
+    m_startedWorkspace = granted.caller.workspace;
+    if (!m_startedWorkspace.empty()) {
+        m_directory.admission().recordSession(m_startedWorkspace, true);
+    }
     co_return platform::encodeReady(m_transactionState);
 }
 
@@ -395,19 +402,39 @@
         co_return platform::encodeError(refusal.error, refusal.text, m_transactionState);
     }
     m_statementTimeout = granted.route->statementTimeout;
+    // Copied, since the configuration may change while the operation waits.
+    const auto route = *granted.route;
+    const auto caller = granted.caller;
     if (m_backend.isStopping()) {
         countOutcome(SessionError::Busy);
         co_return platform::encodeError(
             SessionError::Busy, "not run, retry after " + std::to_string(toMilliseconds(otherProxyRetryDelay).count()) + " ms: stopping", m_transactionState);
     }
+    const auto refusal = co_await admit(caller);
+    if (!refusal.empty()) {
+        co_return refusal;
+    }
     m_transaction = {};
-    m_transaction.route = *granted.route;
-    m_transaction.caller = granted.caller;
+    m_transaction.route = route;
+    m_transaction.caller = caller;
     m_transaction.readOnly = readOnly;
     m_transactionState = TransactionState::Open;
     co_return platform::encodeAccepted(m_transactionState);
 }
 
+asio::awaitable<std::string> ClientSession::admit(Caller caller)
+{
+    if (caller.workspace.empty()) {
+        co_return std::string();
+    }
+    const auto refusal = co_await m_directory.admission().admit(caller.workspace, answerLimit(m_statementTimeout / 2));
+    if (!refusal) {
+        co_return std::string();
+    }
+    countOutcome(SessionError::Busy);
+    co_return platform::encodeError(SessionError::Busy, RetryAdvice::text(refusal->retryAfter, refusal->reason, false), m_transactionState);
+}
+
 std::string ClientSession::rollback()
 {
     rollBackTransaction();
@@ -525,6 +552,10 @@
     if (!job) {
         co_return platform::encodeError(SessionError::UnknownStatement, "no such prepared statement", m_transactionState);
     }
+    const auto refusal = co_await admit(granted.caller);
+    if (!refusal.empty()) {
+        co_return refusal;
+    }
     SessionTransaction unused;
     const auto result = co_await m_backend.run(*job, unused);
     countOutcome(result.error);
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -42,6 +42,7 @@
     : m_executor(executor)
     , m_options(std::move(options))
     , m_configChange(executor)
+    , m_admission(executor, m_lease)
     , m_leaseLoss(usualLeaseLoss)
 {
 }
@@ -74,6 +75,7 @@
             }
         }
     }
+    m_admission.apply(grant, now);
     if (grant.share_permille() != 0 && grant.share_permille() != m_sharePermille) {
         m_sharePermille = grant.share_permille();
         updateLimits();
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -73,7 +73,9 @@
         , m_peers(LogId::Sessions, m_link, &m_traffic)
         , m_log(m_context, m_peers, logOptions(settings))
         , m_control(m_context,
-                    {{.name = settings.name, .ordersAreFenced = settings.ordersAreFenced, .lateOrderLimit = settings.lateOrderLimit}, settings.heartbeat},
+                    {.primaries = {.name = settings.name, .ordersAreFenced = settings.ordersAreFenced, .lateOrderLimit = settings.lateOrderLimit},
+                     .heartbeat = settings.heartbeat,
+                     .rates = {.tolerance = settings.rateLimitTolerance, .window = settings.rateLimitWindow}},
                     m_log.machine(), ports())
         , m_timer(m_context)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -32,6 +32,7 @@
 constexpr Duration renewalSpacing = 4ms;
 constexpr Duration minRenewalInterval = 400ms;
 constexpr Duration maxRenewalInterval = 800ms;
+constexpr double rateMillis = 1000; // rates are sent in thousandths of an operation a second
 constexpr Duration ignoredLogInterval = 5s; // another writer may repeat its heartbeats for as long as it runs
 constexpr Duration recordInterval = 200ms; // between attempts at records that an overloaded log refused
 constexpr Duration firstCopiesLogInterval = 1s; // a new configuration goes to all proxies within milliseconds
@@ -45,6 +46,7 @@
     , m_machine(machine)
     , m_ports(std::move(ports))
     , m_leases(m_options.leases)
+    , m_rates(m_options.rates)
     , m_beats([this](const std::string &member, const wire::PoolEnvelope &message) { m_ports.sendToMember(member, message); })
     , m_sendDirectly(std::exchange(m_ports.sendToProxy, [this](const std::string &proxy, const wire::PoolEnvelope &message) { sendToProxy(proxy, message); }))
     , m_supervisor(context, PrimarySupervisor::State {m_machine, m_directory, m_leases, m_holders}, m_ports, m_options.primaries,
@@ -240,6 +242,8 @@
     m_numberedDirectory.reset(m_term);
     m_directory.clear();
     m_leases.reset(m_activeSince, m_machine.proxies());
+    m_rates.reset();
+    m_limitedWorkspaces.clear();
     m_firstStart = m_machine.proxies().empty();
     m_departingProxies.clear();
     m_refusedRecords.clear();
@@ -291,6 +295,7 @@
     const auto now = Clock::now();
     for (const auto &proxy : m_leases.expire(now)) {
         log::write(log::Level::Info, "lease of a proxy ended", {{"proxy", proxy}});
+        m_rates.remove(proxy);
         m_departingProxies.insert(proxy);
         recordProxy(proxy, true, [](LogReply &&) {});
     }
@@ -365,6 +370,11 @@
         return;
     }
     m_config = std::move(decoded.config);
+    std::map<std::string, RateShares::Limit, std::less<>> limits;
+    for (const auto &[name, workspace] : m_config.workspaces) {
+        limits[name] = {workspace.operationsPerSecond, workspace.burst};
+    }
+    m_rates.setLimits(std::move(limits));
 }
 
 void SessionControl::handleRenewal(const std::string &proxy, const wire::PoolRenewal &renewal)
@@ -378,6 +388,13 @@
     }
     logLateConfirmation(proxy, before, renewed.configuration.held(), now);
     m_supervisor.report(proxy, renewal, now);
+    if (m_config.hasWorkspaces) {
+        std::vector<RateDemand> demands;
+        for (const auto &rate : renewal.rates()) {
+            demands.push_back({rate.workspace(), static_cast<double>(rate.demand_millis()) / rateMillis, static_cast<double>(rate.held_millis()) / rateMillis});
+        }
+        m_rates.renew(proxy, renewal.incarnation(), renewal.rates_term() == m_term ? renewal.rates_number() : 0, demands);
+    }
     auto grantOnSuccess = [this, generation = m_generation, proxy, incarnation = renewal.incarnation(), sequence = renewal.sequence()](LogReply &&reply) {
         if (generation == m_generation && reply.failure == LogFailure::None) {
             grant(proxy, incarnation, sequence);
@@ -425,9 +442,37 @@
     content.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(m_leases.options().lease).count()));
     content.set_renew_after_ms(static_cast<std::uint32_t>(toMilliseconds(renewalInterval()).count()));
     fillGrant(proxy, found->second, content, now);
+    fillRates(proxy, content, now);
     m_ports.sendToProxy(proxy, message);
 }
 
+void SessionControl::fillRates(const std::string &proxy, wire::PoolGrant &grant, TimePoint now)
+{
+    if (!m_config.hasWorkspaces) {
+        return;
+    }
+    grant.set_has_rates(true);
+    for (const auto &share : m_rates.grant(proxy, grant.number(), m_leases.isComplete(now), now)) {
+        auto &rate = *grant.add_rates();
+        rate.set_workspace(share.workspace);
+        rate.set_rate_millis(static_cast<std::uint64_t>(share.rate * rateMillis));
+        rate.set_burst(share.burst);
+        rate.set_credit(share.credit);
+        rate.set_limited(share.isLimited);
+        const auto known = m_limitedWorkspaces.find(share.workspace);
+        if (share.isLimited == (known != m_limitedWorkspaces.end())) {
+            continue;
+        }
+        if (share.isLimited) {
+            m_limitedWorkspaces.insert(share.workspace);
+        } else {
+            m_limitedWorkspaces.erase(known);
+        }
+        log::write(log::Level::Info, share.isLimited ? "workspace beyond its rate limit" : "workspace within its rate limit again",
+                   {{"workspace", share.workspace}, {"demand", m_rates.demand(share.workspace)}, {"in_force", m_rates.inForce(share.workspace)}});
+    }
+}
+
 Duration SessionControl::renewalInterval() const
 {
     return std::clamp(renewalSpacing * static_cast<int>(m_leases.proxies().size()), minRenewalInterval, maxRenewalInterval);
--- a/programs/control/session_control.h
+++ b/programs/control/session_control.h
@@ -9,6 +9,7 @@
 
 #include <waxwing/coordination/log_types.h>
 #include <waxwing/coordination/pool_directory.h>
+#include <waxwing/coordination/rate_shares.h>
 #include <waxwing/state/pool_config.h>
 #include <waxwing/state/sessions_machine.h>
 #include <waxwing/support/time.h>
@@ -37,6 +38,7 @@
         PrimarySupervisor::Options primaries = {};
         Duration heartbeat = 1'200ms; ///< interval of the databases' heartbeats
         SessionLeases::Options leases = {};
+        RateShares::Options rates = {};
     };
 
     /// Outcome of storeConfig().
@@ -139,6 +141,8 @@
     void logSentConfiguration(const std::string &name, const ContentDelivery &delivery, bool isLost, TimePoint now);
     void reportSentConfigurations(TimePoint now);
     void logLateConfirmation(const std::string &proxy, const ContentDelivery &before, std::uint64_t held, TimePoint now) const;
+    /// Adds the proxy's parts of the rate limits to a grant.
+    void fillRates(const std::string &proxy, wire::PoolGrant &grant, TimePoint now);
     Duration renewalInterval() const;
     const std::string &compressedDocument();
     void updateHolders(TimePoint now);
@@ -161,6 +165,8 @@
     SessionControlPorts m_ports;
     PoolDirectory m_directory;
     SessionLeases m_leases;
+    RateShares m_rates;
+    std::set<std::string, std::less<>> m_limitedWorkspaces; ///< whose demand exceeds their limit
     ConnectionHolders m_holders; ///< declared before the supervisor, which reads it
     BeatForwarder m_beats;
     std::function<void(const std::string &proxy, const wire::PoolEnvelope &message)> m_sendDirectly;
--- a/programs/control/session_control_settings.cpp
+++ b/programs/control/session_control_settings.cpp
@@ -40,6 +40,8 @@
     result.ordersAreFenced = settings.boolean("control.orders_are_fenced", false);
     result.lateOrderLimit = settings.seconds("control.late_order_limit_s", {0, 3'600, 15});
     result.lossesToBear = static_cast<std::size_t>(settings.integer("control.losses_to_bear", {0, 8, 1}));
+    result.rateLimitTolerance = static_cast<double>(settings.integer("control.rate_limit_tolerance", {0, 1'000'000, 20}));
+    result.rateLimitWindow = settings.seconds("control.rate_limit_window_s", {1, 3'600, 5});
     result.keyFile = settings.text("link.key_file", {});
     result.logLevel = settings.logLevel();
     settings.refuseUnknownKeys();
--- a/programs/control/session_control_settings.h
+++ b/programs/control/session_control_settings.h
@@ -26,6 +26,8 @@
     Duration heartbeat = 1'200ms; ///< interval of the databases' heartbeats
     bool ordersAreFenced = false; ///< the platform refuses a promotion order with a lower token than one that it has seen
     Duration lateOrderLimit = 15s; ///< without fencing: longest time from sending an order until the platform carries it out
+    double rateLimitTolerance = 20; ///< operations of a workspace beyond its limit that may run within a window
+    Duration rateLimitWindow = 5s; ///< see rateLimitTolerance
     std::size_t lossesToBear = 1; ///< members that may be lost at the same time
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -47,6 +47,7 @@
 constexpr Duration stallLimit = 600ms; // writes wait for a replica as well, up to two round trips between regions
 constexpr double demandSeconds = 0.35; // a little less than the time between renewals
 constexpr double demandWeight = 0.5; // demand doubles within some seconds, which an average of two or three values follows
+constexpr Duration rateRequestSpacing = 100ms; // between renewals ahead of time that ask for a share of a rate limit
 constexpr Duration catchUpSpacing = 400ms; // between renewals ahead of time that state a lost configuration or directory
 constexpr Duration reportSpacing = 150ms; // between renewals ahead of time that repeat the same evidence
 // The thread of the log writes the last lines in this time. Ending the log waits for threads of its library, which took
@@ -251,6 +252,7 @@
         renewal.set_received_number(m_directory.receivedNumber());
         renewal.set_received_term(m_directory.controlTerm());
         renewal.set_unreachable_leader(m_control.unreachableLeader());
+        m_directory.admission().state(renewal, now);
         for (const auto &[name, service] : m_directory.services()) {
             const auto primary = service->primary();
             if (!primary) {
@@ -352,6 +354,10 @@
             m_lastReport = now;
             m_control.hurry();
         }
+        if (now - m_lastRateRequest >= rateRequestSpacing && m_directory.admission().takeRenewalRequest()) {
+            m_lastRateRequest = now;
+            m_control.hurry();
+        }
         m_control.tick(now);
         m_poll.tick(now);
         m_directory.tick(now);
@@ -422,6 +428,7 @@
     std::set<std::string> m_holderLinks; ///< links that were dialed
     TimePoint m_lastReport;
     TimePoint m_lastCatchUp;
+    TimePoint m_lastRateRequest;
     TimePoint m_demandAt = Clock::now();
     std::uint64_t m_demandStatements = 0;
     double m_statementRate = 0; ///< a second, moving average
