Waste fewer tokens of a limited workspace

A new leader also gave too much burst before it knew the demand of all proxies, and counted the rates of a proxy that came back twice.

Change: room for three tokens while demand exceeds what may run, one before all proxies are known; a proxy holds 1.5 times its demand in place of twice.

--- a/packages/coordination/include/waxwing/coordination/rate_shares.h
+++ b/packages/coordination/include/waxwing/coordination/rate_shares.h
@@ -72,6 +72,7 @@
     {
         double demand = 0;
         double confirmed = 0; ///< in force as far as the proxy has told
+        double stated = 0; ///< part of Workspace::stated
         std::map<std::uint64_t, double> sent; ///< by number of the grant, not confirmed yet
 
         double ceiling() const;
@@ -99,7 +100,7 @@
     double limitedRate(const Workspace &workspace, TimePoint now) const;
     void updateLimitation(Workspace &workspace, TimePoint now) const;
     double target(const Workspace &workspace, const Entry &entry, TimePoint now) const;
-    unsigned burst(const Workspace &workspace, const Entry &entry) const;
+    unsigned burst(const Workspace &workspace, const Entry &entry, TimePoint now) const;
 
     Options m_options;
     std::map<std::string, Workspace, std::less<>> m_workspaces;
--- a/packages/coordination/src/waxwing/coordination/rate_shares.cpp
+++ b/packages/coordination/src/waxwing/coordination/rate_shares.cpp
@@ -16,12 +16,14 @@
 constexpr double limitedPart = 0.85;
 // Demand at which a workspace is no longer limited, as a part of the one above; the distance prevents it from alternating.
 constexpr double releasedPart = 0.8;
-// While a workspace is not limited, a proxy's rate is this many times its demand, so that demand may double between renewals.
-constexpr double headroom = 2;
+// While a workspace is not limited, a proxy's rate is this many times its demand, so that demand may grow between renewals.
+constexpr double headroom = 1.5;
 // Rate for a proxy that has sessions of the workspace but no demand, operations a second; less where many proxies have some.
 constexpr double presenceRate = 0.5;
 // Operations that each proxy may run at once beside its part of the burst.
 constexpr double presenceBurst = 2;
+// Operations that a proxy may run at once while the demand exceeds what may run.
+constexpr unsigned limitedBurst = 3;
 // A rate that differs less from its target stays, which spares messages.
 constexpr double insignificantPart = 0.1;
 // Rate for a workspace without a limit, by far more than one proxy serves.
@@ -120,6 +122,7 @@
         if (isFirst) {
             // An earlier leader granted it, so that it is part of what may be in force.
             change(workspace, entry, [&](Entry &former) { former.confirmed = demand.held; });
+            entry.stated = demand.held;
             workspace.stated += demand.held;
         }
     }
@@ -134,6 +137,7 @@
         if (demand == stated.end()) {
             // The proxy has neither sessions nor demand, and holds no rate any more.
             workspace.inForce -= entry->second.ceiling();
+            workspace.stated -= entry->second.stated;
             workspace.entries.erase(entry);
         }
     }
@@ -147,6 +151,7 @@
         if (entry != workspace.entries.end()) {
             workspace.inForce -= entry->second.ceiling();
             workspace.demand -= entry->second.demand;
+            workspace.stated -= entry->second.stated;
             workspace.entries.erase(entry);
         }
     }
@@ -189,10 +194,11 @@
     return std::max(headroom * entry.demand, std::min(presenceRate, shared));
 }
 
-unsigned RateShares::burst(const Workspace &workspace, const Entry &entry) const
+unsigned RateShares::burst(const Workspace &workspace, const Entry &entry, TimePoint now) const
 {
     if (workspace.isLimited) {
-        return 1;
+        // While more is asked than may run, tokens don't accumulate; with room for one only, uneven arrivals would waste some.
+        return workspace.demand > limitedRate(workspace, now) ? limitedBurst : 1;
     }
     const double part = workspace.demand > 0 ? entry.demand / workspace.demand : 0;
     return static_cast<unsigned>(std::min(maxBurst, presenceBurst + std::floor(workspace.limit.burst * part)));
@@ -235,7 +241,7 @@
             continue;
         }
         if (rate > 0) {
-            shares.push_back({name, rate, burst(workspace, entry), isNew && !workspace.isLimited ? 1U : 0U, workspace.isLimited});
+            shares.push_back({name, rate, complete ? burst(workspace, entry, now) : 1U, isNew && !workspace.isLimited ? 1U : 0U, workspace.isLimited});
         }
     }
     return shares;
--- a/packages/coordination/src/waxwing/coordination/rate_shares_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/rate_shares_test.cpp
@@ -346,7 +346,12 @@
     void limitHoldsUnderRandomFailures()
     {
         constexpr unsigned seeds = 40;
+        // Before the others one that broke the bound: a new leader did not yet know the demand, and gave each proxy too much of the burst.
+        std::vector<unsigned> all {1313};
         for (unsigned seed = 100; seed < 100 + seeds; ++seed) {
+            all.push_back(seed);
+        }
+        for (const auto seed : all) {
             std::mt19937 random(seed);
             const auto draw = [&](int low, int high) {
                 return std::uniform_int_distribution<>(low, high)(random);
