Balance reads and forwarded statements on stale load information

StatementPath draws between databases for reads, StatementForwarder between equally near holders. Holders state waiting and running statements in the answers that pass anyway; no message is added. waxwing_session_balanced_choices_total counts draws that left the lowest expected time.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -12,9 +12,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -107,6 +109,24 @@
     /// @param base expected time without a measurement
     Duration expectedReply(Duration base, TimePoint now) const;
 
+    /// @brief Reply time according to the measurements, whatever their age; nothing before the first one.
+    std::optional<Duration> measuredReply() const
+    {
+        return m_replyTime == Duration::zero() ? std::nullopt : std::optional(m_replyTime);
+    }
+
+    /// @brief Age of the latest measurement of the reply time.
+    Duration measurementAge(TimePoint now) const
+    {
+        return now - m_replyTimeAt;
+    }
+
+    /// @brief Number of exchanges that were sent since the latest measurement of the reply time and are not answered yet.
+    std::size_t sentSinceMeasurement() const
+    {
+        return std::min(m_sentSinceMeasurement, m_pendingExchanges);
+    }
+
     /// @brief Records that the commands of an exchange got no answer.
     void recordNoReply(TimePoint now);
 
@@ -126,6 +146,18 @@
         return m_member.draining() && now - m_drainingSince >= m_options.drainLimit;
     }
 
+    /// @brief Number of statements that wait for a connection.
+    std::size_t waiting() const
+    {
+        return m_waiting.size();
+    }
+
+    /// @brief Number of connections in use.
+    std::size_t busy() const
+    {
+        return m_busy;
+    }
+
     /// @brief Number of statements that hold or wait for a connection.
     std::size_t load() const
     {
@@ -208,6 +240,7 @@
     TimePoint m_lastReply;
     Duration m_replyTime {}; ///< moving average; zero before the first measurement
     TimePoint m_replyTimeAt;
+    std::size_t m_sentSinceMeasurement = 0; ///< exchanges, including those that were answered without a measurement
     Duration m_holdTime {}; ///< moving average of the time for which a connection is in use
     TimePoint m_lastHandOut; ///< time at which acquire() last returned a connection
     TimePoint m_avoidUntil;
--- a/packages/sessions/include/waxwing/sessions/forwarded_statements.h
+++ b/packages/sessions/include/waxwing/sessions/forwarded_statements.h
@@ -72,6 +72,8 @@
     bool canServe(const wire::PoolForward &message) const;
     void dropEarlierIncarnations(const std::string &proxy, std::uint64_t incarnation);
     void rollBack(const Key &key);
+    /// Adds the load of the service's connections to an answer, so that proxies can choose between holders.
+    void stateLoad(const std::string &service, wire::PoolForwardAnswer &content) const;
     void answer(const std::string &proxy, const wire::PoolForward &message, wire::PoolForwardAnswer content);
     boost::asio::awaitable<void> runFirst(std::string proxy, wire::PoolForward message);
     boost::asio::awaitable<void> runNext(std::string proxy, wire::PoolForward message);
--- a/packages/sessions/include/waxwing/sessions/statement_forwarder.h
+++ b/packages/sessions/include/waxwing/sessions/statement_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/load_balancing.h>
 #include <waxwing/sessions/statement_holder.h>
 #include <waxwing/sessions/transfer_time.h>
 #include <waxwing/support/time.h>
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -60,12 +62,12 @@
     /// @brief Ends the wait for a statement that provably was not sent.
     void recordNotSent(const wire::PoolForward &message);
 
-    /// @brief Chooses the nearest responsive holder, and among equally near ones the one with the fewest outstanding statements.
+    /// @brief Chooses one of the nearest responsive holders by the load that they state in their answers, see LoadBalancing.
     /// @param distance returns the distance to a failure domain, see SessionDirectory::distance()
     /// @param tried names of holders that could not run the statement; they are excluded
     /// @return null if no holder is left
     const StatementHolder *choose(std::span<const StatementHolder> holders, const std::function<unsigned(std::string_view domain)> &distance,
-                                  const std::set<std::string> &tried, TimePoint now) const;
+                                  const std::set<std::string> &tried, TimePoint now);
 
     /// @brief Returns a number for a new transaction that is unique within this process.
     std::uint64_t nextTransaction()
@@ -95,14 +97,20 @@
 
         std::size_t pendingStatements = 0; ///< statements without an answer yet
         TimePoint avoidUntil;
+        std::optional<std::size_t> statedLoad; ///< statements that wait or run there, for all proxies together
+        TimePoint statedAt;
+        std::size_t sentSinceStated = 0;
         TransferTime transfer;
     };
 
+    void recordLoad(Peer &peer, const wire::PoolForwardAnswer &answer);
+    const StatementHolder *chooseByLoad(std::span<const StatementHolder *const> holders, TimePoint now);
     Peer &findPeer(const std::string &proxy, unsigned distance);
 
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_incarnation;
     Send m_send;
+    LoadBalancing m_balancing;
     std::uint64_t m_correlations = 0;
     std::uint64_t m_transactions = 0;
     std::map<std::uint64_t, Waiter *> m_waiting; ///< by correlation; each is owned by its coroutine
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/load_balancing.h>
 #include <waxwing/sessions/interruption.h>
 #include <waxwing/sessions/retry_advice.h>
 #include <waxwing/sessions/session_directory.h>
@@ -121,11 +122,12 @@
         return m_stopping && !job.begins;
     }
 
-    Choice choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts) const;
+    Choice choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts);
     bool mayWaitForDirectory(const SessionJob &job, Attempts &attempts) const;
     bool mayWaitForPrimary(const SessionJob &job, ServiceState &service, Attempts &attempts) const;
     bool isPrimaryUnreachable(const SessionJob &job, const ServiceState &service, Attempts &attempts) const;
     Duration expectedTime(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
+    LoadCandidate describe(const SessionJob &job, const DatabasePool &pool, bool isPrimary, TimePoint now) const;
     /// Reason why the statement should not wait for this database: its answer is expected too late. Empty if there is none.
     std::string_view overload(const SessionJob &job, const DatabasePool &pool, TimePoint now) const;
     /// Tells whether the primary may answer the statement under a valid lease only, or has to prove that it leads.
@@ -153,6 +155,7 @@
     SessionDirectory &m_directory;
     Interruption m_start; ///< from the start of the process until its directory and lease arrive
     RetryAdvice m_advice;
+    LoadBalancing m_balancing;
     std::uint64_t m_statements = 0;
     bool m_stopping = false;
     bool m_interrupted = false;
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -1,3 +1,4 @@
+#include <waxwing/coordination/load_balancing.h>
 #include <waxwing/sessions/database_pool.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/invariant.h>
@@ -10,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <iterator>
 #include <tuple>
@@ -26,7 +26,6 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int averageWindow = 8; // values in a moving average; a load peak builds up over some tens of statements
-constexpr double replyTimeDecaySeconds = 1.0; // time constant: after this time the weight of a measurement is about a third
 // Number of connections opened concurrently; each occupies a slot of the database while it is opened.
 constexpr std::size_t minOpening = 2;
 // A replica that lacked a position is used again after this delay, which doubles with each refusal up to 480 ms. The replication
@@ -373,6 +372,7 @@
 
 void DatabasePool::recordSent(TimePoint now)
 {
+    ++m_sentSinceMeasurement;
     if (m_pendingExchanges++ == 0) {
         m_exchangesPendingSince = now;
     }
@@ -389,6 +389,7 @@
 {
     m_replyTime = average(m_replyTime, took);
     m_replyTimeAt = now;
+    m_sentSinceMeasurement = 0;
 }
 
 Duration DatabasePool::expectedWait(int rank, TimePoint now) const
@@ -406,11 +407,7 @@
 
 Duration DatabasePool::expectedReply(Duration base, TimePoint now) const
 {
-    if (m_replyTime == Duration::zero()) {
-        return base;
-    }
-    const auto age = std::chrono::duration<double>(now - m_replyTimeAt).count();
-    return base + std::chrono::duration_cast<Duration>((m_replyTime - base) * std::exp(-age / replyTimeDecaySeconds));
+    return m_replyTime == Duration::zero() ? base : weightedByAge(m_replyTime, base, measurementAge(now));
 }
 
 void DatabasePool::recordNoReply(TimePoint now)
--- a/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(idleDatabaseIsNotUnresponsive);
     CPPUNIT_TEST(lostConnectionsShortenDetection);
     CPPUNIT_TEST(weightOfReplyTimeDecays);
+    CPPUNIT_TEST(exchangesSinceTheMeasurementCountUntilTheyEnd);
     CPPUNIT_TEST(drainLimitStartsWithTheFirstAnnouncement);
     CPPUNIT_TEST(transactionsQueueBehindSingleStatements);
     CPPUNIT_TEST(addressWithoutMeaningIsRetriedAfterAPause);
@@ -65,6 +66,24 @@
         CPPUNIT_ASSERT(pool->isSilent(TimePoint(10'061ms), 300ms));
     }
 
+    // Guards against counting statements that the measured reply time contains already, or that have ended.
+    void exchangesSinceTheMeasurementCountUntilTheyEnd()
+    {
+        const auto pool = make();
+        for (int i = 0; i < 3; ++i) {
+            pool->recordSent(TimePoint(1s));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), pool->sentSinceMeasurement());
+        pool->recordReply(TimePoint(2s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), pool->sentSinceMeasurement());
+        pool->recordReplyTime(500ms, TimePoint(2s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool->sentSinceMeasurement());
+        pool->recordSent(TimePoint(2s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool->sentSinceMeasurement());
+        CPPUNIT_ASSERT(pool->measuredReply() == Duration(500ms));
+        CPPUNIT_ASSERT(pool->measurementAge(TimePoint(3s)) == Duration(1s));
+    }
+
     // Guards against avoiding a database forever after one slow answer, since without statements no new time is measured.
     void weightOfReplyTimeDecays()
     {
--- a/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -118,10 +118,28 @@
     }
 }
 
+void ForwardedStatements::stateLoad(const std::string &service, wire::PoolForwardAnswer &content) const
+{
+    const auto *state = m_directory.service(service);
+    if (state == nullptr) {
+        return;
+    }
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    for (const auto &[id, pool] : state->pools()) {
+        waiting += pool->waiting();
+        running += pool->busy();
+    }
+    content.set_waiting(static_cast<std::uint32_t>(waiting));
+    content.set_running(static_cast<std::uint32_t>(running));
+    content.set_states_load(true);
+}
+
 void ForwardedStatements::answer(const std::string &proxy, const wire::PoolForward &message, wire::PoolForwardAnswer content)
 {
     content.set_correlation(message.correlation());
     content.set_incarnation(message.incarnation());
+    stateLoad(message.service(), content);
     m_send(proxy, content);
 }
 
--- a/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace waxwing
 {
@@ -29,6 +30,8 @@
 constexpr Duration farTransferTime = 45ms;
 // A holder always gets the larger part of the time, also while its link is congested.
 constexpr int maxTransferPart = 4;
+// Time for which a statement occupies a connection of its holder.
+constexpr Duration usualStatementTime = 5ms;
 
 void countExchange(std::string_view outcome)
 {
@@ -65,6 +68,7 @@
     : m_executor(std::move(executor))
     , m_incarnation(incarnation)
     , m_send(std::move(send))
+    , m_balancing(incarnation)
 {
 }
 
@@ -82,6 +86,7 @@
     waiter.signal.expires_after(limit - now);
     m_waiting[correlation] = &waiter;
     ++peer.pendingStatements;
+    ++peer.sentSinceStated;
     if (m_send(holder.link, message)) {
         co_await waiter.signal.async_wait(asio::as_tuple(asio::use_awaitable));
     } else {
@@ -105,11 +110,21 @@
         if (const auto work = workTime(waiter.answer.content)) {
             peer.transfer.add(Clock::now() - now - *work);
         }
+        recordLoad(peer, waiter.answer.content);
         countExchange(waiter.answer.content.result() == wire::PoolForwardAnswer::ANSWERED ? "answered" : "declined");
     }
     co_return std::move(waiter.answer);
 }
 
+void StatementForwarder::recordLoad(Peer &peer, const wire::PoolForwardAnswer &answer)
+{
+    if (answer.states_load()) {
+        peer.statedLoad = std::size_t(answer.waiting()) + answer.running();
+        peer.statedAt = Clock::now();
+        peer.sentSinceStated = 0;
+    }
+}
+
 StatementForwarder::Peer &StatementForwarder::findPeer(const std::string &proxy, unsigned distance)
 {
     return m_peers.try_emplace(proxy, distance > 1 ? farTransferTime : nearTransferTime).first->second;
@@ -159,23 +174,56 @@
 }
 
 const StatementHolder *StatementForwarder::choose(std::span<const StatementHolder> holders, const std::function<unsigned(std::string_view domain)> &distance,
-                                                  const std::set<std::string> &tried, TimePoint now) const
+                                                  const std::set<std::string> &tried, TimePoint now)
 {
-    const StatementHolder *best = nullptr;
-    std::tuple<bool, unsigned, std::size_t> bestCost;
+    std::vector<const StatementHolder *> best; // all have the same cost
+    std::tuple<bool, unsigned> bestCost;
     for (const auto &holder : holders) {
         if (tried.contains(holder.proxy)) {
             continue;
         }
         const auto peer = m_peers.find(holder.proxy);
         const bool avoided = peer != m_peers.end() && now < peer->second.avoidUntil;
-        const std::tuple cost(avoided, distance(holder.failureDomain), peer == m_peers.end() ? 0 : peer->second.pendingStatements);
-        if (best == nullptr || cost < bestCost) {
-            best = &holder;
+        const std::tuple cost(avoided, distance(holder.failureDomain));
+        if (best.empty() || cost < bestCost) {
+            best.clear();
             bestCost = cost;
         }
+        if (cost == bestCost) {
+            best.push_back(&holder);
+        }
+    }
+    return chooseByLoad(best, now);
+}
+
+const StatementHolder *StatementForwarder::chooseByLoad(std::span<const StatementHolder *const> holders, TimePoint now)
+{
+    std::vector<LoadCandidate> candidates;
+    candidates.reserve(holders.size());
+    for (const auto *holder : holders) {
+        auto &candidate = candidates.emplace_back();
+        candidate.timePerSent = usualStatementTime / static_cast<Duration::rep>(std::max<std::size_t>(1, holder->connections));
+        const auto found = m_peers.find(holder->proxy);
+        if (found == m_peers.end()) {
+            continue;
+        }
+        const auto &peer = found->second;
+        if (peer.statedLoad) {
+            candidate.measured = candidate.timePerSent * static_cast<Duration::rep>(*peer.statedLoad);
+            candidate.age = now - peer.statedAt;
+        }
+        // Holders of earlier releases state no load; of theirs only what this process has sent is known.
+        candidate.sentSince = std::min(peer.pendingStatements, peer.sentSinceStated);
+    }
+    const auto chosen = m_balancing.choose(candidates);
+    if (!chosen) {
+        return nullptr;
+    }
+    if (chosen->balanced) {
+        static auto &balanced = Metrics::instance().counter("waxwing_session_balanced_choices_total", "of", "holder");
+        balanced.add();
     }
-    return best;
+    return holders[chosen->index];
 }
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -21,6 +21,7 @@
 #include <algorithm>
 #include <functional>
 #include <utility>
+#include <vector>
 
 namespace waxwing
 {
@@ -46,6 +47,8 @@
 constexpr Duration farReplyTime = 45ms;
 // Traffic between regions costs a few percent of the statement; expressed as time, about this much.
 constexpr Duration crossRegionCost = 15ms;
+// Statements that a database runs at the same time; those known have 4 or 5 slots.
+constexpr int usualSlots = 4;
 // A database that recently left a statement unanswered is chosen last.
 constexpr Duration unresponsiveCost = 10s;
 // An attempt on a replica that lacks the required position is wasted, which costs more than waiting in any queue.
@@ -113,6 +116,12 @@
     return error != SessionError::Busy && error != SessionError::UnknownStatement && error != SessionError::Lagging && error != SessionError::ReadOnly;
 }
 
+/// Seed that differs between processes, also between two runs of one proxy.
+std::uint64_t processSeed(const SessionDirectory &directory)
+{
+    return std::hash<std::string>()(directory.options().proxy) ^ static_cast<std::uint64_t>(Clock::now().time_since_epoch().count());
+}
+
 void countRetry(std::string_view reason)
 {
     Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
@@ -123,7 +132,8 @@
 StatementPath::StatementPath(SessionDirectory &directory)
     : m_directory(directory)
     , m_start(usualStart)
-    , m_advice(std::hash<std::string>()(directory.options().proxy) ^ static_cast<std::uint64_t>(Clock::now().time_since_epoch().count()))
+    , m_advice(processSeed(directory))
+    , m_balancing(processSeed(directory))
 {
     m_start.begin(Clock::now());
 }
@@ -231,6 +241,23 @@
     return pool.expectedWait(job.rank(), now) + pool.expectedReply(crossesRegion ? farReplyTime : nearReplyTime, now);
 }
 
+LoadCandidate StatementPath::describe(const SessionJob &job, const DatabasePool &pool, bool isPrimary, TimePoint now) const
+{
+    const bool crossesRegion = m_directory.distance(pool.member().failure_domain()) > 1;
+    LoadCandidate candidate;
+    candidate.distanceClass = crossesRegion ? 1 : 0;
+    candidate.distanceCost = crossesRegion ? crossRegionCost : Duration::zero();
+    candidate.penalty += pool.isSuspect(now) ? unresponsiveCost : Duration::zero();
+    candidate.penalty += !isPrimary && pool.isLagging(now) ? laggingCost : Duration::zero();
+    candidate.queueTime = pool.expectedWait(job.rank(), now);
+    candidate.assumed = crossesRegion ? farReplyTime : nearReplyTime;
+    candidate.measured = pool.measuredReply();
+    candidate.age = pool.measurementAge(now);
+    candidate.sentSince = pool.sentSinceMeasurement();
+    candidate.timePerSent = candidate.measured.value_or(candidate.assumed) / usualSlots;
+    return candidate;
+}
+
 std::string_view StatementPath::overload(const SessionJob &job, const DatabasePool &pool, TimePoint now) const
 {
     const auto left = job.deadline - now;
@@ -314,7 +341,7 @@
     return choice;
 }
 
-StatementPath::Choice StatementPath::choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts) const
+StatementPath::Choice StatementPath::choose(const SessionJob &job, const ServiceState &service, const Attempts &attempts)
 {
     const auto now = Clock::now();
     auto primary = choosePrimary(service);
@@ -332,8 +359,8 @@
         return primary;
     }
     const auto required = requiredPosition(job, service);
-    Choice best;
-    Duration bestCost {};
+    std::vector<Choice> choices;
+    std::vector<LoadCandidate> candidates;
     std::string_view refusal;
     for (const auto &[id, pool] : service.pools()) {
         const bool isPrimary = pool == primary.pool;
@@ -345,20 +372,23 @@
             refusal = reason;
             continue;
         }
-        auto cost = expectedTime(job, *pool, now) + (m_directory.distance(pool->member().failure_domain()) > 1 ? crossRegionCost : Duration::zero());
-        cost += pool->isSuspect(now) ? unresponsiveCost : Duration::zero();
-        cost += !isPrimary && pool->isLagging(now) ? laggingCost : Duration::zero();
-        if (!best.pool || cost < bestCost) {
-            bestCost = cost;
-            best = leasedPrimary ? primary : Choice {pool, required, false, service.epoch()};
+        choices.push_back(leasedPrimary ? primary : Choice {pool, required, false, service.epoch()});
+        candidates.push_back(describe(job, *pool, isPrimary, now));
+    }
+    if (const auto chosen = m_balancing.choose(candidates)) {
+        if (chosen->balanced) {
+            static auto &balanced = Metrics::instance().counter("waxwing_session_balanced_choices_total", "of", "database");
+            balanced.add();
         }
+        return choices[chosen->index];
     }
     primary.verifies = !leased;
-    if (!best.pool && refusal.empty() && (leased || stops) && primary.pool && !attempts.excluded.contains(primary.pool->member().id())) {
+    if (refusal.empty() && (leased || stops) && primary.pool && !attempts.excluded.contains(primary.pool->member().id())) {
         return primary; // it is draining or its position is unknown, but no other database can run the statement
     }
-    best.refusal = best.pool ? std::string_view() : refusal;
-    return best;
+    Choice none;
+    none.refusal = refusal;
+    return none;
 }
 
 asio::awaitable<StatementPath::AttemptOutcome> StatementPath::attempt(const SessionJob &job, ServiceState &service, const Choice &choice, Attempts &attempts,
