Prefer holders that have a lease

Each forwarded answer states how long the lease of the holder is still valid. Statements that need a lease go to holders that are not known to be without one, however distant; a holder without one is asked again by one statement every 200 ms, and declines at once if there are others.

--- a/packages/sessions/include/waxwing/sessions/statement_backend.h
+++ b/packages/sessions/include/waxwing/sessions/statement_backend.h
@@ -55,6 +55,8 @@
 private:
     boost::asio::awaitable<StatementResult> forward(const SessionJob &job, ServiceState &service, SessionTransaction &transaction);
     boost::asio::awaitable<StatementResult> continueAtHolder(ForwardedTransaction open, const SessionJob &job, wire::PoolForward::Kind kind);
+    /// Tells whether a holder without a lease is expected to have one in the time of the statement.
+    bool mayWaitForLease(const ServiceState &service, const SessionJob &job, TimePoint now) const;
     StatementResult handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number);
     /// @param expected expected time until the statement can be served
     /// @param mayHaveRun whether a holder got the statement and did not answer
--- a/packages/sessions/include/waxwing/sessions/statement_forwarder.h
+++ b/packages/sessions/include/waxwing/sessions/statement_forwarder.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -63,9 +64,18 @@
     /// @brief Chooses the nearest responsive holder, and among equally near ones the one with the fewest outstanding statements.
     /// @param distance returns the distance to a failure domain, see SessionDirectory::distance()
     /// @param tried names of holders that could not run the statement; they are excluded
+    /// @param needsLease holders that are known to have no lease come last, however near they are
     /// @return null if no holder is left
     const StatementHolder *choose(std::span<const StatementHolder> holders, const std::function<unsigned(std::string_view domain)> &distance,
-                                  const std::set<std::string> &tried, TimePoint now) const;
+                                  const std::set<std::string> &tried, TimePoint now, bool needsLease) const;
+
+    /// @brief Tells whether the holder stated recently that it has no lease. After a pause it may have one again, and one statement is sent
+    /// to it to find out.
+    bool isWithoutLease(const std::string &proxy, TimePoint now) const;
+
+    /// @brief Returns since when the holder that lost its lease last is known to be without one.
+    /// @return nothing if no holder is known to be without a lease
+    std::optional<TimePoint> lastLeaseLoss(std::span<const StatementHolder> holders) const;
 
     /// @brief Returns a number for a new transaction that is unique within this process.
     std::uint64_t nextTransaction()
@@ -95,10 +105,13 @@
 
         std::size_t pendingStatements = 0; ///< statements without an answer yet
         TimePoint avoidUntil;
+        std::optional<TimePoint> withoutLeaseSince; ///< set while the last answer that stated the lease stated that there is none
+        TimePoint leaseCheckAt; ///< until then a holder without a lease is not asked again
         TransferTime transfer;
     };
 
     Peer &findPeer(const std::string &proxy, unsigned distance);
+    static void recordLease(Peer &peer, const wire::PoolForwardAnswer &answer, TimePoint now);
 
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_incarnation;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -76,6 +76,9 @@
         return m_statements;
     }
 
+    /// @brief Tells whether a proxy without a lease can't run the statement, not even with a proof of the primary that it leads.
+    bool requiresLease(const SessionJob &job) const;
+
     /// @brief Rolls back the open transaction of a connection, if any, and returns the connection to its pool. If the rollback
     /// fails, the connection is closed.
     /// @param state transaction state that the database reported last
--- a/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -122,6 +122,10 @@
 {
     content.set_correlation(message.correlation());
     content.set_incarnation(message.incarnation());
+    // Rounded up, because 0 states that there is no lease.
+    const auto leaseLeft = m_directory.lease().expiresAt() - Clock::now();
+    content.set_states_load(true);
+    content.set_lease_left_ms(leaseLeft > Duration::zero() ? static_cast<std::uint32_t>(toMilliseconds(leaseLeft).count()) + 1 : 0);
     m_send(proxy, content);
 }
 
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -1,4 +1,5 @@
 #include <waxwing/sessions/forward_codec.h>
+#include <waxwing/sessions/interruption.h>
 #include <waxwing/sessions/statement_backend.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
@@ -27,6 +28,9 @@
 // Links to newly assigned holders are connected within a round trip between regions.
 constexpr Duration linkConnectTimeout = 250ms;
 constexpr Duration holderPollInterval = 25ms;
+// Leases that holders lose with a change of control's leader; as assumed for this proxy's own lease.
+constexpr Duration usualLeaseLoss = 500ms;
+constexpr std::string_view withoutLeaseReason = "holder-without-lease";
 
 } // namespace
 
@@ -68,6 +72,7 @@
     const auto distance = [this](std::string_view domain) {
         return m_directory.distance(domain);
     };
+    bool requiresLease = m_path.requiresLease(job);
     std::set<std::string> tried;
     std::set<std::string> declined;
     auto declinedUnder = m_directory.directoryVersion();
@@ -91,11 +96,16 @@
             result.declined = true;
             co_return result;
         }
-        const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
+        const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, now, job.needsPrimary() || requiresLease);
+        if (nearest != nullptr && requiresLease && m_forwarder.isWithoutLease(nearest->proxy, now)) {
+            nearest = nullptr; // nor has any other one a lease, because these come last
+            reason = withoutLeaseReason;
+        }
         if (nearest == nullptr) {
             // A holder that declines may have learned of the next one a little earlier than this proxy.
             withoutHolderSince = withoutHolderSince.value_or(now);
-            if (m_path.isStopping() || now - *withoutHolderSince >= linkConnectTimeout) {
+            const bool mayConnect = now - *withoutHolderSince < linkConnectTimeout;
+            if (m_path.isStopping() || (!mayConnect && !(requiresLease && mayWaitForLease(service, job, now)))) {
                 break;
             }
             // Holders decline again until the directory changes.
@@ -108,6 +118,10 @@
             continue;
         }
         const StatementHolder holder = *nearest;
+        if ((job.needsPrimary() || requiresLease) && m_forwarder.choose(service.holders(), distance, tried, now, false) != nearest) {
+            static auto &passedOver = Metrics::instance().counter("waxwing_session_holders_passed_over_total", "reason", "no-lease");
+            passedOver.add();
+        }
         const auto number = job.begins ? m_forwarder.nextTransaction() : 0;
         message.set_transaction(number);
         auto limit = job.deadline;
@@ -134,9 +148,14 @@
             co_return result;
         } else {
             const bool answered = answer.status == StatementForwarder::Status::Answered;
-            reason = answered ? "holder-declined" : "holder-not-connected";
-            if (answered) {
+            const bool withoutLease = answered && answer.content.states_load() && answer.content.lease_left_ms() == 0;
+            reason = withoutLease ? withoutLeaseReason : answered ? "holder-declined" : "holder-not-connected";
+            if (withoutLease) {
+                requiresLease = true; // also a read of a replica, if the holder has no recent position of the primary
+            } else if (answered) {
                 declined.insert(holder.proxy);
+            }
+            if (answered) {
                 expected = std::max<Duration>(RetryAdvice::otherProxy, std::chrono::milliseconds(answer.content.retry_after_ms()));
             }
         }
@@ -146,6 +165,17 @@
     co_return refuse(job, m_path.isInterrupted() ? "stopping" : reason, tried.size(), expected, mayHaveRun);
 }
 
+bool StatementBackend::mayWaitForLease(const ServiceState &service, const SessionJob &job, TimePoint now) const
+{
+    const auto since = m_forwarder.lastLeaseLoss(service.holders());
+    if (!since) {
+        return false;
+    }
+    Interruption loss(usualLeaseLoss);
+    loss.begin(*since);
+    return loss.expectedRest(now) <= job.deadline - now;
+}
+
 StatementResult StatementBackend::handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number)
 {
     StatementResult result;
--- a/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_forwarder.cpp
@@ -24,6 +24,11 @@
 constexpr Duration noAnswerAvoidanceTime = 800ms;
 // A holder whose link is not connected is avoided for about one attempt to connect.
 constexpr Duration notConnectedAvoidanceTime = 100ms;
+// A holder without a lease is asked again after this pause. Leases are renewed every 400 to 800 ms, so a holder that reaches control again
+// has one after about half of that on average.
+constexpr Duration leaseCheckInterval = 200ms;
+// Without an answer for longer than this, the holder may have had a lease in between, and its next answer without one begins a new loss.
+constexpr Duration leaseLossMemory = 2s;
 // Round trips assumed before the first measurement, within a region and between two.
 constexpr Duration nearTransferTime = 5ms;
 constexpr Duration farTransferTime = 45ms;
@@ -82,6 +87,9 @@
     waiter.signal.expires_after(limit - now);
     m_waiting[correlation] = &waiter;
     ++peer.pendingStatements;
+    if (peer.withoutLeaseSince && now >= peer.leaseCheckAt) {
+        peer.leaseCheckAt = now + leaseCheckInterval; // only this statement finds out whether the holder has a lease again
+    }
     if (m_send(holder.link, message)) {
         co_await waiter.signal.async_wait(asio::as_tuple(asio::use_awaitable));
     } else {
@@ -105,6 +113,7 @@
         if (const auto work = workTime(waiter.answer.content)) {
             peer.transfer.add(Clock::now() - now - *work);
         }
+        recordLease(peer, waiter.answer.content, Clock::now());
         countExchange(waiter.answer.content.result() == wire::PoolForwardAnswer::ANSWERED ? "answered" : "declined");
     }
     co_return std::move(waiter.answer);
@@ -115,6 +124,39 @@
     return m_peers.try_emplace(proxy, distance > 1 ? farTransferTime : nearTransferTime).first->second;
 }
 
+void StatementForwarder::recordLease(Peer &peer, const wire::PoolForwardAnswer &answer, TimePoint now)
+{
+    if (!answer.states_load()) {
+        return; // the holder runs an earlier release
+    }
+    if (answer.lease_left_ms() != 0) {
+        peer.withoutLeaseSince.reset();
+        return;
+    }
+    if (!peer.withoutLeaseSince || now >= peer.leaseCheckAt + leaseLossMemory) {
+        peer.withoutLeaseSince = now;
+    }
+    peer.leaseCheckAt = now + leaseCheckInterval;
+}
+
+bool StatementForwarder::isWithoutLease(const std::string &proxy, TimePoint now) const
+{
+    const auto peer = m_peers.find(proxy);
+    return peer != m_peers.end() && peer->second.withoutLeaseSince && now < peer->second.leaseCheckAt;
+}
+
+std::optional<TimePoint> StatementForwarder::lastLeaseLoss(std::span<const StatementHolder> holders) const
+{
+    std::optional<TimePoint> last;
+    for (const auto &holder : holders) {
+        const auto peer = m_peers.find(holder.proxy);
+        if (peer != m_peers.end() && peer->second.withoutLeaseSince) {
+            last = std::max(last, peer->second.withoutLeaseSince);
+        }
+    }
+    return last;
+}
+
 void StatementForwarder::rollBack(const StatementHolder &holder, std::uint64_t transaction)
 {
     wire::PoolForward message;
@@ -159,17 +201,18 @@
 }
 
 const StatementHolder *StatementForwarder::choose(std::span<const StatementHolder> holders, const std::function<unsigned(std::string_view domain)> &distance,
-                                                  const std::set<std::string> &tried, TimePoint now) const
+                                                  const std::set<std::string> &tried, TimePoint now, bool needsLease) const
 {
     const StatementHolder *best = nullptr;
-    std::tuple<bool, unsigned, std::size_t> bestCost;
+    std::tuple<bool, bool, unsigned, std::size_t> bestCost;
     for (const auto &holder : holders) {
         if (tried.contains(holder.proxy)) {
             continue;
         }
         const auto peer = m_peers.find(holder.proxy);
         const bool avoided = peer != m_peers.end() && now < peer->second.avoidUntil;
-        const std::tuple cost(avoided, distance(holder.failureDomain), peer == m_peers.end() ? 0 : peer->second.pendingStatements);
+        const bool withoutLease = needsLease && isWithoutLease(holder.proxy, now);
+        const std::tuple cost(withoutLease, avoided, distance(holder.failureDomain), peer == m_peers.end() ? 0 : peer->second.pendingStatements);
         if (best == nullptr || cost < bestCost) {
             best = &holder;
             bestCost = cost;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -259,7 +259,12 @@
     const auto left = job.deadline - now;
     const auto &lease = m_directory.lease();
     if (service.hasPrimary() && !lease.isValid(now)) {
+        // Another holder may have a lease. A read that lost its lease while it ran waits here as it would at its own proxy.
+        const bool declines = job.forwarded && service.holders().size() > 1 && attempts.lastReason != leaseLostReason;
         attempts.lastReason = noLeaseReason;
+        if (declines) {
+            return false;
+        }
         return (lease.expiresAt() == TimePoint() ? m_start.expectedRest(now) : m_directory.expectedLeaseLoss(now)) <= left;
     }
     service.primaryChange().begin(now);
@@ -302,6 +307,11 @@
     return !job.mayPersist();
 }
 
+bool StatementPath::requiresLease(const SessionJob &job) const
+{
+    return job.needsPrimary() && !(needsLease(job) && m_directory.options().replacedPrimaryStops);
+}
+
 StatementPath::Choice StatementPath::choosePrimary(const ServiceState &service) const
 {
     Choice choice;
@@ -321,7 +331,7 @@
     const bool leased = m_directory.lease().covers(service.name(), service.epoch(), now);
     const bool stops = m_directory.options().replacedPrimaryStops;
     if (job.needsPrimary()) {
-        const bool mayRun = leased || (needsLease(job) && stops);
+        const bool mayRun = leased || !requiresLease(job);
         primary.verifies = needsLease(job) && !leased;
         if (primary.pool && (!mayRun || attempts.excluded.contains(primary.pool->member().id()))) {
             primary.pool = nullptr;
