--- a/packages/sessions/include/waxwing/sessions/statement_backend.h
+++ b/packages/sessions/include/waxwing/sessions/statement_backend.h
@@ -53,6 +53,9 @@
     }
 
 private:
+    /// Tells whether the statement runs on connections of this proxy. A holder without a lease forwards those that require one.
+    bool runsHere(const SessionJob &job, const ServiceState &service) const;
+    /// @return marked as declined if the statement is to run on connections of this proxy; no holder got it, or all of those declined
     boost::asio::awaitable<StatementResult> forward(const SessionJob &job, ServiceState &service, SessionTransaction &transaction);
     boost::asio::awaitable<StatementResult> continueAtHolder(ForwardedTransaction open, const SessionJob &job, wire::PoolForward::Kind kind);
     /// Tells whether a holder without a lease is expected to have one in the time of the statement.
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -48,12 +48,14 @@
     }
     StatementResult result;
     bool again = true;
+    bool triedHolders = false;
     // Control may name or replace holders, this proxy among them, while the statement waits.
     while (again) {
         auto *service = m_directory.service(job.route.service);
-        if (service != nullptr && !service->holdsConnections()) {
+        if (service != nullptr && !(runsHere(job, *service) || (triedHolders && service->holdsConnections()))) {
             result = co_await forward(job, *service, transaction);
             again = result.declined && service->holdsConnections();
+            triedHolders = true; // without another holder that can run it, it waits here or is refused
             continue;
         }
         result = co_await m_path.run(job);
@@ -67,14 +69,31 @@
     co_return result;
 }
 
+bool StatementBackend::runsHere(const SessionJob &job, const ServiceState &service) const
+{
+    if (!service.holdsConnections()) {
+        return false;
+    }
+    // Where every proxy holds its share there is no other holder.
+    return service.holders().size() < 2 || !m_path.requiresLease(job) || m_directory.lease().isValid(Clock::now());
+}
+
 asio::awaitable<StatementResult> StatementBackend::forward(const SessionJob &job, ServiceState &service, SessionTransaction &transaction)
 {
     const auto distance = [this](std::string_view domain) {
         return m_directory.distance(domain);
     };
     bool requiresLease = m_path.requiresLease(job);
-    std::set<std::string> tried;
-    std::set<std::string> declined;
+    const auto declineHere = [] {
+        StatementResult result;
+        result.error = SessionError::Busy;
+        result.declined = true;
+        return result;
+    };
+    // This proxy may be a holder without a lease.
+    const std::set<std::string> own {m_directory.options().proxy};
+    auto tried = own;
+    auto declined = own;
     auto declinedUnder = m_directory.directoryVersion();
     std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
@@ -90,11 +109,9 @@
             reason = "no-primary"; // the holders learn of the next primary at the same time as this proxy
             break;
         }
-        if (service.holdsConnections()) {
-            StatementResult result;
-            result.error = SessionError::Busy;
-            result.declined = true;
-            co_return result;
+        // A refusal of this proxy would promise that a statement did not run which a silent holder may have run.
+        if (runsHere(job, service) && !mayHaveRun) {
+            co_return declineHere();
         }
         const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, now, job.needsPrimary() || requiresLease);
         if (nearest != nullptr && requiresLease && m_forwarder.isWithoutLease(nearest->proxy, now)) {
@@ -110,7 +127,7 @@
             }
             // Holders decline again until the directory changes.
             if (std::exchange(declinedUnder, m_directory.directoryVersion()) != m_directory.directoryVersion()) {
-                declined.clear();
+                declined = own;
             }
             tried = declined;
             pause.expires_after(holderPollInterval);
@@ -128,6 +145,14 @@
         if (!job.mayPersist() && !job.begins) {
             limit = std::min(limit, Clock::now() + std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptShare));
         }
+        if (service.holdsConnections()) {
+            Metrics::instance().counter("waxwing_session_forwards_without_lease_total").add();
+            log::write(log::Level::Info, "statement forwarded without a lease",
+                       {{"request", job.id},
+                        {"service", job.route.service},
+                        {"holder", holder.proxy},
+                        {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()}});
+        }
         const auto answer = co_await m_forwarder.exchange(holder, message, limit, distance(holder.failureDomain));
         if (answer.status == StatementForwarder::Status::Silent) {
             if (job.mayPersist() || job.begins) {
@@ -162,7 +187,10 @@
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
     }
-    co_return refuse(job, m_path.isInterrupted() ? "stopping" : reason, tried.size(), expected, mayHaveRun);
+    if (service.holdsConnections() && !mayHaveRun && !m_path.isInterrupted() && Clock::now() < job.deadline) {
+        co_return declineHere();
+    }
+    co_return refuse(job, m_path.isInterrupted() ? "stopping" : reason, tried.size() - own.size(), expected, mayHaveRun);
 }
 
 bool StatementBackend::mayWaitForLease(const ServiceState &service, const SessionJob &job, TimePoint now) const
@@ -204,6 +232,7 @@
                 {"service", job.route.service},
                 {"reason", reason},
                 {"tried", tried},
+                {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
                 {"held_ms", toMilliseconds(now - job.receivedAt).count()},
                 {"directory_version", m_directory.directoryVersion()}});
     return result;
