Retry full databases as soon as the number of proxies allows

A pool whose database refused a connection as too many paused for up to 3 s, so that statements were refused as deadline-unreachable, and nothing opened a connection for waiting statements when a pause ended. The longest pause now follows the number of proxies that open connections, with one attempt at a time while the database is full.

--- a/packages/sessions/include/waxwing/sessions/database_pool.h
+++ b/packages/sessions/include/waxwing/sessions/database_pool.h
@@ -62,7 +62,14 @@
     /// @brief Changes the number of connections.
     /// @param share number of connections that stay open while idle
     /// @param limit maximum number of connections; with 0, waiting statements get none
-    void setLimits(std::size_t share, std::size_t limit);
+    /// @param proxies number of proxies that open connections to the database; while it is full, each attempts as often as their number
+    /// allows
+    void setLimits(std::size_t share, std::size_t limit, std::size_t proxies);
+
+    /// @brief Returns the bound of the mean pause after a database refused a connection because it has too many: the fewer proxies attempt,
+    /// the sooner each of them gets a connection once the database has room.
+    /// @param proxies number of proxies that open connections to the database
+    static Duration longestFullPause(std::size_t proxies, Duration maximum);
 
     /// @brief Closes connections beyond the share that have been idle for too long.
     void closeSurplus(TimePoint now);
@@ -188,6 +195,8 @@
     void open(std::string workspace);
     ConnectionPointer handOut(ConnectionPointer connection);
     void openMore();
+    /// Opens connections for waiting statements as soon as the pause after a failure ends.
+    void openAfterPause();
     boost::asio::awaitable<void> openOne(std::string workspace);
     void recordOpenFailure(DatabaseConnection::OpenResult result, TimePoint now);
 
@@ -219,6 +228,10 @@
     TimePoint m_evictedAt; ///< an idle connection was last closed to make room for one of another workspace
     unsigned m_failures = 0;
     bool m_closed = false;
+    Duration m_longestFullPause; ///< mean of the pauses while the database is full
+    bool m_full = false; ///< the last attempt was refused because the database has too many connections
+    bool m_pauseTimed = false; ///< m_pauseEnd is waited for
+    boost::asio::steady_timer m_pauseEnd;
     BackOff m_fullPauses; ///< after refusals because the database has too many connections
 };
 
--- a/packages/sessions/src/waxwing/sessions/database_pool.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool.cpp
@@ -39,6 +39,10 @@
 constexpr unsigned maxFullRetries = 3;
 constexpr Duration evictionRetryDelay = 15ms;
 constexpr Duration evictionTime = 1s;
+// All proxies together attempt to open a connection to a full database this often on average. An attempt that is refused takes no slot of
+// the database, but costs the proxy processor time, so that the attempts of one proxy are at least the shortest pause apart.
+constexpr Duration fullAttemptInterval = 10ms;
+constexpr Duration minFullPause = 150ms;
 constexpr Duration fullLogInterval = 5s; // connecting to a full database is retried, which would flood the log
 // A database that left a statement unanswered is avoided for this long if another one is available.
 constexpr Duration avoidanceTime = 500ms;
@@ -72,6 +76,8 @@
     , m_member(member)
     , m_options(std::move(options))
     , m_drainingSince(Clock::now())
+    , m_longestFullPause(m_options.maxFullRetryDelay)
+    , m_pauseEnd(executor)
     , m_fullPauses(m_options.fullRetryDelay, m_options.maxFullRetryDelay, std::hash<std::string>()(m_options.caller + m_member.id()))
 {
 }
@@ -215,6 +221,9 @@
 
 std::size_t DatabasePool::maxOpening() const
 {
+    if (m_full) {
+        return 1; // others would be refused as well
+    }
     // With workspaces a connection is opened for many statements, at times over a long way.
     return m_lastWorkspace.empty() ? minOpening : std::max(minOpening, m_options.limit / 2);
 }
@@ -239,12 +248,31 @@
             open(std::move(workspace));
         }
     }
+    if (!m_waiting.empty()) {
+        openAfterPause();
+    }
     const auto warm = std::min(m_options.limit, m_warmConnections);
     while (mayOpen() && m_count < warm) {
         open({});
     }
 }
 
+void DatabasePool::openAfterPause()
+{
+    const auto now = Clock::now();
+    if (m_closed || m_pauseTimed || now >= m_openAfter) {
+        return;
+    }
+    m_pauseTimed = true;
+    m_pauseEnd.expires_after(m_openAfter - now);
+    m_pauseEnd.async_wait([weak = weak_from_this()](const boost::system::error_code &) {
+        if (const auto self = weak.lock()) {
+            self->m_pauseTimed = false;
+            self->openMore();
+        }
+    });
+}
+
 asio::awaitable<void> DatabasePool::openOne(std::string workspace)
 {
     const auto self = shared_from_this();
@@ -264,9 +292,11 @@
     if (result != DatabaseConnection::OpenResult::Open) {
         --m_count;
         recordOpenFailure(result, now);
+        openMore(); // waits for the end of the pause
         co_return;
     }
     opened.add();
+    m_full = false;
     m_lastReply = now;
     m_failures = 0;
     m_fullPauses.reset();
@@ -279,7 +309,8 @@
 {
     Metrics::instance().counter("waxwing_pool_connect_failures_total", "reason", openResultName(result)).add();
     if (result == DatabaseConnection::OpenResult::Full) {
-        m_openAfter = now + m_fullPauses.next();
+        m_full = true;
+        m_openAfter = now + m_fullPauses.next(m_longestFullPause);
         if (now >= m_nextFullLog) {
             m_nextFullLog = now + fullLogInterval;
             log::write(
@@ -287,6 +318,7 @@
                 {{"database", m_member.id()}, {"service", m_member.service()}, {"open", m_count}, {"share", m_options.share}, {"limit", m_options.limit}});
         }
     } else {
+        m_full = false;
         ++m_failures;
         const auto pause = std::min(m_options.maxFailureRetryDelay, m_options.failureRetryDelay * (1U << std::min(m_failures - 1, 3U)));
         m_openAfter = now + pause;
@@ -323,8 +355,15 @@
     m_member = member;
 }
 
-void DatabasePool::setLimits(std::size_t share, std::size_t limit)
+Duration DatabasePool::longestFullPause(std::size_t proxies, Duration maximum)
+{
+    const auto pause = fullAttemptInterval * static_cast<std::int64_t>(proxies);
+    return std::min(maximum, std::max<Duration>(minFullPause, pause));
+}
+
+void DatabasePool::setLimits(std::size_t share, std::size_t limit, std::size_t proxies)
 {
+    m_longestFullPause = longestFullPause(proxies, m_options.maxFullRetryDelay);
     m_options.share = share;
     m_options.limit = limit;
     while (m_count > m_options.limit && !m_idle.empty()) {
--- a/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/database_pool_test.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+#include <vector>
+
 using namespace waxwing;
 
 class DatabasePoolTest : public CppUnit::TestFixture
@@ -16,6 +19,7 @@
     CPPUNIT_TEST(drainLimitStartsWithTheFirstAnnouncement);
     CPPUNIT_TEST(transactionsQueueBehindSingleStatements);
     CPPUNIT_TEST(addressWithoutMeaningIsRetriedAfterAPause);
+    CPPUNIT_TEST(proxiesTogetherSpareAFullDatabase);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,13 +111,37 @@
     void addressWithoutMeaningIsRetriedAfterAPause()
     {
         const auto pool = make();
-        pool->setLimits(2, 2);
+        pool->setLimits(2, 2, 1);
         pool->warm(2);
         m_context.run();
         CPPUNIT_ASSERT_MESSAGE(pool->describe(), pool->describe().find("open 0/2") != std::string::npos);
         CPPUNIT_ASSERT_MESSAGE(pool->describe(), pool->describe().find("failures 2") != std::string::npos);
     }
 
+    // Guards against hundreds of proxies that flood a full database, and against a few holders that pause for as long as hundreds would.
+    void proxiesTogetherSpareAFullDatabase()
+    {
+        constexpr Duration maximum = 2s;
+        constexpr unsigned seconds = 60;
+        for (const unsigned proxies : {1U, 6U, 12U, 36U, 62U, 191U}) {
+            const auto longest = DatabasePool::longestFullPause(proxies, maximum);
+            CPPUNIT_ASSERT(longest <= maximum);
+            std::vector<unsigned> attempts(seconds);
+            for (unsigned proxy = 0; proxy < proxies; ++proxy) {
+                BackOff pauses(250ms, maximum, proxy);
+                for (Duration now {}; now < std::chrono::seconds(seconds); now += pauses.next(longest)) {
+                    ++attempts[static_cast<std::size_t>(std::chrono::duration_cast<std::chrono::seconds>(now).count())];
+                }
+            }
+            for (unsigned second = 10; second < seconds; ++second) {
+                // A hundred attempts a second, and at most half as many again in any one second.
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(proxies) + ": " + std::to_string(attempts[second]), attempts[second] <= 150);
+            }
+        }
+        CPPUNIT_ASSERT(DatabasePool::longestFullPause(6, maximum) <= 150ms);
+        CPPUNIT_ASSERT(DatabasePool::longestFullPause(100'000, maximum) == maximum);
+    }
+
 private:
     std::shared_ptr<DatabasePool> make()
     {
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -248,8 +248,10 @@
             limit = service->heldConnections();
             share = limit;
         }
+        const std::size_t sharing = m_sharePermille == 0 ? 1 : 1000 / m_sharePermille;
+        const auto proxies = service->isShared() ? sharing : service->holders().size();
         for (const auto &[id, pool] : service->pools()) {
-            pool->setLimits(share, limit);
+            pool->setLimits(share, limit, proxies);
             // Ahead of a statement it is not known which workspace will need a connection.
             const bool warms = !pool->member().draining() && !(m_config && m_config->hasWorkspaces);
             pool->warm(warms ? std::min(share, m_options.warmConnections) : 0);
