--- a/packages/sessions/include/waxwing/sessions/statement_forwarder.h
+++ b/packages/sessions/include/waxwing/sessions/statement_forwarder.h
@@ -65,9 +65,18 @@
     /// @brief Chooses one of the nearest responsive holders by the load that they state in their answers, see LoadBalancing.
     /// @param distance returns the distance to a failure domain, see SessionDirectory::distance()
     /// @param tried names of holders that could not run the statement; they are excluded
+    /// @param needsLease holders that are known to have no lease come last, however near they are
     /// @return null if no holder is left
     const StatementHolder *choose(std::span<const StatementHolder> holders, const std::function<unsigned(std::string_view domain)> &distance,
-                                  const std::set<std::string> &tried, TimePoint now);
+                                  const std::set<std::string> &tried, TimePoint now, bool needsLease);
+
+    /// @brief Tells whether the holder stated recently that it has no lease. After a pause it may have one again, and one statement is sent
+    /// to it to find out.
+    bool isWithoutLease(const std::string &proxy, TimePoint now) const;
+
+    /// @brief Returns since when the holder that lost its lease last is known to be without one.
+    /// @return nothing if no holder is known to be without a lease
+    std::optional<TimePoint> lastLeaseLoss(std::span<const StatementHolder> holders) const;
 
     /// @brief Returns a number for a new transaction that is unique within this process.
     std::uint64_t nextTransaction()
@@ -100,12 +109,15 @@
         std::optional<std::size_t> statedLoad; ///< statements that wait or run there, for all proxies together
         TimePoint statedAt;
         std::size_t sentSinceStated = 0;
+        std::optional<TimePoint> withoutLeaseSince; ///< set while the last answer that stated the lease stated that there is none
+        TimePoint leaseCheckAt; ///< until then a holder without a lease is not asked again
         TransferTime transfer;
     };
 
     void recordLoad(Peer &peer, const wire::PoolForwardAnswer &answer);
     const StatementHolder *chooseByLoad(std::span<const StatementHolder *const> holders, TimePoint now);
     Peer &findPeer(const std::string &proxy, unsigned distance);
+    static void recordLease(Peer &peer, const wire::PoolForwardAnswer &answer, TimePoint now);
 
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_incarnation;
--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -1,4 +1,5 @@
 #include <waxwing/sessions/forward_codec.h>
+#include <waxwing/sessions/interruption.h>
 #include <waxwing/sessions/statement_backend.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
@@ -27,6 +28,9 @@
 // Links to newly assigned holders are connected within a round trip between regions.
 constexpr Duration linkConnectTimeout = 250ms;
 constexpr Duration holderPollInterval = 25ms;
+// Leases that holders lose with a change of control's leader; as assumed for this proxy's own lease.
+constexpr Duration usualLeaseLoss = 500ms;
+constexpr std::string_view withoutLeaseReason = "holder-without-lease";
 
 } // namespace
 
@@ -44,12 +48,14 @@
     }
     StatementResult result;
     bool again = true;
+    bool triedHolders = false;
     // Control may name or replace holders, this proxy among them, while the statement waits.
     while (again) {
         auto *service = m_directory.service(job.route.service);
-        if (service != nullptr && !service->holdsConnections()) {
+        if (service != nullptr && !(runsHere(job, *service) || (triedHolders && service->holdsConnections()))) {
             result = co_await forward(job, *service, transaction);
             again = result.declined && service->holdsConnections();
+            triedHolders = true; // without another holder that can run it, it waits here or is refused
             continue;
         }
         result = co_await m_path.run(job);
@@ -63,13 +69,31 @@
     co_return result;
 }
 
+bool StatementBackend::runsHere(const SessionJob &job, const ServiceState &service) const
+{
+    if (!service.holdsConnections()) {
+        return false;
+    }
+    // Where every proxy holds its share there is no other holder.
+    return service.holders().size() < 2 || !m_path.requiresLease(job) || m_directory.lease().isValid(Clock::now());
+}
+
 asio::awaitable<StatementResult> StatementBackend::forward(const SessionJob &job, ServiceState &service, SessionTransaction &transaction)
 {
     const auto distance = [this](std::string_view domain) {
         return m_directory.distance(domain);
     };
-    std::set<std::string> tried;
-    std::set<std::string> declined;
+    bool requiresLease = m_path.requiresLease(job);
+    const auto declineHere = [] {
+        StatementResult result;
+        result.error = SessionError::Busy;
+        result.declined = true;
+        return result;
+    };
+    // This proxy may be a holder without a lease.
+    const std::set<std::string> own {m_directory.options().proxy};
+    auto tried = own;
+    auto declined = own;
     auto declinedUnder = m_directory.directoryVersion();
     std::optional<TimePoint> withoutHolderSince;
     std::string_view reason = "no-holder";
@@ -85,22 +109,25 @@
             reason = "no-primary"; // the holders learn of the next primary at the same time as this proxy
             break;
         }
-        if (service.holdsConnections()) {
-            StatementResult result;
-            result.error = SessionError::Busy;
-            result.declined = true;
-            co_return result;
+        // A refusal of this proxy would promise that a statement did not run which a silent holder may have run.
+        if (runsHere(job, service) && !mayHaveRun) {
+            co_return declineHere();
+        }
+        const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, now, job.needsPrimary() || requiresLease);
+        if (nearest != nullptr && requiresLease && m_forwarder.isWithoutLease(nearest->proxy, now)) {
+            nearest = nullptr; // nor has any other one a lease, because these come last
+            reason = withoutLeaseReason;
         }
-        const auto *nearest = m_forwarder.choose(service.holders(), distance, tried, Clock::now());
         if (nearest == nullptr) {
             // A holder that declines may have learned of the next one a little earlier than this proxy.
             withoutHolderSince = withoutHolderSince.value_or(now);
-            if (m_path.isStopping() || now - *withoutHolderSince >= linkConnectTimeout) {
+            const bool mayConnect = now - *withoutHolderSince < linkConnectTimeout;
+            if (m_path.isStopping() || (!mayConnect && !(requiresLease && mayWaitForLease(service, job, now)))) {
                 break;
             }
             // Holders decline again until the directory changes.
             if (std::exchange(declinedUnder, m_directory.directoryVersion()) != m_directory.directoryVersion()) {
-                declined.clear();
+                declined = own;
             }
             tried = declined;
             pause.expires_after(holderPollInterval);
@@ -108,12 +135,24 @@
             continue;
         }
         const StatementHolder holder = *nearest;
+        if ((job.needsPrimary() || requiresLease) && m_forwarder.choose(service.holders(), distance, tried, now, false) != nearest) {
+            static auto &passedOver = Metrics::instance().counter("waxwing_session_holders_passed_over_total", "reason", "no-lease");
+            passedOver.add();
+        }
         const auto number = job.begins ? m_forwarder.nextTransaction() : 0;
         message.set_transaction(number);
         auto limit = job.deadline;
         if (!job.mayPersist() && !job.begins) {
             limit = std::min(limit, Clock::now() + std::chrono::duration_cast<Duration>((job.deadline - job.receivedAt) * readAttemptShare));
         }
+        if (service.holdsConnections()) {
+            Metrics::instance().counter("waxwing_session_forwards_without_lease_total").add();
+            log::write(log::Level::Info, "statement forwarded without a lease",
+                       {{"request", job.id},
+                        {"service", job.route.service},
+                        {"holder", holder.proxy},
+                        {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()}});
+        }
         const auto answer = co_await m_forwarder.exchange(holder, message, limit, distance(holder.failureDomain));
         if (answer.status == StatementForwarder::Status::Silent) {
             if (job.mayPersist() || job.begins) {
@@ -134,16 +173,35 @@
             co_return result;
         } else {
             const bool answered = answer.status == StatementForwarder::Status::Answered;
-            reason = answered ? "holder-declined" : "holder-not-connected";
-            if (answered) {
+            const bool withoutLease = answered && answer.content.states_load() && answer.content.lease_left_ms() == 0;
+            reason = withoutLease ? withoutLeaseReason : answered ? "holder-declined" : "holder-not-connected";
+            if (withoutLease) {
+                requiresLease = true; // also a read of a replica, if the holder has no recent position of the primary
+            } else if (answered) {
                 declined.insert(holder.proxy);
+            }
+            if (answered) {
                 expected = std::max<Duration>(RetryAdvice::otherProxy, std::chrono::milliseconds(answer.content.retry_after_ms()));
             }
         }
         tried.insert(holder.proxy);
         Metrics::instance().counter("waxwing_session_retries_total", "reason", reason).add();
     }
-    co_return refuse(job, m_path.isInterrupted() ? "stopping" : reason, tried.size(), expected, mayHaveRun);
+    if (service.holdsConnections() && !mayHaveRun && !m_path.isInterrupted() && Clock::now() < job.deadline) {
+        co_return declineHere();
+    }
+    co_return refuse(job, m_path.isInterrupted() ? "stopping" : reason, tried.size() - own.size(), expected, mayHaveRun);
+}
+
+bool StatementBackend::mayWaitForLease(const ServiceState &service, const SessionJob &job, TimePoint now) const
+{
+    const auto since = m_forwarder.lastLeaseLoss(service.holders());
+    if (!since) {
+        return false;
+    }
+    Interruption loss(usualLeaseLoss);
+    loss.begin(*since);
+    return loss.expectedRest(now) <= job.deadline - now;
 }
 
 StatementResult StatementBackend::handleNoAnswer(const SessionJob &job, const StatementHolder &holder, std::uint64_t number)
@@ -174,6 +232,7 @@
                 {"service", job.route.service},
                 {"reason", reason},
                 {"tried", tried},
+                {"lease_left_ms", toMilliseconds(m_directory.lease().expiresAt() - now).count()},
                 {"held_ms", toMilliseconds(now - job.receivedAt).count()},
                 {"directory_version", m_directory.directoryVersion()}});
     return result;
--- a/packages/sessions/src/waxwing/sessions/statement_forwarder_test.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_forwarder_test.cpp
@@ -52,7 +52,7 @@
         const auto distance = [](std::string_view domain) {
             return domain == "near" ? 1U : 2U;
         };
-        const auto *chosen = m_forwarder.choose(holders, distance, {}, Clock::now());
+        const auto *chosen = m_forwarder.choose(holders, distance, {}, Clock::now(), false);
         return chosen == nullptr ? std::string() : chosen->proxy;
     }
 
