Bound what clients of the HTTP addresses hold

Unfinished uploads to the operator API took a member of control with 256 MB far beyond its memory, answers that were not read did the same, and silent connections took all descriptors of control and of a proxy's readiness address.

HttpBudget, free of I/O, keeps an account of the bytes of each connection and decides who gives way: above the limit the largest unfinished upload (503 uploads-exceed-memory) or unread answer, and at the connection limit the longest idle connection. Requests of at most 16 KiB keep an eighth of the limit, and the only large request is never ended, so that a configuration of 4 MiB is accepted by an otherwise idle member.

Headers have a timeout of their own, bodies and answers a minimum rate, and heartbeats and all other requests to control 64 KiB. An acceptor without descriptors closes an idle connection and waits instead of repeating the failed accept at once. Settings of serve-sessions: limits.memory_mb and limits.connections.

--- a/packages/transport/include/waxwing/transport/http_server.h
+++ b/packages/transport/include/waxwing/transport/http_server.h
@@ -24,10 +24,16 @@
 struct HttpServerOptions
 {
     std::string listen; ///< IP:port; port 0 picks a free port
-    std::size_t maxConnections = 10'000;
+    std::size_t maxConnections = 100; ///< idle connections are closed in favour of new ones
     std::size_t maxBodyBytes = 1 << 20;
+    /// Limit of the body of one request, if it is below maxBodyBytes; called when the header is complete.
+    std::function<std::size_t(std::string_view method, std::string_view target)> maxBodyBytesOf;
     std::size_t maxHeaderBytes = 16 << 10;
-    Duration requestTimeout = 10s; ///< from the first byte of a request to its last, against slow senders
+    std::size_t maxHeldBytes = 32 << 20; ///< requests and answers of all connections; an eighth is reserved for those of at most 16 KiB
+    Duration headerTimeout = 10s; ///< from the first byte of a request to the end of its header
+    Duration bodyTimeout = 10s; ///< time that a body may take in addition to that of minBytesPerSecond
+    Duration answerTimeout = 30s; ///< time that the client may take to read an answer, in addition to that of minBytesPerSecond
+    std::size_t minBytesPerSecond = (4 << 20) / 120; ///< of bodies and answers; a configuration of 4 MiB within 120 s
     Duration idleTimeout = 300s; ///< between requests
     /// Body of a refusal by the server itself, from status, reason and message; JSON with these fields by default.
     std::function<std::string(unsigned status, std::string_view reason, std::string_view message)> refusalBody;
@@ -69,6 +75,9 @@
     /// @brief Number of requests that were handed to the handler and whose response has not been written.
     std::size_t requestsInFlight() const;
 
+    /// @brief Bytes of requests and answers that the open connections hold.
+    std::size_t heldBytes() const;
+
 private:
     struct Data;
     explicit HttpServer(std::unique_ptr<Data> data);
--- a/packages/transport/src/waxwing/transport/http_server.cpp
+++ b/packages/transport/src/waxwing/transport/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -19,6 +20,8 @@
 
 using boost::asio::ip::tcp;
 
+constexpr Duration acceptRetryDelay = 50ms; // after an error, such as a lack of descriptors, which repeats at once
+
 std::string defaultRefusalBody(unsigned, std::string_view reason, std::string_view message)
 {
     return boost::json::serialize(boost::json::object {{"outcome", "not-run"}, {"reason", reason}, {"message", message}, {"retry_after_ms", 0}});
@@ -28,9 +31,10 @@
 
 struct HttpServer::Data
 {
-    explicit Data(boost::asio::io_context &context)
+    Data(boost::asio::io_context &context, HttpServerOptions options)
         : acceptor(context)
-        , state(std::make_shared<HttpServerState>())
+        , retryTimer(context)
+        , state(std::make_shared<HttpServerState>(std::move(options)))
     {
     }
 
@@ -40,13 +44,28 @@
             if (alive.expired() || !acceptor.is_open()) {
                 return;
             }
-            if (!error) {
-                open(std::move(socket));
+            if (error) {
+                if (error == boost::asio::error::no_descriptors) {
+                    state->closeReplaceable("no-descriptor");
+                }
+                retryAccept();
+                return;
             }
+            open(std::move(socket));
             accept();
         });
     }
 
+    void retryAccept()
+    {
+        retryTimer.expires_after(acceptRetryDelay);
+        retryTimer.async_wait([this, alive = std::weak_ptr(lifetime)](const boost::system::error_code &error) {
+            if (!error && !alive.expired() && acceptor.is_open()) {
+                accept();
+            }
+        });
+    }
+
     void open(tcp::socket socket)
     {
         boost::system::error_code ignored;
@@ -54,10 +73,12 @@
         const auto identifier = state->nextIdentifier++;
         const auto session = std::make_shared<HttpSession>(std::move(socket), state, identifier);
         state->sessions.emplace(identifier, session);
-        if (state->sessions.size() > state->options.maxConnections) {
+        if (state->budget.connections() >= state->options.maxConnections && !state->closeReplaceable("connection-replaced")) {
+            state->recordLimit("too-many-connections", identifier, 0);
             session->refuse(503, "too-many-connections", "The limit of open connections is reached.");
             return;
         }
+        state->budget.open(identifier, Clock::now());
         session->read();
     }
 
@@ -73,6 +94,7 @@
     }
 
     tcp::acceptor acceptor;
+    boost::asio::steady_timer retryTimer;
     std::shared_ptr<HttpServerState> state; // Shared with the sessions, which may outlive the server object.
     // Watched by the pending accept, which runs once more after this object is gone; sessions may keep `state` longer.
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
@@ -84,12 +106,11 @@
     if (!address) {
         return address.error();
     }
-    auto data = std::make_unique<Data>(context);
-    data->state->options = std::move(options);
-    data->state->handler = std::move(handler);
-    if (!data->state->options.refusalBody) {
-        data->state->options.refusalBody = defaultRefusalBody;
+    if (!options.refusalBody) {
+        options.refusalBody = defaultRefusalBody;
     }
+    auto data = std::make_unique<Data>(context, std::move(options));
+    data->state->handler = std::move(handler);
     boost::system::error_code error;
     data->acceptor.open(address.value().protocol(), error);
     if (!error) {
@@ -163,6 +184,11 @@
     return m_data->state->sessions.size();
 }
 
+std::size_t HttpServer::heldBytes() const
+{
+    return m_data->state->budget.heldBytes();
+}
+
 std::size_t HttpServer::requestsInFlight() const
 {
     return m_data->state->requestsInFlight;
--- a/packages/transport/src/waxwing/transport/http_session.h
+++ b/packages/transport/src/waxwing/transport/http_session.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http_budget.h"
+
 #include <waxwing/transport/http_response.h>
 #include <waxwing/transport/http_server.h>
 
@@ -35,6 +37,9 @@
     /// @brief Writes the response to request number @p sequence, unless that was answered already.
     void respond(std::uint64_t sequence, HttpResponse response);
 
+    /// @brief Ends the upload with status 503, or closes the connection if its answer is not read. The caller releases the account.
+    void giveWay();
+
     /// @brief Closes the connection without a response.
     void close();
 
@@ -52,7 +57,12 @@
 private:
     void readHeader();
     void readBody();
+    void readBodyPart();
+    bool bodyIsWithin(std::uint64_t bytes);
     void handle();
+    void account(HttpBudget::Phase phase, std::size_t bytes);
+    void limitDuration(Duration allowance, std::size_t bytes);
+    void failWithTimeout();
     void fail(const boost::system::error_code &error);
     void write(HttpResponse response, bool keepAlive);
     void finishRequest();
@@ -64,6 +74,10 @@
     boost::beast::http::response<boost::beast::http::string_body> m_response;
     std::uint64_t m_identifier;
     std::uint64_t m_sequence = 0;
+    TimePoint m_transferStart; ///< of the body or the answer
+    std::size_t m_bodyLimit = 0;
+    bool m_reading = false; ///< a read of the body is pending
+    bool m_givesWay = false; ///< the pending read is cancelled and ends with status 503
     bool m_busy = false;
     bool m_keepAlive = true;
     bool m_closed = false;
--- a/programs/control/serve.cpp
+++ b/programs/control/serve.cpp
@@ -34,6 +34,7 @@
 namespace
 {
 
+constexpr std::size_t maxHttpConnections = 10'000;
 constexpr Duration tickInterval = 5ms; // limits the delay of changes sent to proxies and of promotion steps
 constexpr Duration forwardTimeout = 500ms; // must be less than the time that owners wait for an intent
 constexpr Duration drainTimeout = 2s; // of requests in flight when the process stops
@@ -88,6 +89,7 @@
         }
         HttpServerOptions options;
         options.listen = m_settings.self.httpAddress;
+        options.maxConnections = maxHttpConnections;
         auto server = HttpServer::start(m_context, std::move(options), [this](HttpRequest &&request, HttpReply reply) {
             m_api.handle(request, [reply](HttpResponse &&response) { reply.send(std::move(response)); });
         });
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -28,6 +28,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <csignal>
@@ -59,6 +60,9 @@
 constexpr Duration drainTimeout = 1s; // for responses in flight when the process stops
 constexpr std::size_t maxConfigBytes = 4U << 20; // enough for a configuration of 10,000 routes
 constexpr LogIndex snapshotIntervalEntries = 100; // a configuration of 350 routes takes 80 KB, so the log stays below 10 MB
+constexpr std::size_t maxSmallBodyBytes = 64U << 10; // of heartbeats and all other requests; each text of a heartbeat has at most 256 bytes
+constexpr std::size_t requestMemoryDivisor = 8; // part of the memory that requests and answers may hold; handling takes several copies
+constexpr std::size_t maxMetricsConnections = 100;
 constexpr unsigned okStatus = 200;
 constexpr unsigned conflictStatus = 409;
 constexpr unsigned tooManyStatus = 429;
@@ -113,9 +117,12 @@
             if (address.empty()) {
                 continue;
             }
-            HttpServerOptions http;
+            HttpServerOptions http = httpOptions();
             http.listen = address;
-            http.maxBodyBytes = maxConfigBytes;
+            if (address == m_settings.metricsListen) {
+                http.maxConnections = maxMetricsConnections;
+                http.maxBodyBytes = maxSmallBodyBytes;
+            }
             auto server = HttpServer::start(m_context, std::move(http), [this](HttpRequest &&request, HttpReply reply) { handle(request, reply); });
             if (!server) {
                 return "can't listen on the HTTP address " + address + ": " + server.error().message();
@@ -153,6 +160,25 @@
         return options;
     }
 
+    HttpServerOptions httpOptions() const
+    {
+        HttpServerOptions options;
+        options.maxBodyBytes = maxConfigBytes;
+        options.maxBodyBytesOf = [](std::string_view method, std::string_view target) {
+            HttpRequest request;
+            request.method = method;
+            request.target = target;
+            std::string database;
+            return platform::classify(request, database) == platform::Call::PutConfig ? maxConfigBytes : maxSmallBodyBytes;
+        };
+        options.maxHeldBytes = (m_settings.memoryMb << 20) / requestMemoryDivisor;
+        // The other half of the descriptors stays for the link and the log.
+        rlimit files {};
+        const bool known = getrlimit(RLIMIT_NOFILE, &files) == 0;
+        options.maxConnections = known ? std::min<std::size_t>(m_settings.maxHttpConnections, files.rlim_cur / 2) : m_settings.maxHttpConnections;
+        return options;
+    }
+
     SessionControlPorts ports()
     {
         SessionControlPorts ports;
--- a/programs/control/session_control_settings.cpp
+++ b/programs/control/session_control_settings.cpp
@@ -40,6 +40,9 @@
     result.ordersAreFenced = settings.boolean("control.orders_are_fenced", false);
     result.lateOrderLimit = settings.seconds("control.late_order_limit_s", {0, 3'600, 15});
     result.lossesToBear = static_cast<std::size_t>(settings.integer("control.losses_to_bear", {0, 8, 1}));
+    // 64 MB is the least of which an eighth holds a configuration of the greatest size beside the part reserved for small requests.
+    result.memoryMb = static_cast<std::size_t>(settings.integer("limits.memory_mb", {64, 1'000'000, 256}));
+    result.maxHttpConnections = static_cast<std::size_t>(settings.integer("limits.connections", {16, 100'000, 1'000}));
     result.keyFile = settings.text("link.key_file", {});
     result.logLevel = settings.logLevel();
     settings.refuseUnknownKeys();
--- a/programs/control/session_control_settings.h
+++ b/programs/control/session_control_settings.h
@@ -27,6 +27,8 @@
     bool ordersAreFenced = false; ///< the platform refuses a promotion order with a lower token than one that it has seen
     Duration lateOrderLimit = 15s; ///< without fencing: longest time from sending an order until the platform carries it out
     std::size_t lossesToBear = 1; ///< members that may be lost at the same time
+    std::size_t memoryMb = 256; ///< memory of the VM in MiB; an eighth may hold HTTP requests and answers
+    std::size_t maxHttpConnections = 1'000; ///< connections at `http`; at most half of the descriptors that the process may open
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
     std::vector<std::string> errors; ///< one sentence each, with file and line
--- a/programs/control/session_control_settings_test.cpp
+++ b/programs/control/session_control_settings_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(nameThatBreaksALineIsRefused);
     CPPUNIT_TEST(linkAddressReplacesTheListeningAddressForOthers);
     CPPUNIT_TEST(linkAddressOfAnotherHostIsRefused);
+    CPPUNIT_TEST(limitsAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +84,18 @@
         CPPUNIT_ASSERT(!load("link_address = 3\n").errors.empty());
     }
 
+    // Guards against a memory limit that never reaches the HTTP server, or one in which a configuration of 4 MiB has no room.
+    void limitsAreRead()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), load("").memoryMb);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'000), load("").maxHttpConnections);
+        const auto settings = load("[limits]\nmemory_mb = 512\nconnections = 16\n");
+        CPPUNIT_ASSERT(settings.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(512), settings.memoryMb);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(16), settings.maxHttpConnections);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), load("[limits]\nmemory_mb = 63\n").errors.size());
+    }
+
 private:
     SessionControlSettings load(const std::string &line, const std::string &name = "a") const
     {
