--- a/packages/sessions/src/waxwing/sessions/statement_backend.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_backend.cpp
@@ -135,7 +135,11 @@
             continue;
         }
         const StatementHolder holder = *nearest;
-        if ((job.needsPrimary() || requiresLease) && m_forwarder.choose(service.holders(), distance, tried, now, false) != nearest) {
+        const bool passesOver = std::any_of(service.holders().begin(), service.holders().end(), [&](const StatementHolder &other) {
+            return !tried.contains(other.proxy) && distance(other.failureDomain) < distance(holder.failureDomain)
+                && m_forwarder.isWithoutLease(other.proxy, now);
+        });
+        if ((job.needsPrimary() || requiresLease) && passesOver) {
             static auto &passedOver = Metrics::instance().counter("waxwing_session_holders_passed_over_total", "reason", "no-lease");
             passedOver.add();
         }
--- a/programs/control/session_control_settings.cpp
+++ b/programs/control/session_control_settings.cpp
@@ -42,6 +42,9 @@
     result.lossesToBear = static_cast<std::size_t>(settings.integer("control.losses_to_bear", {0, 8, 1}));
     result.rateLimitTolerance = static_cast<double>(settings.integer("control.rate_limit_tolerance", {0, 1'000'000, 20}));
     result.rateLimitWindow = settings.seconds("control.rate_limit_window_s", {1, 3'600, 5});
+    // 64 MB is the least of which an eighth holds a configuration of the greatest size beside the part reserved for small requests.
+    result.memoryMb = static_cast<std::size_t>(settings.integer("limits.memory_mb", {64, 1'000'000, 256}));
+    result.maxHttpConnections = static_cast<std::size_t>(settings.integer("limits.connections", {16, 100'000, 1'000}));
     result.keyFile = settings.text("link.key_file", {});
     result.logLevel = settings.logLevel();
     settings.refuseUnknownKeys();
--- a/programs/control/session_control_settings.h
+++ b/programs/control/session_control_settings.h
@@ -29,6 +29,8 @@
     double rateLimitTolerance = 20; ///< operations of a workspace beyond its limit that may run within a window
     Duration rateLimitWindow = 5s; ///< see rateLimitTolerance
     std::size_t lossesToBear = 1; ///< members that may be lost at the same time
+    std::size_t memoryMb = 256; ///< memory of the VM in MiB; an eighth may hold HTTP requests and answers
+    std::size_t maxHttpConnections = 1'000; ///< connections at `http`; at most half of the descriptors that the process may open
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
     std::vector<std::string> errors; ///< one sentence each, with file and line
