Count answers of closed connections until they are freed

Control answers all waiting reads of the configuration in one turn of its event loop, and the answers of connections that are closed in it are freed only after that turn. HttpBudget::mayKeep refuses an answer beyond twice the limit with those.

--- a/packages/transport/src/waxwing/transport/http_budget.cpp
+++ b/packages/transport/src/waxwing/transport/http_budget.cpp
@@ -72,6 +72,11 @@
     return chosen == nullptr ? std::nullopt : std::optional(chosen->first);
 }
 
+bool HttpBudget::mayKeep(std::size_t bytes, std::size_t unfreedBytes) const
+{
+    return bytes <= smallBytes || unfreedBytes == 0 || m_held + unfreedBytes + bytes <= 2 * m_limit;
+}
+
 std::optional<std::uint64_t> HttpBudget::connectionToReplace() const
 {
     const std::pair<const std::uint64_t, Account> *chosen = nullptr;
--- a/packages/transport/src/waxwing/transport/http_budget.h
+++ b/packages/transport/src/waxwing/transport/http_budget.h
@@ -47,6 +47,11 @@
     /// The only large account never gives way, so that a request or answer inside the other limits is served by an idle server.
     std::optional<std::uint64_t> connectionToStop() const;
 
+    /// @brief Tells whether an answer may be kept while answers of closed connections are not freed yet: up to twice the limit.
+    /// @param bytes length of the answer
+    /// @param unfreedBytes answers of closed connections, which have no account any more
+    bool mayKeep(std::size_t bytes, std::size_t unfreedBytes) const;
+
     /// @brief Connection to close in favour of a new one: the longest idle; otherwise the one whose header has been incomplete longest.
     std::optional<std::uint64_t> connectionToReplace() const;
 
--- a/packages/transport/src/waxwing/transport/http_budget_test.cpp
+++ b/packages/transport/src/waxwing/transport/http_budget_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(requestInHandlingIsKept);
     CPPUNIT_TEST(onlyLargeAccountIsKept);
     CPPUNIT_TEST(smallRequestsUseTheReservedPart);
+    CPPUNIT_TEST(answersThatAreNotFreedCount);
     CPPUNIT_TEST(closingTwiceReleasesOnce);
     CPPUNIT_TEST(longestIdleConnectionIsReplaced);
     CPPUNIT_TEST(connectionWithARequestIsNotReplaced);
@@ -86,6 +87,16 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_budget.connectionToStop().value());
     }
 
+    // Guards against a burst of answers in one turn of the event loop, which frees those of closed connections only afterwards.
+    void answersThatAreNotFreedCount()
+    {
+        open(1, Phase::Answer, 500'000);
+        CPPUNIT_ASSERT(m_budget.mayKeep(600'000, 500'000));
+        CPPUNIT_ASSERT(!m_budget.mayKeep(600'001, 500'000));
+        CPPUNIT_ASSERT(m_budget.mayKeep(HttpBudget::smallBytes, 2 * limit));
+        CPPUNIT_ASSERT(m_budget.mayKeep(3 * limit, 0));
+    }
+
     // Guards against bytes that are released on two ways out, which would let the sum fall below what is held.
     void closingTwiceReleasesOnce()
     {
--- a/packages/transport/src/waxwing/transport/http_server_state.h
+++ b/packages/transport/src/waxwing/transport/http_server_state.h
@@ -31,6 +31,7 @@
     HttpServerOptions options;
     HttpBudget budget;
     Counter &heldBytes; ///< gauge
+    std::size_t unfreedBytes = 0; ///< answers of closed connections whose pending write has not ended yet
     HttpServer::Handler handler;
     std::unordered_map<std::uint64_t, std::weak_ptr<HttpSession>> sessions;
     std::uint64_t nextIdentifier = 1;
--- a/packages/transport/src/waxwing/transport/http_session.cpp
+++ b/packages/transport/src/waxwing/transport/http_session.cpp
@@ -38,6 +38,7 @@
 {
     finishRequest();
     m_server->budget.close(m_identifier);
+    m_server->unfreedBytes -= m_unfreedBytes;
     m_server->sessions.erase(m_identifier);
     if (m_server->options.onClose) {
         m_server->options.onClose(m_identifier);
@@ -250,6 +251,12 @@
     m_response.keep_alive(keepAlive);
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
+    if (!m_server->budget.mayKeep(m_response.body().size(), m_server->unfreedBytes)) {
+        m_server->recordLimit("answers-exceed-memory", m_identifier, m_response.body().size());
+        freeBody();
+        close();
+        return;
+    }
     account(HttpBudget::Phase::Answer, m_response.body().size());
     m_server->enforceLimit();
     if (m_closed) {
@@ -267,11 +274,16 @@
             self->close();
             return;
         }
-        self->m_response = {};
+        self->freeBody();
         self->read();
     });
 }
 
+void HttpSession::freeBody()
+{
+    std::string().swap(m_response.body()); // assigning an empty string keeps the memory
+}
+
 void HttpSession::finishRequest()
 {
     if (m_busy) {
@@ -286,6 +298,8 @@
         return;
     }
     m_closed = true;
+    m_unfreedBytes = m_response.body().size();
+    m_server->unfreedBytes += m_unfreedBytes;
     finishRequest();
     m_server->budget.close(m_identifier);
     boost::system::error_code ignored;
--- a/packages/transport/src/waxwing/transport/http_session.h
+++ b/packages/transport/src/waxwing/transport/http_session.h
@@ -63,6 +63,7 @@
     void account(HttpBudget::Phase phase, std::size_t bytes);
     void limitDuration(Duration allowance, std::size_t bytes);
     void failWithTimeout();
+    void freeBody();
     void fail(const boost::system::error_code &error);
     void write(HttpResponse response, bool keepAlive);
     void finishRequest();
@@ -76,6 +77,7 @@
     std::uint64_t m_sequence = 0;
     TimePoint m_transferStart; ///< of the body or the answer
     std::size_t m_bodyLimit = 0;
+    std::size_t m_unfreedBytes = 0; ///< answer of the closed connection
     bool m_reading = false; ///< a read of the body is pending
     bool m_givesWay = false; ///< the pending read is cancelled and ends with status 503
     bool m_busy = false;
