Limit what clients make a proxy hold

MemoryBudget accounts for buffers, messages, answers, stored session state and forwarded statements; BudgetPolicy decides who gives way. Above 60% of the limit, long messages of the addresses that hold the most are not read; after 1 s, or above 75%, they are dropped as they arrive and answered with BUSY; above 90%, the largest holders are closed. Stored state may use 25%. limits.memory_mb sets the memory of the process, of which half is for this.

Limits on the time until the first message, for one message and for an answer that is not read, and on the sessions of one address. At the session limit, the oldest connections without a first message are closed first; the readiness address answers 503 while no session can be taken.

Buffers give back the memory of long lines, and glibc maps blocks of 128 KiB and more, so that freed ones return to the system.

Two faults were found by the tests of the limits and mended: a message of 12 to 16 KiB waited for memory without an end, and a buffer kept its capacity after the assignment of a short string.

--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -7,6 +7,7 @@
 #include <waxwing/protocol/transaction_state.h>
 #include <waxwing/sessions/deadline_timer.h>
 #include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/session_resources.h>
 #include <waxwing/sessions/session_transaction.h>
 #include <waxwing/sessions/statement_backend.h>
 
@@ -29,7 +30,10 @@
     /// @param socket accepted connection
     /// @param directory outlives the session
     /// @param backend outlives the session
-    ClientSession(boost::asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend);
+    /// @param resources shared by all sessions
+    /// @param address IP address of the client
+    ClientSession(boost::asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend, std::shared_ptr<SessionResources> resources,
+                  std::string address);
     ClientSession(const ClientSession &) = delete;
     ClientSession &operator=(const ClientSession &) = delete;
 
@@ -40,6 +44,22 @@
     /// arrives before the connection is closed is answered, and the connection stays open.
     void closeIfIdle();
 
+    /// @brief Closes the connection because the client exceeds a limit, whatever it waits for.
+    /// @param reason label of the counter of closed clients
+    void close(std::string_view reason);
+
+    /// @brief Time of the connection's acceptance if its first message has not arrived yet.
+    std::optional<TimePoint> awaitsFirstMessageSince() const
+    {
+        return m_hasStarted || m_closed ? std::nullopt : std::optional(m_acceptedAt);
+    }
+
+    /// @brief Memory that the client makes the process hold.
+    const MemoryBudget::Account &account() const
+    {
+        return m_account;
+    }
+
     /// @brief Rolls back the open transaction unless a request is outstanding; its next statement is refused. Used by a planned
     /// stop and when a transaction is idle for too long.
     /// @param reason is sent to the caller with the refusal
@@ -85,6 +105,15 @@
 
     bool isIdle() const;
     boost::asio::awaitable<bool> readLine(std::string &line);
+    void recordBuffer();
+    /// Starts the limit on the time that the message in progress takes.
+    void limitMessageTime();
+    /// Waits until more of the message may be read, or drops the message; false if the connection was closed.
+    boost::asio::awaitable<bool> awaitReadMemory();
+    /// Waits until a complete message may run; false if memory stays short.
+    boost::asio::awaitable<bool> awaitRunMemory(MemoryBudget::Reservation &running, std::size_t length);
+    boost::asio::awaitable<std::string> answerMessage(std::string line);
+    std::string refuseForMemory();
     boost::asio::awaitable<bool> send(std::string bytes);
     boost::asio::awaitable<std::string> handle(SessionRequest request);
     boost::asio::awaitable<std::string> start(std::string database, std::string key);
@@ -120,13 +149,18 @@
     void recordCommit(const std::string &service, const StatementResult &result);
     std::string logUnknown(const SessionStatement &statement, const PoolRoute &route, const std::string &text, std::string answer) const;
 
+    std::shared_ptr<SessionResources> m_resources; // outlives the account and its reservations
+    std::string m_address;
+    MemoryBudget::Account m_account;
+    MemoryBudget::Reservation m_buffered;
+    MemoryBudget::Reservation m_stored; ///< values and prepared statements of m_state
     boost::asio::ip::tcp::socket m_socket;
     DeadlineTimer m_timer;
+    DeadlineTimer m_limitTimer; ///< first message, message in progress, or answer that is not read
     SessionDirectory &m_directory;
     StatementBackend &m_backend;
     platform::LineReader m_lines;
     SessionState m_state;
-    std::size_t m_storedBytes = 0; ///< size of the values and prepared statements of m_state
     std::string m_database; ///< empty before the start of the session
     std::string m_key; ///< API key of the caller; secret
     Duration m_statementTimeout {}; ///< of the latest route of the session
@@ -138,6 +172,9 @@
     bool m_requestOutstanding = false;
     bool m_closing = false; ///< closeIfIdle() has cancelled the pending read
     bool m_ended = false;
+    bool m_hasStarted = false; ///< the first message has arrived
+    bool m_messageLimited = false; ///< m_limitTimer limits the message in progress
+    bool m_closed = false; ///< close() was called
 };
 
 } // namespace waxwing
--- a/packages/sessions/include/waxwing/sessions/forwarded_statements.h
+++ b/packages/sessions/include/waxwing/sessions/forwarded_statements.h
@@ -2,6 +2,7 @@
 
 #include <waxwing/sessions/open_transaction.h>
 #include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/session_resources.h>
 #include <waxwing/sessions/statement_path.h>
 #include <waxwing/support/time.h>
 #include <waxwing/wire/sessions.pb.h>
@@ -27,7 +28,8 @@
     /// Sends an answer to the proxy with this name.
     using Send = std::function<void(const std::string &proxy, const wire::PoolForwardAnswer &answer)>;
 
-    ForwardedStatements(boost::asio::io_context &context, SessionDirectory &directory, StatementPath &path, Send send);
+    ForwardedStatements(boost::asio::io_context &context, SessionDirectory &directory, StatementPath &path, Send send,
+                        std::shared_ptr<SessionResources> resources);
 
     /// @brief Handles a message from another proxy.
     void receive(const std::string &proxy, const wire::PoolForward &message);
@@ -69,17 +71,34 @@
         Duration idleTimeout {};
     };
 
+    /// Account of all statements of other proxies.
+    struct Memory
+    {
+        std::shared_ptr<SessionResources> resources;
+        MemoryBudget::Account account;
+    };
+
+    /// Memory of one statement; its coroutine may outlive this object.
+    struct Held
+    {
+        std::shared_ptr<Memory> memory;
+        MemoryBudget::Reservation reservation;
+    };
+
     bool canServe(const wire::PoolForward &message) const;
     void dropEarlierIncarnations(const std::string &proxy, std::uint64_t incarnation);
     void rollBack(const Key &key);
     void answer(const std::string &proxy, const wire::PoolForward &message, wire::PoolForwardAnswer content);
-    boost::asio::awaitable<void> runFirst(std::string proxy, wire::PoolForward message);
-    boost::asio::awaitable<void> runNext(std::string proxy, wire::PoolForward message);
+    bool hasMemory(const wire::PoolForward &message) const;
+    Held hold(const wire::PoolForward &message) const;
+    boost::asio::awaitable<void> runFirst(std::string proxy, wire::PoolForward message, Held held);
+    boost::asio::awaitable<void> runNext(std::string proxy, wire::PoolForward message, Held held);
 
     boost::asio::io_context &m_context;
     SessionDirectory &m_directory;
     StatementPath &m_path;
     Send m_send;
+    std::shared_ptr<Memory> m_memory;
     std::map<Key, Transaction> m_transactions;
     std::map<std::string, std::uint64_t> m_incarnations; ///< latest incarnation by proxy
     std::size_t m_running = 0;
--- a/packages/sessions/include/waxwing/sessions/session_server.h
+++ b/packages/sessions/include/waxwing/sessions/session_server.h
@@ -3,6 +3,7 @@
 #include <waxwing/sessions/client_session.h>
 #include <waxwing/sessions/forwarded_statements.h>
 #include <waxwing/sessions/session_directory.h>
+#include <waxwing/sessions/session_resources.h>
 #include <waxwing/sessions/statement_backend.h>
 #include <waxwing/sessions/statement_forwarder.h>
 #include <waxwing/sessions/statement_path.h>
@@ -14,6 +15,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -35,7 +38,7 @@
 
     /// @param maxSessions maximum number of sessions; further callers wait in the queue of the listening socket
     SessionServer(boost::asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions);
-    SessionServer(boost::asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions, Links links);
+    SessionServer(boost::asio::io_context &context, SessionDirectory &directory, std::size_t maxSessions, Links links, const SessionLimits &limits = {});
 
     /// @brief Opens the listening socket.
     /// @param address IP:port
@@ -100,6 +103,12 @@
     /// @brief Number of sessions that wait for an answer from this proxy.
     std::size_t outstandingRequests() const;
 
+    /// @brief Tells whether no further session can be taken.
+    bool isFull() const;
+
+    /// @brief Sets the gauges of the memory held for clients.
+    void recordMemory() const;
+
     /// @brief Number of sessions.
     std::size_t sessions() const
     {
@@ -108,10 +117,17 @@
 
 private:
     boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, std::string address);
+    /// Starts the session of an accepted connection, unless its address has too many.
+    void take(boost::asio::ip::tcp::socket socket);
+    /// Closes the oldest connections without a first message.
+    void closeUnstarted();
+    /// Closes the sessions that hold the most memory while too much is used.
+    void relieve();
 
     boost::asio::io_context &m_context;
     SessionDirectory &m_directory;
+    std::shared_ptr<SessionResources> m_resources;
     StatementPath m_path;
     StatementForwarder m_forwarder;
     ForwardedStatements m_forwarded;
@@ -119,6 +135,7 @@
     std::size_t m_maxSessions;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<ClientSession *> m_sessions; ///< each is owned by its coroutine
+    std::map<std::string, std::size_t> m_sessionsByAddress;
 };
 
 } // namespace waxwing
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -5,6 +5,7 @@
 #include <waxwing/sessions/client_session.h>
 #include <waxwing/sessions/retry_advice.h>
 #include <waxwing/sessions/statement_log.h>
+#include <waxwing/support/budget_policy.h>
 #include <waxwing/support/counter.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/metrics.h>
@@ -13,6 +14,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -53,6 +55,16 @@
 // Values and prepared statements that one session may keep; several messages of the greatest length.
 constexpr std::size_t maxStoredBytes = std::size_t(4) << 20;
 constexpr std::size_t storedEntryBytes = 128; // memory of an entry besides its texts
+// Copies of a message and of the session's state while a statement runs: request, job, and texts that are sent to a database or a holder.
+constexpr std::size_t messageCopies = 6;
+constexpr std::size_t stateCopies = 3;
+// Interval at which a session that gives way asks for memory again.
+constexpr Duration readMemoryPoll = 100ms;
+constexpr Duration runMemoryPoll = 20ms;
+// A message that finds no memory is refused after this time, so that its caller can still use another proxy.
+constexpr Duration memoryTimeout = 1s;
+constexpr std::string_view memoryReason = "memory";
+constexpr std::string_view stateReason = "session-state";
 constexpr std::string_view messageTooLongText = "not run, the message is too long to be passed on";
 constexpr std::string_view sessionTooLargeText = "not run, the session keeps too much";
 
@@ -84,9 +96,16 @@
 
 } // namespace
 
-ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend)
-    : m_socket(std::move(socket))
+ClientSession::ClientSession(asio::ip::tcp::socket socket, SessionDirectory &directory, StatementBackend &backend, std::shared_ptr<SessionResources> resources,
+                             std::string address)
+    : m_resources(std::move(resources))
+    , m_address(std::move(address))
+    , m_account(m_resources->budget, m_address)
+    , m_buffered(m_account, MemoryBudget::Kind::ReadBuffer)
+    , m_stored(m_account, MemoryBudget::Kind::SessionState)
+    , m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
+    , m_limitTimer(m_socket.get_executor())
     , m_directory(directory)
     , m_backend(backend)
 {
@@ -95,6 +114,7 @@
 
 asio::awaitable<void> ClientSession::serve()
 {
+    m_limitTimer.start(m_resources->limits.firstMessage, [this] { close("first-message"); });
     std::string line;
     while (!m_ended) {
         const bool received = co_await readLine(line);
@@ -102,11 +122,16 @@
             break;
         }
         m_requestOutstanding = true;
-        auto request = platform::decodeRequest(line);
-        if (request.kind == SessionRequest::Kind::Terminate) {
+        std::string answer;
+        if (m_lines.takeDiscarded()) {
+            answer = refuseForMemory();
+        } else {
+            answer = co_await answerMessage(std::move(line));
+            line.clear();
+        }
+        if (answer.empty()) {
             break;
         }
-        std::string answer = co_await handle(std::move(request));
         const bool sent = co_await send(std::move(answer));
         m_requestOutstanding = false;
         if (!sent || (m_backend.isStopping() && isIdle())) {
@@ -114,6 +139,7 @@
         }
     }
     m_ended = true;
+    m_limitTimer.cancel();
     if (m_transactionState == TransactionState::Open) {
         rollBackTransaction();
     }
@@ -122,18 +148,129 @@
     m_socket.close(ignored);
 }
 
+asio::awaitable<std::string> ClientSession::answerMessage(std::string line)
+{
+    const auto length = line.size();
+    MemoryBudget::Reservation running(m_account, MemoryBudget::Kind::Message, line.capacity());
+    const bool admitted = co_await awaitRunMemory(running, length);
+    if (!admitted) {
+        co_return refuseForMemory();
+    }
+    auto request = platform::decodeRequest(line);
+    std::string().swap(line);
+    if (request.kind == SessionRequest::Kind::Terminate) {
+        co_return std::string();
+    }
+    std::string answer = co_await handle(std::move(request));
+    co_return answer;
+}
+
+asio::awaitable<bool> ClientSession::awaitRunMemory(MemoryBudget::Reservation &running, std::size_t length)
+{
+    const auto bytes = messageCopies * length + stateCopies * m_stored.bytes();
+    const auto deadline = m_receivedAt + std::min(memoryTimeout, m_statementTimeout > Duration::zero() ? m_statementTimeout / 2 : memoryTimeout);
+    while (BudgetPolicy::run(m_account, length + m_stored.bytes(), bytes) != BudgetPolicy::Decision::Proceed) {
+        if (m_closed || Clock::now() >= deadline) {
+            co_return false;
+        }
+        asio::steady_timer pause(m_socket.get_executor(), runMemoryPoll);
+        co_await pause.async_wait(useTuple);
+    }
+    running.resize(bytes);
+    co_return true;
+}
+
+std::string ClientSession::refuseForMemory()
+{
+    Metrics::instance().counter("waxwing_session_refusals_total", "reason", memoryReason).add();
+    log::write(log::Level::Warning, "message refused for lack of memory",
+               {{"address", m_address}, {"held_bytes", m_account.used()}, {"used_bytes", m_resources->budget.used()}});
+    const auto text = RetryAdvice::text(RetryAdvice::otherProxy, memoryReason, false);
+    if (m_database.empty()) {
+        m_ended = true;
+        countOutcome(SessionError::Busy);
+        return platform::encodeStartRefusal(SessionError::Busy, text);
+    }
+    if (m_transactionState == TransactionState::Open) {
+        return failTransaction(SessionError::Aborted, "memory is short; nothing is kept");
+    }
+    countOutcome(SessionError::Busy);
+    return platform::encodeError(SessionError::Busy, text, m_transactionState);
+}
+
+void ClientSession::close(std::string_view reason)
+{
+    if (std::exchange(m_closed, true)) {
+        return;
+    }
+    Metrics::instance().counter("waxwing_session_clients_closed_total", "reason", reason).add();
+    log::write(log::Level::Warning, "client closed by a limit", {{"reason", reason}, {"address", m_address}, {"held_bytes", m_account.used()}});
+    m_account.excludeFromClosing();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void ClientSession::recordBuffer()
+{
+    // The buffers of idle sessions are part of what a session costs; with them, no client would ever be the only one that holds memory.
+    m_buffered.resize(m_lines.capacity() > readBytes ? m_lines.capacity() : 0);
+}
+
+void ClientSession::limitMessageTime()
+{
+    if (m_hasStarted && !m_messageLimited && !m_lines.isEmpty()) {
+        m_messageLimited = true;
+        m_limitTimer.start(m_resources->limits.messageTime, [this] { close("message-time"); });
+    }
+}
+
+asio::awaitable<bool> ClientSession::awaitReadMemory()
+{
+    const auto deadline = Clock::now() + memoryTimeout;
+    while (!m_closed && !m_lines.isDiscarding()) {
+        const auto length = m_lines.size() + readBytes;
+        const auto decision = BudgetPolicy::readMore(m_account, length, m_lines.capacityWith(readBytes) - m_lines.capacity());
+        if (decision == BudgetPolicy::Decision::Proceed) {
+            m_buffered.resize(m_lines.capacityWith(readBytes));
+            m_resources->relieve();
+            break;
+        }
+        if (decision == BudgetPolicy::Decision::Refuse || (length > BudgetPolicy::smallMessage && Clock::now() >= deadline)) {
+            m_lines.discardLine();
+            m_buffered.resize(0);
+            break;
+        }
+        asio::steady_timer pause(m_socket.get_executor(), readMemoryPoll);
+        co_await pause.async_wait(useTuple);
+    }
+    co_return !m_closed;
+}
+
 asio::awaitable<bool> ClientSession::readLine(std::string &line)
 {
     while (true) {
+        if (m_lines.hasDiscarded()) {
+            break;
+        }
         if (const auto next = m_lines.next()) {
             line.assign(*next);
-            co_return true;
+            m_lines.releaseReturned();
+            break;
         }
         if (m_lines.isOverflowing()) {
             std::string refusal = platform::encodeStartRefusal(SessionError::TooLarge, "a message has at most 1 MiB");
             co_await send(std::move(refusal));
             co_return false;
         }
+        recordBuffer();
+        limitMessageTime();
+        // Short messages on an idle connection need no decision.
+        if (!m_lines.isEmpty()) {
+            const bool open = co_await awaitReadMemory();
+            if (!open) {
+                co_return false;
+            }
+        }
         const auto config = m_directory.config();
         if (m_transactionState == TransactionState::Open && config && config->transactionIdle != Duration::zero()) {
             m_timer.start(config->transactionIdle, [this] { abortTransaction("idle for too long"); });
@@ -155,11 +292,20 @@
         m_receivedAt = Clock::now();
         m_lines.add(std::string_view(chunk.data(), size));
     }
+    m_hasStarted = true;
+    m_messageLimited = false;
+    m_limitTimer.cancel();
+    recordBuffer();
+    co_return true;
 }
 
 asio::awaitable<bool> ClientSession::send(std::string bytes)
 {
+    const MemoryBudget::Reservation held(m_account, MemoryBudget::Kind::Answer, bytes.capacity());
+    m_resources->relieve();
+    m_limitTimer.start(m_resources->limits.unreadAnswer, [this] { close("unread-answer"); });
     auto [error, size] = co_await asio::async_write(m_socket, asio::buffer(bytes), useTuple);
+    m_limitTimer.cancel();
     co_return !error;
 }
 
@@ -357,7 +503,7 @@
     const auto size = [&](const std::string &content) {
         return storedEntryBytes + statement.name.size() + content.size();
     };
-    auto stored = m_storedBytes;
+    auto stored = m_stored.bytes();
     if (statement.kind == Kind::SetValue) {
         const auto known = m_state.values.find(statement.name);
         stored += size(statement.value);
@@ -373,7 +519,12 @@
     if (stored > maxStoredBytes) {
         return refuseTooLarge(sessionTooLargeText, false);
     }
-    m_storedBytes = stored;
+    if (stored > m_stored.bytes() && !BudgetPolicy::mayStore(m_account, stored - m_stored.bytes())) {
+        Metrics::instance().counter("waxwing_session_refusals_total", "reason", stateReason).add();
+        countOutcome(SessionError::Busy);
+        return platform::encodeError(SessionError::Busy, RetryAdvice::text(RetryAdvice::otherProxy, stateReason, false), m_transactionState);
+    }
+    m_stored.resize(stored);
     if (statement.kind == Kind::SetValue) {
         m_state.values[statement.name] = statement.value;
     } else if (statement.kind == Kind::Prepare) {
--- a/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
+++ b/packages/sessions/src/waxwing/sessions/forwarded_statements.cpp
@@ -20,6 +20,9 @@
 // Idle timeout if the configuration sets none: the transactions of a crashed proxy stay open for this long.
 constexpr Duration defaultIdleTimeout = 10s;
 
+// Copies of a forwarded statement while it runs: message, job, and the text for the database.
+constexpr std::size_t messageCopies = 6;
+
 /// Tells whether the message has what a prepared statement is executed with. Those of earlier releases have a text with a name that is
 /// not known here.
 bool isReadable(const wire::PoolForward &message)
@@ -34,12 +37,15 @@
 
 } // namespace
 
-ForwardedStatements::ForwardedStatements(asio::io_context &context, SessionDirectory &directory, StatementPath &path, Send send)
+ForwardedStatements::ForwardedStatements(asio::io_context &context, SessionDirectory &directory, StatementPath &path, Send send,
+                                         std::shared_ptr<SessionResources> resources)
     : m_context(context)
     , m_directory(directory)
     , m_path(path)
     , m_send(std::move(send))
+    , m_memory(new Memory {resources, {resources->budget, "other proxies"}})
 {
+    m_memory->account.excludeFromClosing();
 }
 
 void ForwardedStatements::receive(const std::string &proxy, const wire::PoolForward &message)
@@ -50,14 +56,14 @@
     case wire::PoolForward::SINGLE:
     case wire::PoolForward::BEGIN:
         // A running statement of the transaction uses the entry that a second begin would replace.
-        if (!canServe(message) || (message.kind() == wire::PoolForward::BEGIN && m_transactions.contains(key))) {
+        if (!canServe(message) || !hasMemory(message) || (message.kind() == wire::PoolForward::BEGIN && m_transactions.contains(key))) {
             countForwarded("declined");
             wire::PoolForwardAnswer content;
             content.set_result(wire::PoolForwardAnswer::DECLINED);
             answer(proxy, message, std::move(content));
             return;
         }
-        asio::co_spawn(m_context, runFirst(proxy, message), asio::detached);
+        asio::co_spawn(m_context, runFirst(proxy, message, hold(message)), asio::detached);
         return;
     case wire::PoolForward::CONTINUE:
     case wire::PoolForward::COMMIT: {
@@ -70,7 +76,7 @@
             return;
         }
         found->second.busy = true;
-        asio::co_spawn(m_context, runNext(proxy, message), asio::detached);
+        asio::co_spawn(m_context, runNext(proxy, message, hold(message)), asio::detached);
         return;
     }
     case wire::PoolForward::DROP:
@@ -87,6 +93,23 @@
     return !m_stopping && isReadable(message) && service != nullptr && service->holdsConnections();
 }
 
+bool ForwardedStatements::hasMemory(const wire::PoolForward &message) const
+{
+    const auto length = message.ByteSizeLong();
+    const bool has = BudgetPolicy::run(m_memory->account, length, messageCopies * length) == BudgetPolicy::Decision::Proceed;
+    if (!has) {
+        Metrics::instance().counter("waxwing_session_forwarded_memory_refusals_total").add();
+        log::write(log::Level::Warning, "statement of another proxy declined for lack of memory",
+                   {{"service", message.service()}, {"bytes", length}, {"used_bytes", m_memory->resources->budget.used()}});
+    }
+    return has;
+}
+
+ForwardedStatements::Held ForwardedStatements::hold(const wire::PoolForward &message) const
+{
+    return {m_memory, {m_memory->account, MemoryBudget::Kind::Forwarded, messageCopies * message.ByteSizeLong()}};
+}
+
 void ForwardedStatements::dropEarlierIncarnations(const std::string &proxy, std::uint64_t incarnation)
 {
     auto &newest = m_incarnations[proxy];
@@ -125,7 +148,7 @@
     m_send(proxy, content);
 }
 
-asio::awaitable<void> ForwardedStatements::runFirst(std::string proxy, wire::PoolForward message)
+asio::awaitable<void> ForwardedStatements::runFirst(std::string proxy, wire::PoolForward message, Held /*held*/)
 {
     const Key key {proxy, message.incarnation(), message.transaction()};
     const bool begins = message.kind() == wire::PoolForward::BEGIN;
@@ -159,7 +182,7 @@
     answer(proxy, message, std::move(content));
 }
 
-asio::awaitable<void> ForwardedStatements::runNext(std::string proxy, wire::PoolForward message)
+asio::awaitable<void> ForwardedStatements::runNext(std::string proxy, wire::PoolForward message, Held /*held*/)
 {
     const Key key {proxy, message.incarnation(), message.transaction()};
     const bool commits = message.kind() == wire::PoolForward::COMMIT;
--- a/programs/proxy/session_process.cpp
+++ b/programs/proxy/session_process.cpp
@@ -23,6 +23,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <malloc.h>
 
 #include <algorithm>
 #include <csignal>
@@ -52,6 +53,10 @@
 // The thread of the log writes the last lines in this time. Ending the log waits for threads of its library, which took
 // longer than the stop limit on these machines.
 constexpr Duration logNotice = 50ms;
+// Larger blocks, as for long messages, are mapped and returned to the system as soon as they are freed. glibc would raise its own
+// threshold with the first freed block, and later blocks would remain in the heap.
+constexpr int mappedBlockBytes = 128 << 10;
+constexpr int memoryArenas = 2; // threads that handle messages: sessions and the link
 // Holders to which links are kept: the nearest, and one to go on with when it fails.
 constexpr std::size_t linkedHolders = 2;
 
@@ -85,7 +90,7 @@
         : m_settings(settings)
         , m_incarnation(randomIdentifier())
         , m_directory(m_context.get_executor(), directoryOptions(settings))
-        , m_server(m_context, m_directory, settings.maxSessions, links())
+        , m_server(m_context, m_directory, settings.maxSessions, links(), settings.limits)
         , m_stop(m_server, settings.stopLimit)
         , m_poll(m_context, m_directory)
         , m_control(
@@ -217,10 +222,11 @@
         HttpResponse response;
         std::string unused;
         if (platform::classify(request, unused) == platform::Call::Ready) {
-            const bool ready = !m_stop.isBegun() && m_directory.isReady(Clock::now());
+            const bool ready = !m_stop.isBegun() && !m_server.isFull() && m_directory.isReady(Clock::now());
             response.status = ready ? 200 : 503;
             response.body = ready ? R"({"ready":true})" : R"({"ready":false})";
         } else if (request.target == "/metrics") {
+            m_server.recordMemory();
             response.contentType = "text/plain; version=0.0.4";
             response.body = Metrics::instance().exposition();
         } else {
@@ -443,6 +449,8 @@
         }
         key = std::move(loaded.value());
     }
+    ::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    ::mallopt(M_ARENA_MAX, memoryArenas);
     std::signal(SIGPIPE, SIG_IGN);
     log::start({.process = settings.name, .standardOutput = true, .level = settings.logLevel});
     int code = 1;
--- a/programs/proxy/session_settings.h
+++ b/programs/proxy/session_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/sessions/session_resources.h>
 #include <waxwing/support/log.h>
 #include <waxwing/support/time.h>
 
@@ -26,6 +27,7 @@
     std::string keyFile; ///< CURVE keys; empty for an unencrypted link
     log::Level logLevel = log::Level::Info;
     std::size_t maxSessions = 3'500;
+    SessionLimits limits; ///< on what clients make the proxy hold
     std::size_t warmConnections = 2;
     std::size_t connectionLimit = 12;
     Duration stopLimit = 6s; ///< the process is killed this long after SIGTERM
--- a/programs/proxy/session_settings_test.cpp
+++ b/programs/proxy/session_settings_test.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(SessionSettingsTest);
     CPPUNIT_TEST(nameThatBreaksALineIsRefused);
+    CPPUNIT_TEST(addressLimitLeavesRoomForLoadBalancers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,8 +33,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), load(std::string(257, 'a')).errors.size());
     }
 
+    // Guards against a proxy that refuses ordinary sessions because a load balancer gives them all one address.
+    void addressLimitLeavesRoomForLoadBalancers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'750), load("proxy-1").limits.sessionsPerAddress);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'000), load("proxy-1", "files = 1900\n").limits.sessionsPerAddress);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64) << 20, load("proxy-1", "memory_mb = 128\n").limits.memory);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), load("proxy-1", "memory_mb = 8\n").errors.size());
+    }
+
 private:
-    SessionSettings load(const std::string &name) const
+    SessionSettings load(const std::string &name, const std::string &limits = {}) const
     {
         std::ofstream(m_path) << "[sessions]\n"
                                  "name = \""
@@ -42,7 +52,9 @@
                                  "failure_domain = \"z\"\n"
                                  "listen = \"127.0.0.1:1\"\n"
                                  "ready = \"127.0.0.1:2\"\n"
-                                 "[control]\n"
+                                 "[limits]\n"
+                              << limits
+                              << "[control]\n"
                                  "seeds = [\"127.0.0.1:3\"]\n";
         return SessionSettings::load(m_path.string());
     }
