Grant rates to known proxies before all have renewed with a new leader

Cause: until every proxy that may hold rates had renewed, a proxy without a rate got that of a mere presence.

Change: before that, a proxy gets the part of its target that corresponds to the part of the proxies that are known.

--- a/packages/coordination/include/waxwing/coordination/rate_shares.h
+++ b/packages/coordination/include/waxwing/coordination/rate_shares.h
@@ -57,8 +57,8 @@
 
     /// @brief Computes the rates of a proxy for a grant.
     /// @param number of the grant; numbers of a leadership grow
-    /// @param complete whether every proxy that may hold rates has renewed with this leader, or its lease has ended
-    std::vector<RateShare> grant(const std::string &proxy, std::uint64_t number, bool complete, TimePoint now);
+    /// @param knownPart part of the proxies that may hold rates that has renewed with this leader; 1 for all of them
+    std::vector<RateShare> grant(const std::string &proxy, std::uint64_t number, double knownPart, TimePoint now);
 
     /// @brief Sum of the rates of a workspace that may be in force, for logs and tests.
     double inForce(std::string_view workspace) const;
--- a/packages/coordination/src/waxwing/coordination/rate_shares.cpp
+++ b/packages/coordination/src/waxwing/coordination/rate_shares.cpp
@@ -204,8 +204,9 @@
     return static_cast<unsigned>(std::min(maxBurst, presenceBurst + std::floor(workspace.limit.burst * part)));
 }
 
-std::vector<RateShare> RateShares::grant(const std::string &proxy, std::uint64_t number, bool complete, TimePoint now)
+std::vector<RateShare> RateShares::grant(const std::string &proxy, std::uint64_t number, double knownPart, TimePoint now)
 {
+    const bool complete = knownPart >= 1;
     std::vector<RateShare> shares;
     for (auto &[name, workspace] : m_workspaces) {
         const auto found = workspace.entries.find(proxy);
@@ -230,7 +231,8 @@
             const double bound = complete ? usable : std::min(usable, workspace.stated);
             rate = std::max(0.0, std::min(rate, ceiling + std::max(0.0, bound - workspace.inForce)));
         } else if (!complete) {
-            rate = std::max(latest, std::min(rate, presenceRate)); // the demand of the others is not known yet
+            // Proxies that have not renewed yet may still use what an earlier leader granted them.
+            rate = std::max(latest, std::min(rate, std::max(presenceRate, rate * knownPart)));
         }
         const bool isNew = latest <= 0 && rate > 0;
         if (rate != latest || !entry.sent.empty()) {
--- a/packages/coordination/src/waxwing/coordination/rate_shares_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/rate_shares_test.cpp
@@ -171,7 +171,8 @@
         grant.incarnation = renewal.incarnation;
         grant.term = m_term;
         grant.number = ++m_number;
-        grant.shares = m_shares.grant(name, m_number, m_expected.empty() || m_now >= m_completeAt, m_now);
+        const auto unknown = m_now >= m_completeAt ? 0 : m_expected.size();
+        grant.shares = m_shares.grant(name, m_number, 1 - static_cast<double>(unknown) / static_cast<double>(m_proxies.size()), m_now);
         grant.renewedAt = renewal.renewedAt;
         m_grantedUntil[renewal.proxy] = m_now + leaseWithDrift;
         post(std::move(grant));
@@ -331,15 +332,15 @@
         shares.setLimits({{"w", {100, 100}}});
         const std::vector<RateDemand> demands {{"w", 50, 0}};
         shares.renew("a", 1, 0, demands);
-        CPPUNIT_ASSERT(shares.grant("a", 1, true, TimePoint(1s)).front().rate >= 50);
+        CPPUNIT_ASSERT(shares.grant("a", 1, 1, TimePoint(1s)).front().rate >= 50);
         shares.setLimits({{"w", {10, 10}}});
         shares.renew("a", 1, 1, demands);
-        const auto lowered = shares.grant("a", 2, true, TimePoint(2s));
+        const auto lowered = shares.grant("a", 2, 1, TimePoint(2s));
         CPPUNIT_ASSERT(lowered.front().rate <= 10 && lowered.front().isLimited);
         shares.renew("a", 1, 2, demands);
         CPPUNIT_ASSERT(shares.inForce("w") <= 10);
         shares.setLimits({});
-        CPPUNIT_ASSERT(shares.grant("a", 3, true, TimePoint(3s)).empty());
+        CPPUNIT_ASSERT(shares.grant("a", 3, 1, TimePoint(3s)).empty());
     }
 
     // Guards against any series of lost messages, restarts, cut-off proxies and new leaders that lets a workspace pass its limit.
--- a/programs/control/session_control.cpp
+++ b/programs/control/session_control.cpp
@@ -452,7 +452,7 @@
         return;
     }
     grant.set_has_rates(true);
-    for (const auto &share : m_rates.grant(proxy, grant.number(), m_leases.isComplete(now), now)) {
+    for (const auto &share : m_rates.grant(proxy, grant.number(), m_leases.knownPart(now), now)) {
         auto &rate = *grant.add_rates();
         rate.set_workspace(share.workspace);
         rate.set_rate_millis(static_cast<std::uint64_t>(share.rate * rateMillis));
--- a/programs/control/session_leases.h
+++ b/programs/control/session_leases.h
@@ -73,6 +73,16 @@
         return now >= m_completeAt || (m_recordsAvailable && m_expectedProxies.empty());
     }
 
+    /// @brief Part of the proxies that may hold a lease that proxies() lists; 1 once isComplete().
+    double knownPart(TimePoint now) const
+    {
+        if (isComplete(now) || m_expectedProxies.empty()) {
+            return isComplete(now) ? 1 : 0; // without records nothing tells how many there are
+        }
+        const auto known = static_cast<double>(m_proxies.size());
+        return known / (known + static_cast<double>(m_expectedProxies.size()));
+    }
+
     /// @brief Time until which proxies whose acknowledgements are unknown to this leader may have acknowledged commits: under leases of
     /// earlier leaders, or before their leases ended or their processes were started again.
     TimePoint unleasedAcknowledgementsUntil() const
