--- a/packages/sessions/include/waxwing/sessions/client_session.h
+++ b/packages/sessions/include/waxwing/sessions/client_session.h
@@ -77,6 +77,7 @@
     {
         std::string workspace; ///< empty if the deployment has none, or the route is public and the key unknown
         int priority = 0;
+        bool hasRateLimit = false;
     };
 
     /// What the configuration in force lets the session use.
--- a/packages/sessions/src/waxwing/sessions/client_session.cpp
+++ b/packages/sessions/src/waxwing/sessions/client_session.cpp
@@ -371,7 +371,7 @@
     }
     const auto *workspace = config->findWorkspaceByKey(m_key);
     if (workspace != nullptr) {
-        result.caller = {workspace->name, workspace->priority};
+        result.caller = {workspace->name, workspace->priority, workspace->operationsPerSecond > 0};
     }
     result.isAuthorized = workspace != nullptr || !config->hasWorkspaces || (result.route != nullptr && result.route->isPublic);
     return result;
@@ -575,7 +575,7 @@
 
 asio::awaitable<std::string> ClientSession::admit(Caller caller)
 {
-    if (caller.workspace.empty()) {
+    if (!caller.hasRateLimit) {
         co_return std::string();
     }
     const auto refusal = co_await m_directory.admission().admit(caller.workspace, answerLimit(m_statementTimeout / 2));
