Limit the time until a token before it is converted

Cause: a share may be so small that the time until its next token has no representation in nanoseconds; the conversion overflowed, so that the time to return could lie in the past.

Change: the time is limited to 3 s first. A test of a tiny rate.

--- a/packages/coordination/src/waxwing/coordination/operation_limiter.cpp
+++ b/packages/coordination/src/waxwing/coordination/operation_limiter.cpp
@@ -21,9 +21,11 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration duration(double seconds)
+/// Time after which a token is there; limited, since a rate may be so small that it has no representation.
+Duration timeFor(double tokens, double rate)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const std::chrono::duration<double> time(tokens / rate);
+    return time < maxPromise ? std::chrono::duration_cast<Duration>(time) : maxPromise;
 }
 
 } // namespace
@@ -86,10 +88,10 @@
         return {Verdict::Admitted, {}};
     }
     if (!available.isLimited || available.rate <= 0) {
-        return {Verdict::Wait, available.rate > 0 ? duration((1 - available.tokens) / available.rate) : Duration::zero()};
+        return {Verdict::Wait, available.rate > 0 ? timeFor(1 - available.tokens, available.rate) : Duration::zero()};
     }
-    const auto first = now + duration((1 - available.tokens) / available.rate);
-    const auto next = std::max(first, available.promisedUntil + duration(1 / available.rate));
+    const auto first = now + timeFor(1 - available.tokens, available.rate);
+    const auto next = std::max(first, available.promisedUntil + timeFor(1, available.rate));
     available.promisedUntil = std::min(next, now + maxPromise);
     return {Verdict::Refused, available.promisedUntil - now};
 }
--- a/packages/coordination/src/waxwing/coordination/rate_shares_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/rate_shares_test.cpp
@@ -257,6 +257,7 @@
     CPPUNIT_TEST(loweredLimitIsFollowed);
     CPPUNIT_TEST(limitHoldsUnderRandomFailures);
     CPPUNIT_TEST(workspaceWithoutALimitIsNotLimited);
+    CPPUNIT_TEST(tinyRateGivesAUsableTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -380,6 +381,19 @@
         }
     }
 
+    // Guards against a time to return that overflows, and is in the past, when a share is almost nothing.
+    void tinyRateGivesAUsableTime()
+    {
+        OperationLimiter limiter;
+        const std::vector<RateShare> shares {{"w", 1e-12, 1, 0, true}};
+        limiter.apply(shares, 1, 1, TimePoint(1s));
+        for (int i = 0; i < 3; ++i) {
+            const auto decision = limiter.admit("w", true, TimePoint(2s));
+            CPPUNIT_ASSERT(decision.verdict == OperationLimiter::Verdict::Refused);
+            CPPUNIT_ASSERT(decision.retryAfter > Duration::zero() && decision.retryAfter <= 3s);
+        }
+    }
+
     // Guards against a workspace without a limit in the configuration being refused.
     void workspaceWithoutALimitIsNotLimited()
     {
