--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -226,6 +226,7 @@
         self.log, self.applied, self.pending = [], 0, []
         self.deaf = False  # receives nothing from its primary
         self.cut_from_control = False  # partitioned from the core and from control, both ways
+        self.draining = False
         self.up, self.server, self.tasks = False, None, []
         self.waiting = []  # commits without a replica: (length, future)
         self.connections = set()
@@ -255,6 +256,21 @@
             future.cancel()
         self.waiting = []
 
+    async def leave(self, drain_s=7.0):
+        """Planned replacement: drains, deregisters and exits once that is acknowledged."""
+        self.draining = True
+        self.beat_now.set()
+        await asyncio.sleep(drain_s + 0.5)
+        self.tasks[0].cancel()  # no more heartbeats
+        body = {"service": self.service.name, "address": self.address, "born": self.born}
+        target = 0
+        while (await http(self.deployment.members[target], "POST", f"/waxwingtrestle/instances/{self.id}/deregister", body))[0] != 200:
+            target = (target + 1) % len(self.deployment.members)
+            await asyncio.sleep(0.05)
+        self.record.say(f"the deregistration of {self.id} is acknowledged, it exits with {len(self.log)} entries")
+        self.crash()
+        self.service.databases.remove(self)
+
     def forget(self):
         """The next run holds and knows nothing of before."""
         self.log, self.applied, self.pending, self.term, self.role = [], 0, [], 1, "replica"
@@ -318,7 +334,7 @@
         while True:
             self.sequence += 1
             self.beat_attempt_at = time.monotonic()
-            body = {"service": self.service.name, "address": self.address, "zone": self.zone, "version": "v1", "slots": 3, "state": "ready",
+            body = {"service": self.service.name, "address": self.address, "zone": self.zone, "version": "v1", "slots": 3, "state": "draining" if self.draining else "ready",
                     "warmup_left_ms": 0, "db_role": self.role, "seq": self.sequence, "born": self.born}
             self.beat_now.clear()
             if self.cut_from_control:
@@ -601,7 +617,7 @@
         self.proxies = [self._process("proxy", f"proxy-{zones[n % 3]}-{n // 3 + 1}", zones[n % 3], f"{self.net}.{n + 20}", proxy_memory_mb, n)
                         for n in range(proxies)]
         self.max_conns = max_conns
-        self.services, self.version = {}, 0
+        self.services, self.version, self.added = {}, 0, 0
         for number, name in enumerate(services):
             service = self.services[name] = Service(name, max_conns=max_conns)
             for n, zone in enumerate(zones):
@@ -680,6 +696,14 @@
             await asyncio.sleep(0.05)
         return False
 
+    def add_database(self, service, zone):
+        """A new database of a service, which starts empty."""
+        self.added += 1
+        address = f"{self.net}.{150 + self.added}:{self.ports['database']}"
+        database = Database(self, f"i-9{self.added}{random.getrandbits(32):08x}", service, zone, address)
+        service.databases.append(database)
+        return database
+
     async def start(self):
         await self.platform.start(f"{self.net}.250", self.ports["platform"])
         for process in self.control + self.proxies:
