--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -98,7 +98,8 @@
 
 class Connection:
     def __init__(self, writer):
-        self.writer, self.state, self.plain, self.term, self.writes, self.values, self.prepared, self.service, self.caller = writer, "I", False, 0, [], {}, {}, None, ""
+        self.writer, self.state, self.plain, self.term, self.writes = writer, "I", False, 0, []
+        self.values, self.prepared, self.service, self.caller = {}, {}, None, ""
 
 
 class Database:
@@ -108,7 +109,7 @@
         self.log, self.applied, self.pending, self.rows = [], 0, [], {}
         self.running, self.connections, self.slots = False, set(), asyncio.Semaphore(SLOTS)
         self.beat_now, self.sequence, self.born, self.tasks, self.server = asyncio.Event(), 0, 0, [], None
-        self.first_beat_after, self.cut = 0.0, False  # cut: partitioned from control, not from the proxies
+        self.cut = False  # partitioned from control, not from the proxies and the other databases
 
     def applied_now(self):
         if self.role == "primary":
@@ -185,7 +186,6 @@
 
     async def _beat(self):
         target = random.randrange(len(self.world.admins))
-        await asyncio.sleep(self.first_beat_after)
         while True:
             self.beat_now.clear()
             body = self._beat_body()
