--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A replica that starts again behind a partition, and holds nothing, is taken for the one that had the acknowledged commits."""
+"""A database that has started in the place of a replica that left, and that control has not heard of yet, alone has acknowledged commits."""
 
 import asyncio
 import os
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
 import world as w  # noqa: E402
 
-CUT_S, DEAF_S, DOWN_S = 5.0, 7.0, 7.0  # limits: see claim.txt
+DRAIN_S, REUSE_S, CUT_S, DEAF_S, DOWN_S = 7.0, 2.0, 5.0, 7.0, 7.0  # limits: see claim.txt
 
 
 async def order(world, proxy, number, acknowledged):
@@ -26,41 +26,47 @@
     if not await world.start():
         return w.CANNOT_RUN
     service = world.services["pedidos"]
-    primary, first, second = service.databases
+    primary, leaving, other = service.databases
     acknowledged, lost = [], w.Promotions(world, service)
     lost.acknowledged = acknowledged
     for number, proxy in enumerate(world.proxies):
         await order(world, proxy, number, acknowledged)
         await asyncio.sleep(0.3)
-    await asyncio.sleep(1)
+    if not await leaving.say_draining():
+        return w.CANNOT_RUN
+    await asyncio.sleep(DRAIN_S + 0.5)
+    if not await leaving.deregister():
+        return w.CANNOT_RUN
+    await asyncio.sleep(REUSE_S + 0.5)
+    successor = world.add_database(service, "i-14", leaving.address.rsplit(":", 1)[0], leaving.zone)
+    successor.log, successor.applied = list(leaving.log), len(leaving.log)  # transferred
+    cut_at = time.monotonic()
     if w.TROUBLE:
-        second.deaf = True
-        world.note(f"{second.id} receives nothing for {DEAF_S} s")
+        successor.cut = True
+        world.note(f"{successor.id} is partitioned from control for {CUT_S} s, not from the proxies and the other databases")
+    await successor.start()
+    world.note(f"{successor.id}, a new database, starts at the address of {leaving.id}, with its log")
+    await asyncio.sleep(0.5)
     deaf_at = time.monotonic()
+    if w.TROUBLE:
+        other.deaf = True
+        world.note(f"{other.id} receives nothing for {DEAF_S} s")
+    await asyncio.sleep(0.2)
     for number in (10, 11):
         await order(world, world.proxies[number - 10], number, acknowledged)
     if len(acknowledged) != 5:
         return w.CANNOT_RUN
+    await asyncio.sleep(0.5)
     if w.TROUBLE:
-        first.cut = True
-        cut_at = time.monotonic()
-        world.note(f"{first.id} is partitioned from control for {CUT_S} s, not from the proxies and the other databases")
-        await asyncio.sleep(0.5)
         await primary.stop()
         down_at = time.monotonic()
-        world.note(f"{primary.id}, the primary, crashes")
-        await asyncio.sleep(0.5)
-        await first.stop()
-        await asyncio.sleep(0.2)
-        first.forget()
-        await first.start()
-        world.note(f"{first.id} crashed behind the cut and starts again under its id; it holds nothing of before")
+        world.note(f"{primary.id}, the primary, crashes while {other.id} receives nothing")
         await asyncio.sleep(cut_at + CUT_S - time.monotonic())
-        first.cut = False
-        world.note(f"{first.id} and control reach each other again")
+        successor.cut = False
+        world.note(f"{successor.id} and control reach each other; it holds {len(successor.log)} commits")
         await asyncio.sleep(deaf_at + DEAF_S - time.monotonic())
-        second.deaf = False
-        world.note(f"{second.id} receives again")
+        other.deaf = False
+        world.note(f"{other.id} receives again")
         await asyncio.sleep(down_at + DOWN_S - time.monotonic())
         await primary.start()
         world.note(f"{primary.id} is back with its log, as {primary.role}")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,7 +1,9 @@
-"""A primary starts again behind a partition, and holds nothing; proxies with a lease go on reading from it."""
+"""A member of control is replaced in the planned way, and just after it has left another one loses its disk."""
 
 import asyncio
+import json
 import os
+import signal
 import sys
 import time
 
@@ -9,67 +11,52 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
 import world as w  # noqa: E402
 
-CUT_S = 5.0  # limit: see claim.txt
-DOWN_S = 0.1
-PAUSE_S = 0.4  # of a client between two reads
-
-
-async def read(world, proxy, ended, stale, acknowledged):
-    """A client of a `primary` route: reads one order, again and again."""
-    client = None
-    while not ended.is_set():
-        if client is None or client.writer is None:
-            client = w.Client(world, proxy.address, "p-pedidos", f"clerk-{proxy.name}-{time.monotonic_ns()}")
-            if not (await client.open())[0]:
-                client = None
-                await asyncio.sleep(PAUSE_S)
-                continue
-        answer, identifier = await client.ask("READ order-0", 3)
-        if answer[0] == "COMPLETE":
-            database, commits = world.runs[identifier]
-            if commits < acknowledged:  # all were acknowledged before the first read was sent
-                stale.append(identifier)
-                world.record(f"STALE: {identifier} ran at {database} on a log with {commits} of {acknowledged} acknowledged commits")
-        await asyncio.sleep(PAUSE_S)
-    if client:
-        client.close()
+SUCCESSOR_S = 6.0  # more than catch_up_s, 4 s, after its start the successor counts and the machine that it replaces does not
+GAP_S = 1.0  # from the end of the removed machine to the loss of the disk
+CONTACT_S, RECOVERY_S, ACK_TIMEOUT_S = 5.0, 12.0, 6.0
 
 
 async def case(world):
     if not await world.start():
         return w.CANNOT_RUN
-    service = world.services["pedidos"]
-    primary, acknowledged = service.primary, 0
-    for number, proxy in enumerate(world.proxies):
-        client = w.Client(world, proxy.address, "p-pedidos", f"shop{number}")
-        await client.open()
-        answer, _ = await client.ask(f"WRITE order-{number} hem-{number}", 3)
-        client.close()
-        acknowledged += answer[0] == "COMPLETE"
-    world.note(f"{acknowledged} orders acknowledged")
-    if acknowledged != len(world.proxies):
+    removed, wiped, _ = world.controls
+    successor = world.add_control()
+    successor.start()
+    await asyncio.sleep(SUCCESSOR_S)
+    if await world.configure(world.document(timeout_ms=1100)) != 200:
         return w.CANNOT_RUN
-    await asyncio.sleep(1)
-    ended, stale = asyncio.Event(), []
-    clients = [asyncio.create_task(read(world, proxy, ended, stale, acknowledged)) for proxy in world.proxies for _ in range(2)]
-    await asyncio.sleep(2)
+    acknowledged = world.version
+    removed.signal(signal.SIGTERM)
+    while removed.runs():
+        await asyncio.sleep(0.02)
+    world.admins.remove(removed.admin)
+    world.note(f"{removed.name} has ended by SIGTERM and is removed for good; {successor.name} started {SUCCESSOR_S} s before")
+    await asyncio.sleep(GAP_S)
     if w.TROUBLE:
-        primary.cut, cut_at = True, time.monotonic()
-        world.note(f"{primary.id}, the primary, is partitioned from control for {CUT_S} s, not from the proxies")
-        await asyncio.sleep(0.7)
-        await primary.stop()
-        await asyncio.sleep(DOWN_S)
-        primary.forget()
-        await primary.start()
-        world.note(f"{primary.id} crashed behind the cut and starts again under its id, as a replica; it holds nothing of before")
-        await asyncio.sleep(cut_at + CUT_S - time.monotonic())
-        primary.cut = False
-        world.note(f"{primary.id} and control reach each other again")
-    await asyncio.sleep(5)
-    ended.set()
-    await asyncio.gather(*clients)
-    world.note(f"reads on the primary route that ran on a log without acknowledged commits: {len(stale)}")
-    return w.BROKEN if stale else w.HELD
+        world.wipe(wiped)
+    disturbed_at = time.monotonic()
+    await asyncio.sleep(RECOVERY_S)
+    # The core is stable: all of its machines run and are connected since recovery_s.
+    order = world.document(timeout_ms=1200)
+    began = time.monotonic()
+    status = await world.configure(order, limit=2 * ACK_TIMEOUT_S)
+    took = time.monotonic() - began
+    world.note(f"version {order['version']}, sent {began - disturbed_at:.1f} s after the last disturbance: status {status} after {took:.1f} s")
+    newest = 0
+    end = time.monotonic() + 2 * CONTACT_S
+    while time.monotonic() < end and newest < acknowledged:
+        for admin in world.admins:
+            code, body = await w.http(admin, "GET", "/waxwingtrestle/config/get")
+            world.record(f"{admin} answers the read of the configuration with {code}")
+            newest = max(newest, json.loads(body)["version"] if code == 200 else 0)
+        await asyncio.sleep(0.2)
+    world.note(f"read back: version {newest or 'none'}; acknowledged before: {acknowledged}")
+    for process in world.controls[1:]:
+        status_of = await world.status(process)
+        world.note(f"{process.name} says: term {status_of.get('term')}, leader {status_of.get('leader') or 'none'}, serving {status_of.get('serving')}")
+    if newest < acknowledged or status != 200 or took > ACK_TIMEOUT_S:
+        return w.BROKEN
+    return w.HELD
 
 
 w.run(w.World(FOLDER), case)
