--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
 import world as w  # noqa: E402
 
-DRAIN_S, REUSE_S, CUT_S, DEAF_S, DOWN_S = 7.0, 2.0, 5.0, 7.0, 7.0  # limits: see claim.txt
+DRAIN_S, REUSE_S, CUT_S, DEAF_S, DOWN_S = 7.0, 2.0, 4.9, 6.0, 6.9  # limits: see claim.txt
 
 
 async def order(world, proxy, number, acknowledged):
