--- a/packages/coordination/include/waxwing/coordination/primary_choice.h
+++ b/packages/coordination/include/waxwing/coordination/primary_choice.h
@@ -59,8 +59,14 @@
         m_certain = certain;
     }
 
-    /// @brief Tells whether every known log lacks an acknowledged commit.
-    bool lacksCertainPosition() const;
+    /// @brief Sets a position that an acknowledged commit may have. No log that ends before it is chosen.
+    void setAwaitedPosition(TermPosition awaited)
+    {
+        m_awaited = awaited;
+    }
+
+    /// @brief Tells whether there are known logs, and all of them end before a position.
+    bool lacks(const TermPosition &position) const;
 
     /// @brief Returns whether the choice needs the acknowledged position, because the log of a database is missing.
     bool needsAcknowledgedPosition() const
@@ -92,6 +98,7 @@
     std::optional<TermPosition> m_formerPrimaryEnd; ///< last position in the log of the former primary, if it has stepped down
     std::optional<TermPosition> m_acknowledged;
     TermPosition m_certain;
+    TermPosition m_awaited;
 };
 
 } // namespace waxwing
--- a/packages/coordination/src/waxwing/coordination/primary_choice.cpp
+++ b/packages/coordination/src/waxwing/coordination/primary_choice.cpp
@@ -37,9 +37,10 @@
     return missing;
 }
 
-bool PrimaryChoice::lacksCertainPosition() const
+bool PrimaryChoice::lacks(const TermPosition &position) const
 {
-    return std::all_of(m_databases.begin(), m_databases.end(), [this](const Database &database) { return *database.received < m_certain; });
+    return !m_databases.empty()
+        && std::all_of(m_databases.begin(), m_databases.end(), [&position](const Database &database) { return *database.received < position; });
 }
 
 bool PrimaryChoice::isBetter(const Database &one, const Database &other) const
@@ -55,7 +56,8 @@
 {
     const Database *best = nullptr;
     for (const auto &database : m_databases) {
-        const bool isComplete = m_formerPrimaryEnd && *database.received >= *m_formerPrimaryEnd && database.id != m_previous;
+        // A former primary that was started again without its log, unknown to control, ends before the acknowledged commits.
+        const bool isComplete = m_formerPrimaryEnd && *database.received >= std::max({*m_formerPrimaryEnd, m_certain, m_awaited}) && database.id != m_previous;
         if (isComplete && (best == nullptr || isBetter(database, *best))) {
             best = &database;
         }
@@ -73,7 +75,7 @@
     const auto required = m_formerPrimaryEnd ? *m_formerPrimaryEnd : hasLowerBound ? *m_acknowledged : TermPosition();
     const Database *best = nullptr;
     for (const auto &database : m_databases) {
-        if (*database.received < std::max(required, m_certain)) {
+        if (*database.received < std::max({required, m_certain, m_awaited})) {
             continue;
         }
         // If no lower bound is known, only the longest log certainly has every acknowledged commit.
--- a/packages/coordination/src/waxwing/coordination/primary_choice_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/primary_choice_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(noChoiceBelowTheAcknowledgedPosition);
     CPPUNIT_TEST(unknownDatabaseCountsAsMissing);
     CPPUNIT_TEST(logWithoutAnAcknowledgedCommitIsNotChosen);
+    CPPUNIT_TEST(logWithoutAnAwaitedCommitIsNotChosen);
+    CPPUNIT_TEST(steppedDownPrimaryWithoutAnAcknowledgedCommitProvesNothing);
     CPPUNIT_TEST(stoppedDatabaseIsMissedBeyondTheKnownLogs);
     CPPUNIT_TEST(steppedDownPrimaryHandsOverToACompleteReplica);
     CPPUNIT_TEST(drainingReplicaIsTheLastChoice);
@@ -77,14 +79,39 @@
             choice.add({.id = "c", .received = TermPosition {3, 7}});
             CPPUNIT_ASSERT(choice.missing().empty());
             choice.setCertainPosition({3, 8});
-            CPPUNIT_ASSERT(choice.lacksCertainPosition());
+            CPPUNIT_ASSERT(choice.lacks({3, 8}));
             CPPUNIT_ASSERT(choice.bestAmongStopped().empty());
             choice.setCertainPosition({3, 7});
-            CPPUNIT_ASSERT(!choice.lacksCertainPosition());
+            CPPUNIT_ASSERT(!choice.lacks({3, 7}));
             CPPUNIT_ASSERT_EQUAL(std::string("c"), choice.bestAmongStopped());
         }
     }
 
+    // Guards against lost commits: no database counts as missing, but a commit that the known logs lack may be acknowledged.
+    void logWithoutAnAwaitedCommitIsNotChosen()
+    {
+        PrimaryChoice choice("a");
+        CPPUNIT_ASSERT(!choice.lacks({3, 8})); // no log is known
+        choice.add({.id = "b", .received = TermPosition {3, 7}});
+        choice.setCertainPosition({3, 7});
+        choice.setAwaitedPosition({3, 8});
+        CPPUNIT_ASSERT(choice.bestAmongStopped().empty());
+        choice.add({.id = "c", .received = TermPosition {3, 8}});
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), choice.bestAmongStopped());
+    }
+
+    // Guards against lost commits: a former primary that was started again without its log, unknown to control, steps down.
+    void steppedDownPrimaryWithoutAnAcknowledgedCommitProvesNothing()
+    {
+        PrimaryChoice choice("a");
+        choice.add({.id = "a", .received = TermPosition {3, 2}});
+        choice.add({.id = "b", .received = TermPosition {3, 7}});
+        choice.setAwaitedPosition({3, 8});
+        CPPUNIT_ASSERT(choice.bestAfterStepDown().empty());
+        choice.add({.id = "c", .received = TermPosition {3, 8}});
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), choice.bestAfterStepDown());
+    }
+
     // Guards against a service that stays without a primary because a database left, although the others have received as much; and
     // against lost commits where they have not.
     void stoppedDatabaseIsMissedBeyondTheKnownLogs()
--- a/packages/sessions/include/waxwing/sessions/service_state.h
+++ b/packages/sessions/include/waxwing/sessions/service_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <waxwing/coordination/commit_tracker.h>
 #include <waxwing/coordination/position_history.h>
 #include <waxwing/sessions/change_signal.h>
 #include <waxwing/sessions/database_pool.h>
@@ -122,23 +123,15 @@
         return isShared() || m_heldConnections != 0;
     }
 
-    /// @brief Records that a commit is acknowledged to its caller.
-    /// @param position that the primary reported with its answer; it may include later commits
-    /// @param before acknowledged() when the commit was sent
-    /// @param isReplicated a replica has received the commit
-    void recordAcknowledged(const TermPosition &position, const TermPosition &before, bool isReplicated, TimePoint now);
-
-    /// @brief Highest position of a commit that was acknowledged to a caller.
-    const TermPosition &acknowledged() const
+    /// @brief Commits that this proxy has sent to the primary.
+    CommitTracker &commits()
     {
-        return m_acknowledged;
+        return m_commits;
     }
 
-    /// @brief Position that the log of every later primary reaches, since a commit with it, or a later one, was acknowledged after a
-    /// replica had received it. Other than acknowledged(), it includes no commit that was not acknowledged.
-    const TermPosition &acknowledgedAtLeast() const
+    const CommitTracker &commits() const
     {
-        return m_acknowledgedAtLeast;
+        return m_commits;
     }
 
     /// @brief Records that a write was sent to the primary.
@@ -173,8 +166,7 @@
     std::size_t m_heldConnections = 0;
     bool m_awaitsHolders = false;
     PositionHistory m_history;
-    TermPosition m_acknowledged;
-    TermPosition m_acknowledgedAtLeast;
+    CommitTracker m_commits;
     std::size_t m_pendingWrites = 0;
     TimePoint m_writesPendingSince;
     TimePoint m_lastAnsweredWrite;
--- a/packages/sessions/include/waxwing/sessions/statement_path.h
+++ b/packages/sessions/include/waxwing/sessions/statement_path.h
@@ -114,7 +114,7 @@
         unsigned count = 0;
         unsigned unusableConnections = 0; ///< whose state was not the recorded one
         bool sent = false; ///< the statement was sent to a database at least once
-        TermPosition acknowledgedBefore; ///< acknowledged by this proxy when the statement was sent
+        std::optional<CommitTracker::Commit> commit; ///< of the attempt, until it is settled
         bool mayHavePersisted = false; ///< the last attempt may have run something that persists
         bool mayHaveRun = false; ///< a statement that persists nothing was sent and not answered
         std::string_view lastReason = "no-database";
@@ -143,6 +143,8 @@
     boost::asio::awaitable<DatabaseConnection::RunResult> exchangeOnce(const SessionJob &job, ServiceState &service, DatabasePool &pool,
                                                                        DatabaseConnection &connection, const std::string &bytes, std::size_t commands,
                                                                        TimePoint limit);
+    /// Settles the commit of an attempt that has ended, unless it was acknowledged.
+    static void settleCommit(ServiceState &service, Attempts &attempts);
     static AttemptOutcome failBegunTransaction(StatementResult &result, std::string_view text);
     /// @param ran the statement may have run behind the refused preparation
     static AttemptOutcome handleRefusedPreparation(const SessionJob &job, Attempts &attempts, const PoolReply &refused, bool ran, StatementResult &result);
--- a/packages/sessions/src/waxwing/sessions/open_transaction.cpp
+++ b/packages/sessions/src/waxwing/sessions/open_transaction.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -30,6 +31,19 @@
 constexpr std::string_view tooLargeText = "not run, the transaction has prepared too much; nothing is kept";
 constexpr std::string_view unusableText = "the connection to the database lacks the state of the session; nothing is kept";
 
+/// Settles a commit, unless it was acknowledged or is none.
+void settle(ServiceState *service, const std::optional<CommitTracker::Commit> &commit, bool hasNotRun)
+{
+    if (!commit) {
+        return;
+    }
+    if (hasNotRun) {
+        service->commits().discard(*commit);
+    } else {
+        service->commits().abandon(*commit, Clock::now());
+    }
+}
+
 bool mayRetry(const PoolReply &reply, TimePoint deadline)
 {
     return reply.error == SessionError::Busy && reply.state == TransactionState::Open && Clock::now() + busyRetryDelay < deadline;
@@ -123,10 +137,11 @@
     const bool counted = service != nullptr && m_writes;
     while (true) {
         const auto sentAt = Clock::now();
-        const auto acknowledgedBefore = service == nullptr ? TermPosition() : service->acknowledged();
+        std::optional<CommitTracker::Commit> sent;
         m_pool->recordSent(sentAt);
         if (counted) {
             service->recordWriteSent(sentAt);
+            sent = service->commits().send(sentAt);
         }
         std::string bytes = platform::encodeStatement(job.id, job.text);
         auto answer = co_await m_connection->run(std::move(bytes), 1, job.deadline);
@@ -142,12 +157,14 @@
             const bool certain = !m_writes || answer.status == DatabaseConnection::RunStatus::NotSent;
             outcome.error = certain ? SessionError::Aborted : SessionError::Unknown;
             outcome.text = certain ? "the connection to the database was lost" : "commit without an answer";
+            settle(service, sent, certain);
             end(TransactionState::Idle);
             co_return outcome;
         }
         m_pool->recordReply(now);
         auto &reply = answer.replies.back();
         if (mayRetry(reply, job.deadline)) {
+            settle(service, sent, true);
             asio::steady_timer pause(co_await asio::this_coro::executor, busyRetryDelay);
             co_await pause.async_wait(useTuple);
             continue;
@@ -173,8 +190,9 @@
             outcome.text = "the primary was replaced while the commit ran";
         } else if (commits && reply.position) {
             outcome.committed = *reply.position;
-            service->recordAcknowledged(*reply.position, acknowledgedBefore, directory.isReplicated(job.route.service), now);
+            service->commits().acknowledge(*sent, *reply.position, directory.isReplicated(job.route.service));
         }
+        settle(service, sent, reply.error == SessionError::ReadOnly || reply.error == SessionError::Busy);
         outcome.reply = std::move(reply);
         co_return outcome;
     }
--- a/packages/sessions/src/waxwing/sessions/service_state.cpp
+++ b/packages/sessions/src/waxwing/sessions/service_state.cpp
@@ -57,17 +57,6 @@
     m_heldConnections = own == m_holders.end() ? 0 : own->connections;
 }
 
-void ServiceState::recordAcknowledged(const TermPosition &position, const TermPosition &before, bool isReplicated, TimePoint now)
-{
-    if (isReplicated) {
-        // The commit follows all that the primary had reported when it was sent.
-        const TermPosition certain {position.term, position.term == before.term ? before.position + 1 : 0};
-        m_acknowledgedAtLeast = std::max(m_acknowledgedAtLeast, certain);
-    }
-    m_acknowledged = std::max(m_acknowledged, position);
-    m_lastAnsweredWrite = now;
-}
-
 void ServiceState::recordWriteSent(TimePoint now)
 {
     if (m_pendingWrites++ == 0) {
--- a/packages/sessions/src/waxwing/sessions/session_directory.cpp
+++ b/packages/sessions/src/waxwing/sessions/session_directory.cpp
@@ -27,6 +27,12 @@
 constexpr std::size_t maxDirectoryBytes = 16U << 20; // 16,384 databases are 2 MB
 constexpr std::size_t maxDocumentBytes = 16U << 20; // four times what control accepts
 
+void setPlace(wire::LogPlace &place, const TermPosition &position)
+{
+    place.set_term(position.term);
+    place.set_number(position.position);
+}
+
 std::vector<StatementHolder> decodeHolders(const wire::PoolServiceView &view)
 {
     std::vector<StatementHolder> holders;
@@ -307,16 +313,17 @@
         if (request.epoch() >= state->epoch()) {
             state->primaryChange().begin(now);
         }
-        reply.mutable_acknowledged()->set_term(state->acknowledged().term);
-        reply.mutable_acknowledged()->set_number(state->acknowledged().position);
-        if (const auto &certain = state->acknowledgedAtLeast(); certain != TermPosition()) {
-            reply.mutable_acknowledged_at_least()->set_term(certain.term);
-            reply.mutable_acknowledged_at_least()->set_number(certain.position);
+        const auto &commits = state->commits();
+        setPlace(*reply.mutable_acknowledged(), commits.acknowledged());
+        if (commits.replicated() != TermPosition()) {
+            setPlace(*reply.mutable_acknowledged_at_least(), commits.acknowledgedAtLeast());
+            setPlace(*reply.mutable_replicated(), commits.replicated());
         }
+        reply.set_unsettled_commits(static_cast<std::uint32_t>(commits.unsettled()));
+        reply.set_settles_departed(request.evidence_ms() != 0 && commits.hasSettledAll(now - std::chrono::milliseconds(request.evidence_ms())));
         const auto evidence = request.evidence_ms() == 0 ? std::nullopt : state->history().proof(now - std::chrono::milliseconds(request.evidence_ms()));
         if (evidence) {
-            reply.mutable_reported()->set_term(evidence->term);
-            reply.mutable_reported()->set_number(evidence->position);
+            setPlace(*reply.mutable_reported(), *evidence);
         }
     }
     return reply;
--- a/packages/sessions/src/waxwing/sessions/statement_path.cpp
+++ b/packages/sessions/src/waxwing/sessions/statement_path.cpp
@@ -196,6 +196,7 @@
             continue;
         }
         const auto attemptOutcome = co_await attempt(job, *service, choice, attempts, result);
+        settleCommit(*service, attempts);
         if (attemptOutcome == AttemptOutcome::Finished) {
             result.retries = attempts.count;
             result.retryReason = attempts.count == 0 ? std::string_view() : attempts.lastReason;
@@ -432,15 +433,18 @@
     StatementExchange exchange(*connection, pool->member().id());
     exchange.addPreparation(job);
     addFirst(exchange, job, choice.after, choice.verifies);
-    attempts.acknowledgedBefore = service.acknowledged();
     const auto sentAt = Clock::now();
     attempts.sent = true;
+    if (job.writes && job.mayPersist()) {
+        attempts.commit = service.commits().send(sentAt);
+    }
     auto answer = co_await exchangeOnce(job, service, *pool, *connection, exchange.bytes(), exchange.commands(), limit);
     const auto *refused = exchange.findRefusedPreparation(job, answer.replies);
     if (refused != nullptr && answer.status == DatabaseConnection::RunStatus::Complete) {
         connection->close();
         pool->release(std::move(connection));
         const bool wasSent = !job.begins && !choice.verifies; // otherwise it would have followed the answer to the BEGIN
+        attempts.mayHavePersisted = job.mayPersist() && wasSent && mayHaveRun(answer);
         co_return handleRefusedPreparation(job, attempts, *refused, wasSent && mayHaveRun(answer), result);
     }
     attempts.mayHavePersisted = job.mayPersist() && mayHaveRun(answer);
@@ -531,6 +535,19 @@
     co_return answer;
 }
 
+void StatementPath::settleCommit(ServiceState &service, Attempts &attempts)
+{
+    if (!attempts.commit) {
+        return;
+    }
+    if (attempts.mayHavePersisted) {
+        service.commits().abandon(*attempts.commit, Clock::now()); // no effect on an acknowledged one
+    } else {
+        service.commits().discard(*attempts.commit);
+    }
+    attempts.commit.reset();
+}
+
 StatementPath::AttemptOutcome StatementPath::failBegunTransaction(StatementResult &result, std::string_view text)
 {
     // The first statement may have run in this transaction; it must not run again in a second transaction.
@@ -612,8 +629,8 @@
         if (choice.primary && service.primaryChange().isGoingOn() && m_directory.lease().covers(service.name(), choice.epoch, Clock::now())) {
             service.primaryChange().cancel();
         }
-        if (job.writes && job.mayPersist() && reply.position) {
-            service.recordAcknowledged(*reply.position, attempts.acknowledgedBefore, m_directory.isReplicated(service.name()), Clock::now());
+        if (attempts.commit && reply.position) {
+            service.commits().acknowledge(*attempts.commit, *reply.position, m_directory.isReplicated(service.name()));
             result.committed = *reply.position;
         }
         result.reply = std::move(reply);
--- a/programs/control/epoch_withdrawal.cpp
+++ b/programs/control/epoch_withdrawal.cpp
@@ -31,6 +31,9 @@
     confirmation.incarnation = message.incarnation();
     confirmation.acknowledged = {message.acknowledged().term(), message.acknowledged().number()};
     confirmation.acknowledgedAtLeast = {message.acknowledged_at_least().term(), message.acknowledged_at_least().number()};
+    confirmation.replicated = {message.replicated().term(), message.replicated().number()};
+    confirmation.unsettledCommits = message.has_unsettled_commits() ? std::optional(message.unsettled_commits()) : std::nullopt;
+    confirmation.settlesDeparted = message.settles_departed();
     confirmation.closed = message.closed();
     confirmation.round = message.round();
     confirmation.reported.reset();
@@ -82,15 +85,47 @@
     return complete;
 }
 
-TermPosition EpochWithdrawal::acknowledgedAtLeast() const
+TermPosition EpochWithdrawal::acknowledgedAtLeast(const SessionLeases &leases, TimePoint now) const
 {
     TermPosition highest;
     for (const auto &[proxy, confirmation] : m_confirmations) {
         highest = std::max(highest, confirmation.acknowledgedAtLeast);
     }
+    // A replica had received all up to the last acknowledged commit, so that only commits without an outcome can follow it.
+    const auto end = acknowledgedAtMost();
+    if (const auto unsettled = unsettledCommits(leases, now); unsettled && end.position > *unsettled) {
+        highest = std::max(highest, TermPosition {end.term, end.position - *unsettled});
+    }
     return highest;
 }
 
+TermPosition EpochWithdrawal::acknowledgedAtMost() const
+{
+    TermPosition highest;
+    for (const auto &[proxy, confirmation] : m_confirmations) {
+        highest = std::max(highest, confirmation.replicated);
+    }
+    return highest;
+}
+
+std::optional<std::uint64_t> EpochWithdrawal::unsettledCommits(const SessionLeases &leases, TimePoint now) const
+{
+    if (!m_closing || !leases.isComplete(now) || m_evidenceAfter != leases.unleasedAcknowledgementsUntil()) {
+        return std::nullopt;
+    }
+    std::uint64_t sum = 0;
+    bool departedAreSettled = false;
+    for (const auto &[proxy, lease] : leases.proxies()) {
+        const auto found = m_confirmations.find(proxy);
+        if (!isConfirmed(proxy, lease) || found->second.round != m_round || !found->second.unsettledCommits) {
+            return std::nullopt;
+        }
+        sum += *found->second.unsettledCommits;
+        departedAreSettled = departedAreSettled || found->second.settlesDeparted;
+    }
+    return departedAreSettled ? std::optional(sum) : std::nullopt;
+}
+
 std::optional<TermPosition> EpochWithdrawal::acknowledged(const SessionLeases &leases, TimePoint now) const
 {
     if (!m_closing || !leases.isComplete(now) || m_evidenceAfter != leases.unleasedAcknowledgementsUntil()) {
--- a/programs/control/epoch_withdrawal.h
+++ b/programs/control/epoch_withdrawal.h
@@ -48,7 +48,13 @@
     std::optional<TermPosition> acknowledged(const SessionLeases &leases, TimePoint now) const;
 
     /// @brief Position that an acknowledged commit certainly has or follows, as far as proxies have told; the first one if none has.
-    TermPosition acknowledgedAtLeast() const;
+    ///
+    /// After close(), if every proxy that may have sent commits has answered, it is exact but for commits without a known outcome.
+    TermPosition acknowledgedAtLeast(const SessionLeases &leases, TimePoint now) const;
+
+    /// @brief Position that no commit follows of those that proxies have told to be acknowledged after a replica had received them. It may
+    /// include commits that were not acknowledged.
+    TermPosition acknowledgedAtMost() const;
 
 private:
     struct Confirmation
@@ -56,11 +62,16 @@
         std::uint64_t incarnation = 0;
         TermPosition acknowledged;
         TermPosition acknowledgedAtLeast;
+        TermPosition replicated; ///< upper bound of the above
+        std::optional<std::uint32_t> unsettledCommits; ///< of this proxy; nothing from an earlier release
+        bool settlesDeparted = false; ///< no commit of a proxy that had departed when the round began follows the last acknowledged one
         std::optional<TermPosition> reported; ///< by the primary, after proxies without a lease of this leader stopped acknowledging
         std::uint32_t round = 0; ///< of the request that it answers
         bool closed = false;
     };
 
+    /// Commits without a known outcome that may follow the last acknowledged one; nothing if a proxy that may have sent some has not told.
+    std::optional<std::uint64_t> unsettledCommits(const SessionLeases &leases, TimePoint now) const;
     bool isConfirmed(const std::string &proxy, const SessionLeases::Proxy &lease) const;
 
     std::uint64_t m_epoch = 0;
--- a/programs/control/epoch_withdrawal_test.cpp
+++ b/programs/control/epoch_withdrawal_test.cpp
@@ -69,6 +69,31 @@
         withdrawal.confirm(message);
     }
 
+    /// Confirms with bounds of the last acknowledged commit and the number of commits without an outcome.
+    void tell(const std::string &proxy, std::uint64_t number, std::optional<std::uint32_t> unsettled, bool settlesDeparted = true)
+    {
+        wire::PoolWithdrawn message;
+        message.set_round(lastRequest.round());
+        message.set_epoch(newEpoch - 1);
+        message.set_proxy(proxy);
+        message.set_incarnation(1);
+        message.set_closed(true);
+        message.mutable_acknowledged_at_least()->set_term(3);
+        message.mutable_acknowledged_at_least()->set_number(1);
+        message.mutable_replicated()->set_term(3);
+        message.mutable_replicated()->set_number(number);
+        if (unsettled) {
+            message.set_unsettled_commits(*unsettled);
+        }
+        message.set_settles_departed(settlesDeparted);
+        withdrawal.confirm(message);
+    }
+
+    TermPosition atLeast() const
+    {
+        return withdrawal.acknowledgedAtLeast(leases, TimePoint(afterEarlierLeases));
+    }
+
     SessionLeases leases;
     EpochWithdrawal withdrawal;
     std::vector<std::string> requestedProxies;
@@ -89,6 +114,8 @@
     CPPUNIT_TEST(positionIsAskedForAgainAfterADeparture);
     CPPUNIT_TEST(lateAnswerToAnEarlierRequestProvesNothing);
     CPPUNIT_TEST(certainPositionNeedsNoProxyWithALease);
+    CPPUNIT_TEST(lastCommitIsCertainUnlessOthersAreUnsettled);
+    CPPUNIT_TEST(departedProxyMayHaveSentTheLastCommits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,7 +237,7 @@
     void certainPositionNeedsNoProxyWithALease()
     {
         Fixture fixture;
-        CPPUNIT_ASSERT(fixture.withdrawal.acknowledgedAtLeast() == TermPosition());
+        CPPUNIT_ASSERT(fixture.atLeast() == TermPosition());
         for (const auto &[proxy, number] : {std::pair("p", 5), std::pair("gone", 7)}) {
             wire::PoolWithdrawn message;
             message.set_epoch(newEpoch - 1);
@@ -219,9 +246,42 @@
             message.mutable_acknowledged_at_least()->set_number(static_cast<std::uint64_t>(number));
             fixture.withdrawal.confirm(message);
         }
-        CPPUNIT_ASSERT((fixture.withdrawal.acknowledgedAtLeast() == TermPosition {3, 7}));
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 7}));
         fixture.withdrawal.start(newEpoch + 1);
-        CPPUNIT_ASSERT(fixture.withdrawal.acknowledgedAtLeast() == TermPosition());
+        CPPUNIT_ASSERT(fixture.atLeast() == TermPosition());
+    }
+
+    // Guards against lost commits: the last commit of a proxy is left out of what is certainly acknowledged, although no other commit can
+    // be behind it; and against a service that waits for commits that nobody acknowledged.
+    void lastCommitIsCertainUnlessOthersAreUnsettled()
+    {
+        Fixture fixture;
+        close(fixture);
+        fixture.tell("p", 15, 0);
+        CPPUNIT_ASSERT((fixture.withdrawal.acknowledgedAtMost() == TermPosition {3, 15}));
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 1})); // q may have sent commits
+        fixture.tell("q", 12, 0);
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 15}));
+        fixture.tell("q", 12, 2);
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 13}));
+        fixture.tell("q", 12, {}); // of an earlier release
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 1}));
+        CPPUNIT_ASSERT((fixture.withdrawal.acknowledgedAtMost() == TermPosition {3, 15}));
+    }
+
+    // Guards against a service that waits for a commit that nobody acknowledged: a proxy that has departed had sent it.
+    void departedProxyMayHaveSentTheLastCommits()
+    {
+        Fixture fixture;
+        close(fixture);
+        fixture.tell("p", 15, 0, false);
+        fixture.tell("q", 12, 0, false);
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 1}));
+        fixture.tell("q", 12, 0, true);
+        CPPUNIT_ASSERT((fixture.atLeast() == TermPosition {3, 15}));
+        fixture.lease("p", 1, TimePoint(afterEarlierLeases + 2s));
+        CPPUNIT_ASSERT(!fixture.leases.expire(TimePoint(afterEarlierLeases + 2'100ms)).empty());
+        CPPUNIT_ASSERT((fixture.withdrawal.acknowledgedAtLeast(fixture.leases, TimePoint(afterEarlierLeases + 3s)) == TermPosition {3, 1}));
     }
 
 private:
--- a/programs/control/primary_change.cpp
+++ b/programs/control/primary_change.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -97,6 +98,8 @@
     static auto &changes = Metrics::instance().counter("waxwing_control_primary_changes_total");
     const auto generation = m_generation;
     const auto startedAt = Clock::now();
+    serviceState(name).possibleCommitsAwaitedSince.reset();
+    serviceState(name).lastComparison.clear();
     changes.add();
     log::write(log::Level::Warning, "primary change started", {{"service", name}, {"cause", cause}});
     bool done = false;
@@ -331,6 +334,54 @@
     co_return paused ? chooseAmongPaused(name, previous, answers) : std::string();
 }
 
+PrimarySupervisor::AcknowledgedBounds PrimarySupervisor::requireAcknowledgedCommits(const std::string &name, PrimaryChoice &choice)
+{
+    auto &service = serviceState(name);
+    const auto now = Clock::now();
+    const AcknowledgedBounds bounds {service.withdrawal.acknowledgedAtLeast(m_state.leases, now), service.withdrawal.acknowledgedAtMost()};
+    choice.setCertainPosition(bounds.certain);
+    if (choice.lacks(bounds.certain)) {
+        log::write(log::Level::Warning, "no known log has an acknowledged commit",
+                   {{"service", name}, {"term", bounds.certain.term}, {"number", bounds.certain.position}});
+    } else if (choice.lacks(bounds.possible) && !service.possibleCommitsAwaitedSince) {
+        service.possibleCommitsAwaitedSince = now;
+        log::write(log::Level::Warning, "no known log has all commits that may be acknowledged",
+                   {{"service", name},
+                    {"term", bounds.possible.term},
+                    {"number", bounds.possible.position},
+                    {"certain_number", bounds.certain.position},
+                    {"limit_ms", toMilliseconds(m_options.possibleCommitsTimeout).count()}});
+    }
+    if (!service.possibleCommitsAwaitedSince || now - *service.possibleCommitsAwaitedSince < m_options.possibleCommitsTimeout) {
+        choice.setAwaitedPosition(bounds.possible);
+    }
+    return bounds;
+}
+
+void PrimarySupervisor::reportComparison(const std::string &name, const std::string &chosen, const PrimaryChoice &choice, const Answers &answers,
+                                         const AcknowledgedBounds &bounds)
+{
+    boost::json::array known;
+    for (const auto &[id, answer] : answers) {
+        if (answer.status) {
+            known.push_back({{"database", id}, {"term", answer.status->received.term}, {"number", answer.status->received.position}});
+        }
+    }
+    auto comparison = chosen + boost::json::serialize(known);
+    if (auto &last = serviceState(name).lastComparison; last != comparison) {
+        last = std::move(comparison);
+        log::write(log::Level::Info, "logs compared",
+                   {{"service", name},
+                    {"chosen", chosen},
+                    {"known", std::move(known)},
+                    {"missing", choice.missing().size()},
+                    {"certain_term", bounds.certain.term},
+                    {"certain_number", bounds.certain.position},
+                    {"possible_term", bounds.possible.term},
+                    {"possible_number", bounds.possible.position}});
+    }
+}
+
 std::string PrimarySupervisor::chooseAmongPaused(const std::string &name, const std::string &previous, const Answers &answers)
 {
     auto choice = makePrimaryChoice(name, previous, answers);
@@ -339,11 +390,7 @@
     }
     const auto acknowledged = serviceState(name).withdrawal.acknowledged(m_state.leases, Clock::now());
     choice.setAcknowledgedPosition(acknowledged);
-    const auto certain = serviceState(name).withdrawal.acknowledgedAtLeast();
-    choice.setCertainPosition(certain);
-    if (choice.lacksCertainPosition()) {
-        log::write(log::Level::Warning, "no known log has an acknowledged commit", {{"service", name}, {"term", certain.term}, {"number", certain.position}});
-    }
+    const auto bounds = requireAcknowledgedCommits(name, choice);
     if (choice.needsAcknowledgedPosition()) {
         const auto missing = choice.missing();
         log::write(log::Level::Warning, "a database that may hold commits is missing",
@@ -353,7 +400,9 @@
                     {"term", acknowledged ? acknowledged->term : 0},
                     {"number", acknowledged ? acknowledged->position : 0}});
     }
-    return choice.bestAmongStopped();
+    auto chosen = choice.bestAmongStopped();
+    reportComparison(name, chosen, choice, answers, bounds);
+    return chosen;
 }
 
 asio::awaitable<std::string> PrimarySupervisor::chooseCandidate(const std::string &name, std::string previous, std::uint64_t generation)
@@ -419,9 +468,14 @@
             answers[id] = answer;
         }
         co_await awaitCaughtUpReplica(name, previous, answers, generation);
-        const auto choice = makePrimaryChoice(name, previous, answers).bestAfterStepDown();
-        if (!isCurrent(generation) || !choice.empty()) {
-            co_return choice;
+        if (!isCurrent(generation)) {
+            co_return std::string();
+        }
+        auto choice = makePrimaryChoice(name, previous, answers);
+        requireAcknowledgedCommits(name, choice);
+        auto best = choice.bestAfterStepDown();
+        if (!best.empty()) {
+            co_return best;
         }
     }
     // A pause ends when its replica restarts, and the primary may commit again before the next one leads. So the logs are compared
--- a/programs/control/primary_supervisor.h
+++ b/programs/control/primary_supervisor.h
@@ -51,6 +51,9 @@
         std::string name; ///< name of this member, sent to databases as the caller
         bool ordersAreFenced = false; ///< the platform refuses an order with a lower token than one that it has seen
         Duration lateOrderLimit = 15s; ///< without fencing: longest time from sending an order until the platform carries it out
+        /// Time for the former primary or an unknown database to come back with commits that may be acknowledged. A change of the primary
+        /// has to end within 10 s, of which the end of a lease and the promotion take up to 1 s each.
+        Duration possibleCommitsTimeout = 8s;
         AbsentRuns::Options absence = {};
     };
 
@@ -79,6 +82,13 @@
 private:
     using Answers = std::map<std::string, DatabaseCalls::Answer>;
 
+    /// What proxies have acknowledged: at least up to the first position, and at most up to the second one.
+    struct AcknowledgedBounds
+    {
+        TermPosition certain;
+        TermPosition possible;
+    };
+
     struct Report
     {
         TimePoint at;
@@ -107,6 +117,8 @@
         unsigned unansweredOrders = 0; ///< consecutive promotion orders without an answer
         std::map<std::string, Report> reports; ///< by proxy, for the current epoch
         EpochWithdrawal withdrawal;
+        std::string lastComparison; ///< of the logs, as it was logged
+        std::optional<TimePoint> possibleCommitsAwaitedSince; ///< since the known logs have all that is certainly acknowledged, but no more
         AbsentRuns absentRuns; ///< as far as this leader knows
         TimePoint nextAbsenceCheckAt;
         bool checksAbsence = false; ///< a check is running
@@ -157,6 +169,11 @@
     boost::asio::awaitable<std::string> chooseCandidate(const std::string &name, std::string previous, std::uint64_t generation);
     void updateHighestTerm(const std::string &name, const Answers &answers);
     PrimaryChoice makePrimaryChoice(const std::string &name, const std::string &previous, const Answers &answers) const;
+    /// Allows only logs with all commits that are certainly acknowledged and, for a limited time, with those that may be.
+    AcknowledgedBounds requireAcknowledgedCommits(const std::string &name, PrimaryChoice &choice);
+    /// Logs a comparison that differs from the one before.
+    void reportComparison(const std::string &name, const std::string &chosen, const PrimaryChoice &choice, const Answers &answers,
+                          const AcknowledgedBounds &bounds);
     /// Chooses after the epochs were closed.
     std::string chooseAmongPaused(const std::string &name, const std::string &previous, const Answers &answers);
     boost::asio::awaitable<void> awaitCaughtUpReplica(const std::string &name, std::string previous, Answers &answers, std::uint64_t generation);
--- a/programs/control/primary_supervisor_test.cpp
+++ b/programs/control/primary_supervisor_test.cpp
@@ -60,6 +60,8 @@
     CPPUNIT_TEST(replicaThatWasStartedAgainIsMissed);
     CPPUNIT_TEST(replicaThatAnswersBeforeItsHeartbeatIsMissed);
     CPPUNIT_TEST(formerPrimaryThatWasStartedAgainIsNotTrusted);
+    CPPUNIT_TEST(commitsOnADatabaseThatControlDoesNotKnowAreAwaited);
+    CPPUNIT_TEST(commitsThatMayBeAcknowledgedAreAwaitedForALimitedTime);
     CPPUNIT_TEST(absentReplicaIsForgottenOnceAnotherHasItsCommits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -661,6 +663,34 @@
         CPPUNIT_ASSERT(fixture.orders.empty());
     }
 
+    // Guards against lost commits: they were acknowledged for the sake of a new database whose heartbeats have not reached control, so
+    // that nobody counts as missing.
+    void commitsOnADatabaseThatControlDoesNotKnowAreAwaited()
+    {
+        SessionControlFixture fixture;
+        startService(fixture);
+        fixture.certainPosition = TermPosition {3, 1};
+        fixture.replicatedPosition = TermPosition {3, 102};
+        database(fixture, "a").holdAnswers(true);
+        CPPUNIT_ASSERT(waitsWithoutPromotion(fixture));
+        fixture.addDatabase("d", false).setPosition(3, 102);
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.primary() == "d"; }));
+    }
+
+    // Guards against a service that waits without an end for a commit that perhaps nobody acknowledged, while the primary is lost for good.
+    void commitsThatMayBeAcknowledgedAreAwaitedForALimitedTime()
+    {
+        SessionControlFixture fixture(SessionLeases::Options(), {.name = "core-1", .possibleCommitsTimeout = 500ms});
+        startService(fixture);
+        fixture.certainPosition = TermPosition {3, 100};
+        fixture.replicatedPosition = TermPosition {3, 102};
+        database(fixture, "a").holdAnswers(true);
+        CPPUNIT_ASSERT(fixture.runUntil([&] {
+            confirmWithoutEvidence(fixture);
+            return fixture.primary() == "b" || fixture.primary() == "c";
+        }));
+    }
+
     // Guards against a service that waits for a replica which is gone for good, although another one has received its commits since.
     void absentReplicaIsForgottenOnceAnotherHasItsCommits()
     {
--- a/programs/control/promotion_model_test.cpp
+++ b/programs/control/promotion_model_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <set>
 
 using namespace waxwing;
 using waxwing::control::testing::PromotionModel;
@@ -49,23 +50,23 @@
         struct Search
         {
             Platform platform;
-            Defect defect;
+            std::set<Defect> defects;
             std::uint64_t firstSeed;
         };
-        for (const auto &[platform, defect, firstSeed] :
-             {Search {Platform::Fenced, Defect::PromoteWithoutWithdrawal, 293}, Search {Platform::Fenced, Defect::CompareBeforeClosing, 219},
-              Search {Platform::Fenced, Defect::ForgetDeregistered, 18}, Search {Platform::Fenced, Defect::TrustDeregistration, 40},
-              Search {Platform::Fenced, Defect::TrustEndedPause, 971}, Search {Platform::Fenced, Defect::ForgetSilent, 60},
-              Search {Platform::Fenced, Defect::TrustRestarted, 3}, Search {Platform::Fenced, Defect::IgnoreAcknowledgedPosition, 3},
-              Search {Platform::Fenced, Defect::AcknowledgeInClosedEpoch, 2'099}, Search {Platform::Unfenced, Defect::PromoteWithoutWithdrawal, 299},
-              Search {Platform::Unfenced, Defect::ReadWithoutLease, 24}, Search {Platform::Unfenced, Defect::IgnoreLateOrders, 20},
-              Search {Platform::Unfenced, Defect::TrustEarlierTerm, 118}}) {
+        for (const auto &[platform, defects, firstSeed] :
+             {Search {Platform::Fenced, {Defect::PromoteWithoutWithdrawal}, 293}, Search {Platform::Fenced, {Defect::CompareBeforeClosing}, 219},
+              Search {Platform::Fenced, {Defect::ForgetDeregistered}, 100}, Search {Platform::Fenced, {Defect::TrustDeregistration}, 2'289},
+              Search {Platform::Fenced, {Defect::TrustEndedPause, Defect::IgnoreStatedCommits}, 971}, Search {Platform::Fenced, {Defect::ForgetSilent}, 541},
+              Search {Platform::Fenced, {Defect::TrustRestarted}, 57}, Search {Platform::Fenced, {Defect::IgnoreAcknowledgedPosition}, 29},
+              Search {Platform::Fenced, {Defect::AcknowledgeInClosedEpoch}, 2'099}, Search {Platform::Unfenced, {Defect::PromoteWithoutWithdrawal}, 299},
+              Search {Platform::Unfenced, {Defect::IgnoreStatedCommits}, 4'308}, Search {Platform::Unfenced, {Defect::ReadWithoutLease}, 37},
+              Search {Platform::Unfenced, {Defect::IgnoreLateOrders}, 20}, Search {Platform::Unfenced, {Defect::TrustEarlierTerm}, 654}}) {
             bool found = false;
             for (auto seed = firstSeed; seed < firstSeed + maxDefectRuns && !found; ++seed) {
-                found = !PromotionModel(seed, platform, defect).run(runDuration).empty();
+                found = !PromotionModel(seed, platform, defects).run(runDuration).empty();
             }
-            CPPUNIT_ASSERT_MESSAGE("no violation found for defect " + std::to_string(static_cast<int>(defect)) + " from seed " + std::to_string(firstSeed),
-                                   found);
+            CPPUNIT_ASSERT_MESSAGE(
+                "no violation found for defect " + std::to_string(static_cast<int>(*defects.begin())) + " from seed " + std::to_string(firstSeed), found);
         }
     }
 
@@ -78,7 +79,7 @@
         const auto runs = runsText != nullptr ? std::strtoull(runsText, nullptr, 10) : seedText != nullptr ? 1 : defaultRuns;
         std::uint64_t primaryChanges = 0;
         for (auto seed = first; seed < first + runs; ++seed) {
-            PromotionModel model(seed, platform, PromotionModel::Defect::None);
+            PromotionModel model(seed, platform);
             const auto violation = model.run(runDuration);
             CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + violation, violation.empty());
             primaryChanges += model.finishedChanges();
--- a/programs/control/testing/promotion_model.cpp
+++ b/programs/control/testing/promotion_model.cpp
@@ -23,6 +23,8 @@
 constexpr Duration minPromotionTime = 300ms; // from an order until its database leads
 constexpr Duration promotionTimeRange = 700ms;
 constexpr Duration promotionTimeout = 4s;
+constexpr Duration writeTimeout = 1s;
+constexpr Duration possibleCommitsTimeout = 8s;
 constexpr Duration maxUnansweredExit = 6s; // from a deregistration without an answer to the exit
 constexpr Duration replacedPrimaryTimeout = 1s; // after which a replaced primary that reaches the new one stops
 
@@ -46,10 +48,10 @@
 
 } // namespace
 
-PromotionModel::PromotionModel(std::uint64_t seed, Platform platform, Defect defect)
+PromotionModel::PromotionModel(std::uint64_t seed, Platform platform, std::set<Defect> defects)
     : m_random(seed)
     , m_platform(platform)
-    , m_defect(defect)
+    , m_defects(std::move(defects))
     , m_now(TimePoint(100s))
     , m_pendingOrders(lateOrderLimit)
 {
@@ -181,7 +183,7 @@
     const auto downtime = m_random.chance(0.5) ? 2 * duration : m_random.upTo(200ms);
     if (deregisters && m_record.runs[index] != 0) {
         stopReceiving(index);
-        const bool looksForIt = m_defect != Defect::ForgetDeregistered;
+        const bool looksForIt = !has(Defect::ForgetDeregistered);
         recordGone(index, looksForIt);
         if (looksForIt) {
             m_record.absent.emplace(index, database.born); // control may know its earlier run only
@@ -244,7 +246,7 @@
             continue;
         }
         m_heardAt[i] = m_now;
-        if (run != 0 && run != database.born && m_defect != Defect::TrustRestarted) {
+        if (run != 0 && run != database.born && !has(Defect::TrustRestarted)) {
             m_record.absent.emplace(i, run);
         }
         run = database.born;
@@ -265,7 +267,7 @@
             // Earlier runs have ended; one that only fell silent may still receive.
             std::erase_if(m_record.absent, [&](const auto &absent) {
                 const auto &database = m_databases[absent.first];
-                return database.born != absent.second || (database.leaving && m_defect == Defect::TrustDeregistration);
+                return database.born != absent.second || (database.leaving && has(Defect::TrustDeregistration));
             });
             return;
         }
@@ -302,10 +304,7 @@
 bool PromotionModel::isKnown(std::size_t index) const
 {
     return m_record.runs[index] != 0 || m_databases[index].leaving
-        || std::any_of(m_record.absent.begin(), m_record.absent.end(), [this, index](const auto &absent) {
-               // A later run of a database that was stopped is a new database, which does not receive before control knows it.
-               return absent.first == index && !m_record.stopped.contains(absent);
-           });
+        || std::any_of(m_record.absent.begin(), m_record.absent.end(), [index](const auto &absent) { return absent.first == index; });
 }
 
 void PromotionModel::replicate(std::size_t to)
@@ -348,9 +347,11 @@
     }
     const Commit commit {++m_lastCommit, {database.term, database.log.size() + 1}};
     database.log.push_back(commit);
+    const auto sent = proxy.commits.send(m_now);
+    schedule(writeTimeout, [this, index, incarnation = proxy.incarnation, sent] { abandonWrite(index, incarnation, sent); });
     // The commit is acknowledged after one replica has received it.
     schedule(1ms + m_random.upTo(60ms),
-             [this, index, commit, leader = proxy.primary, term = database.term, incarnation = proxy.incarnation, epoch = proxy.epoch, sentAt = m_now] {
+             [this, index, commit, leader = proxy.primary, term = database.term, incarnation = proxy.incarnation, epoch = proxy.epoch, sent] {
                  const auto &source = m_databases[leader];
                  if (!source.leads || source.term != term || !source.running) {
                      return;
@@ -368,29 +369,43 @@
                          replica.log.assign(source.log.begin(), std::next(end));
                          replica.term = source.term;
                      }
-                     schedule(1ms + m_random.upTo(100ms), [=, this] { answerWrite(index, incarnation, epoch, commit, sentAt); });
+                     // The primary states the end of its log, which may include later commits.
+                     schedule(1ms + m_random.upTo(100ms),
+                              [=, this, stated = lastPosition(source)] { answerWrite(index, incarnation, epoch, commit, stated, sent); });
                      return;
                  }
              });
 }
 
-void PromotionModel::answerWrite(std::size_t index, std::uint64_t incarnation, std::uint64_t epoch, const Commit &commit, TimePoint sentAt)
+void PromotionModel::abandonWrite(std::size_t index, std::uint64_t incarnation, const CommitTracker::Commit &sent)
 {
     auto &proxy = m_proxies[index];
     if (proxy.suspendedUntil > m_now) {
-        schedule(proxy.suspendedUntil - m_now, [=, this] { answerWrite(index, incarnation, epoch, commit, sentAt); });
+        // It then reads the answers that have arrived first.
+        schedule(proxy.suspendedUntil - m_now + 1ms, [=, this] { abandonWrite(index, incarnation, sent); });
+    } else if (proxy.incarnation == incarnation) {
+        proxy.commits.abandon(sent, m_now);
+    }
+}
+
+void PromotionModel::answerWrite(std::size_t index, std::uint64_t incarnation, std::uint64_t epoch, const Commit &commit, TermPosition stated,
+                                 const CommitTracker::Commit &sent)
+{
+    auto &proxy = m_proxies[index];
+    if (proxy.suspendedUntil > m_now) {
+        schedule(proxy.suspendedUntil - m_now, [=, this] { answerWrite(index, incarnation, epoch, commit, stated, sent); });
         return;
     }
     if (proxy.incarnation != incarnation) {
         return;
     }
-    if (m_defect != Defect::AcknowledgeInClosedEpoch && !proxy.lease.mayAcknowledge("s", epoch, m_now)) {
+    if (!has(Defect::AcknowledgeInClosedEpoch) && !proxy.lease.mayAcknowledge("s", epoch, m_now)) {
         return; // the caller receives the outcome unknown
     }
     if (m_platform == Platform::Fenced || proxy.lease.covers("s", epoch, m_now)) {
-        proxy.history.add(commit.position, sentAt);
+        proxy.history.add(commit.position, sent.sentAt);
     }
-    proxy.acknowledged = std::max(proxy.acknowledged, commit.position);
+    proxy.commits.acknowledge(sent, stated, true);
     m_acknowledged.push_back(commit);
     const auto leader = latestLeader();
     const bool rolledBack = leader != noDatabase && m_databases[leader].term > commit.position.term && !holds(m_databases[leader], commit);
@@ -418,7 +433,7 @@
             return;
         }
         const bool complete = holdsAllAcknowledged(m_databases[primary], acknowledged);
-        const bool provesRole = m_databases[primary].leads && (m_platform == Platform::Fenced || m_defect == Defect::ReadWithoutLease);
+        const bool provesRole = m_databases[primary].leads && (m_platform == Platform::Fenced || has(Defect::ReadWithoutLease));
         schedule(m_random.upTo(60ms), [=, this] {
             auto &reader = m_proxies[index];
             const bool leased = reader.suspendedUntil <= m_now && reader.lease.covers("s", epoch, m_now);
@@ -493,8 +508,15 @@
         reply.set_closed(request.closes());
         reply.set_round(request.round());
         request.closes() ? proxy.lease.close("s", request.epoch()) : proxy.lease.withdraw("s", request.epoch());
-        reply.mutable_acknowledged()->set_term(proxy.acknowledged.term);
-        reply.mutable_acknowledged()->set_number(proxy.acknowledged.position);
+        const auto setPlace = [](wire::LogPlace *place, const TermPosition &position) {
+            place->set_term(position.term);
+            place->set_number(position.position);
+        };
+        setPlace(reply.mutable_acknowledged(), proxy.commits.acknowledged());
+        setPlace(reply.mutable_acknowledged_at_least(), proxy.commits.acknowledgedAtLeast());
+        setPlace(reply.mutable_replicated(), proxy.commits.replicated());
+        reply.set_unsettled_commits(static_cast<std::uint32_t>(proxy.commits.unsettled()));
+        reply.set_settles_departed(request.evidence_ms() != 0 && proxy.commits.hasSettledAll(m_now - std::chrono::milliseconds(request.evidence_ms())));
         const auto evidence = request.evidence_ms() == 0 ? std::nullopt : proxy.history.proof(m_now - std::chrono::milliseconds(request.evidence_ms()));
         if (evidence) {
             reply.mutable_reported()->set_term(evidence->term);
@@ -516,7 +538,7 @@
     m_pendingOrders = PendingOrders(lateOrderLimit);
     m_primaryChange = PrimaryChange();
     m_primaryChange.neededSince = m_now;
-    if (m_defect == Defect::ForgetSilent) {
+    if (has(Defect::ForgetSilent)) {
         std::erase_if(m_record.absent, [&](const auto &absent) { return m_forgottenByNextLeader.contains(absent); });
     }
 }
@@ -591,7 +613,7 @@
         if (!database.leads || !isInUse(database)) {
             continue;
         }
-        if (database.term < term && m_defect != Defect::TrustEarlierTerm) {
+        if (database.term < term && !has(Defect::TrustEarlierTerm)) {
             database.leads = false; // replaced; steps down and becomes a replica
         } else if (leading == noDatabase || database.term > m_databases[leading].term) {
             leading = i;
@@ -625,7 +647,7 @@
                 continue;
             }
             const auto stop = m_record.stopped.find(absent);
-            if (stop != m_record.stopped.end() && (stop->second.term >= term || m_defect == Defect::TrustEndedPause)) {
+            if (stop != m_record.stopped.end() && (stop->second.term >= term || has(Defect::TrustEndedPause))) {
                 choice.addStopped(nameOf(absent.first), stop->second.received);
             } else {
                 choice.addMissing(nameOf(absent.first));
@@ -635,11 +657,12 @@
     if (steppedDown) {
         PrimaryChoice choice(nameOf(previous));
         addLogs(choice, false);
+        requireAcknowledgedCommits(choice);
         if (const auto id = choice.bestAfterStepDown(); !id.empty()) {
             return indexOf(id);
         }
     }
-    if (m_defect != Defect::CompareBeforeClosing) {
+    if (!has(Defect::CompareBeforeClosing)) {
         m_withdrawal.close();
         if (!advanceWithdrawal()) {
             return std::nullopt;
@@ -649,23 +672,40 @@
     addLogs(choice, true);
     if (choice.needsAcknowledgedPosition()) {
         m_withdrawal.close();
-        choice.setAcknowledgedPosition(m_defect == Defect::IgnoreAcknowledgedPosition ? std::optional(TermPosition())
-                                                                                      : m_withdrawal.acknowledged(m_leases, m_now));
+        choice.setAcknowledgedPosition(has(Defect::IgnoreAcknowledgedPosition) ? std::optional(TermPosition()) : m_withdrawal.acknowledged(m_leases, m_now));
     }
+    requireAcknowledgedCommits(choice);
     const auto id = choice.bestAmongStopped();
     return id.empty() ? std::nullopt : std::optional(indexOf(id));
 }
 
+void PromotionModel::requireAcknowledgedCommits(waxwing::PrimaryChoice &choice)
+{
+    if (has(Defect::IgnoreStatedCommits)) {
+        return;
+    }
+    auto &since = m_primaryChange.possibleCommitsAwaitedSince;
+    const auto certain = m_withdrawal.acknowledgedAtLeast(m_leases, m_now);
+    const auto possible = m_withdrawal.acknowledgedAtMost();
+    choice.setCertainPosition(certain);
+    if (!choice.lacks(certain) && choice.lacks(possible) && !since) {
+        since = m_now;
+    }
+    if (!since || m_now - *since < possibleCommitsTimeout) {
+        choice.setAwaitedPosition(possible);
+    }
+}
+
 bool PromotionModel::advanceWithdrawal()
 {
     const bool withdrawn = m_withdrawal.advance("s", m_leases, m_now,
                                                 [this](const std::string &proxy, const wire::PoolEnvelope &message) { withdraw(proxy, message.withdraw()); });
-    return withdrawn || m_defect == Defect::PromoteWithoutWithdrawal;
+    return withdrawn || has(Defect::PromoteWithoutWithdrawal);
 }
 
 bool PromotionModel::mayOrder(std::size_t candidate)
 {
-    if (m_platform == Platform::Fenced || m_defect == Defect::IgnoreLateOrders) {
+    if (m_platform == Platform::Fenced || has(Defect::IgnoreLateOrders)) {
         return true;
     }
     for (const auto database : m_record.orders) {
--- a/programs/control/testing/promotion_model.h
+++ b/programs/control/testing/promotion_model.h
@@ -4,6 +4,7 @@
 #include "../pending_orders.h"
 #include "../session_leases.h"
 
+#include <waxwing/coordination/commit_tracker.h>
 #include <waxwing/coordination/epoch_lease.h>
 #include <waxwing/coordination/position_history.h>
 #include <waxwing/coordination/primary_choice.h>
@@ -39,7 +40,6 @@
 
     /// Defect that is injected to show that the checks detect it.
     enum class Defect {
-        None,
         PromoteWithoutWithdrawal, ///< promotions do not wait until leases are withdrawn or have ended
         ForgetDeregistered, ///< a database that has deregistered is not looked for
         TrustDeregistration, ///< a database that has deregistered is taken to have ended
@@ -47,6 +47,7 @@
         ForgetSilent, ///< a database that fell silent is not looked for by the next leader
         TrustRestarted, ///< the log of a database that was started again is taken for that of its earlier run
         CompareBeforeClosing, ///< logs are compared while proxies still acknowledge commits of the former primary
+        IgnoreStatedCommits, ///< promotions ignore what the proxies state of acknowledged commits as long as nobody is missing
         IgnoreAcknowledgedPosition, ///< promotions ignore which position the proxies acknowledged when a replica does not answer
         AcknowledgeInClosedEpoch, ///< proxies acknowledge commits of closed epochs
         ReadWithoutLease, ///< proxies without a lease read from a database that claims to lead
@@ -54,7 +55,7 @@
         TrustEarlierTerm, ///< a replaced primary that goes on is taken for the primary of the latest term
     };
 
-    PromotionModel(std::uint64_t seed, Platform platform, Defect defect);
+    PromotionModel(std::uint64_t seed, Platform platform, std::set<Defect> defects = {});
 
     /// @brief Runs the model for a duration of virtual time.
     /// @return description of the first violation; empty if there was none
@@ -100,7 +101,7 @@
         TimePoint suspendedUntil;
         EpochLease lease;
         PositionHistory history;
-        TermPosition acknowledged;
+        CommitTracker commits;
         std::uint64_t epoch = 0; ///< in the received directory
         std::size_t primary = noDatabase;
         std::pair<std::size_t, std::uint64_t> connection; ///< database and its run; opening one shows whether the database leads
@@ -132,9 +133,15 @@
         std::optional<std::size_t> candidate;
         std::uint64_t candidateDisk = 0; ///< when the logs were compared
         TimePoint orderedAt; ///< when the promotion was ordered and answered; zero before
+        std::optional<TimePoint> possibleCommitsAwaitedSince; ///< see PrimarySupervisor
         TimePoint neededSince; ///< last time that no change was needed
     };
 
+    bool has(Defect defect) const
+    {
+        return m_defects.contains(defect);
+    }
+
     void schedule(Duration delay, std::function<void()> action);
     void scheduleEvery(Duration interval, std::function<void()> action);
     TermPosition lastPosition(const Database &database) const;
@@ -148,7 +155,10 @@
     bool isKnown(std::size_t index) const;
     void replicate(std::size_t to);
     void write(std::size_t proxy);
-    void answerWrite(std::size_t proxy, std::uint64_t incarnation, std::uint64_t epoch, const Commit &commit, TimePoint sentAt);
+    void abandonWrite(std::size_t proxy, std::uint64_t incarnation, const CommitTracker::Commit &sent);
+    /// @param stated position that the primary states with the answer
+    void answerWrite(std::size_t proxy, std::uint64_t incarnation, std::uint64_t epoch, const Commit &commit, TermPosition stated,
+                     const CommitTracker::Commit &sent);
     void read(std::size_t proxy);
     void renew(std::size_t proxy);
     void handleGrant(std::size_t proxy, std::uint64_t incarnation, TimePoint sentAt, std::uint64_t epoch, std::size_t primary);
@@ -170,6 +180,7 @@
     void forgetAbsent();
     void advancePrimaryChange();
     bool advanceWithdrawal();
+    void requireAcknowledgedCommits(waxwing::PrimaryChoice &choice);
     std::optional<std::size_t> chooseCandidate();
     bool mayOrder(std::size_t candidate);
     void orderPromotion(std::size_t candidate, std::uint64_t token);
@@ -179,7 +190,7 @@
 
     Random m_random;
     Platform m_platform;
-    Defect m_defect;
+    std::set<Defect> m_defects;
     TimePoint m_now;
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::array<Database, nodeCount> m_databases;
--- a/programs/control/testing/session_control_fixture.h
+++ b/programs/control/testing/session_control_fixture.h
@@ -125,6 +125,10 @@
             withdrawn.mutable_acknowledged_at_least()->set_term(certainPosition->term);
             withdrawn.mutable_acknowledged_at_least()->set_number(certainPosition->position);
         }
+        if (replicatedPosition) {
+            withdrawn.mutable_replicated()->set_term(replicatedPosition->term);
+            withdrawn.mutable_replicated()->set_number(replicatedPosition->position);
+        }
         if (request.evidence_ms() != 0) {
             *withdrawn.mutable_reported() = withdrawn.acknowledged();
         }
@@ -154,6 +158,7 @@
     std::vector<bool> deregistrations; ///< whether each was recorded
     std::vector<bool> heartbeats; ///< whether each was acknowledged, in the order of the answers
     std::optional<TermPosition> certainPosition; ///< that proxies state in confirmWithdrawal()
+    std::optional<TermPosition> replicatedPosition; ///< end of the primary's log with the last acknowledged commit, the same
     std::set<std::string> goingOn; ///< databases that don't learn of promotions
     std::vector<Order> orders; ///< in the order of arrival
     std::function<OrderAnswer(const Order &order)> answerOrder; ///< promotes the database if empty
