Hand the vote of a stopped member of control over

Cause: a learner that had caught up became a voter only after a voter had been silent for 2 s. A member that was stopped left its vote behind, so that another lost disk within that time took the majority for good.

Change: a stopping member announces it (RaftLeave); the leader, also a leader that is stopped itself, makes a learner that has caught up a voter and removes the stopped one. Without such a learner or a majority nothing changes, and the stop takes 1 s as before. A leader that finds one voter too many removes one that works only after 2 s, and while none is silent: a new leader does not know yet which one is gone.

This works since the change of voters takes two commits, which end while the stopped member still runs.

--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -148,6 +148,15 @@
         });
     }
 
+    /// @brief Announces that this process is about to stop, so that in an open log a learner takes over its vote. The process may stop at
+    /// any time; the sooner, the less likely is the hand-over.
+    void leave()
+    {
+        m_members.leave();
+        m_membershipTimer.cancel();
+        maintainMembership();
+    }
+
     /// @brief Handles a packet from another member.
     /// @param packet encoded RaftPacket
     void receive(std::string packet)
@@ -488,6 +497,7 @@
     void maintainMembership()
     {
         const bool empty = m_node->term() == 0 && m_node->log().lastIndex() == 0;
+        sendPackets(m_members.leaveRequests(m_node->log().membership()));
         if (empty && m_members.canBootstrap()) {
             m_node->bootstrap(Clock::now(), m_members.initialMembership());
             scheduleProcess();
--- a/packages/coordination/include/waxwing/coordination/log_membership.h
+++ b/packages/coordination/include/waxwing/coordination/log_membership.h
@@ -22,7 +22,8 @@
 /// An open log accepts members from any address. Learners become voters until the required losses are borne, which takes two
 /// voters for each loss and one more; additional members stay learners until a voter stops replying. A voter that stops replying
 /// is removed only if a learner can replace it or if its removal costs no loss that can be borne: as long as its disk may return,
-/// it counts for entries that are stored on it. A member that was removed while it could not be reached asks to join again with its old
+/// it counts for entries that are stored on it. A voter that is stopped announces it, so that a learner which has caught up takes over its
+/// vote before the process ends. A member that was removed while it could not be reached asks to join again with its old
 /// identity and log.
 class LogMembership
 {
@@ -61,6 +62,15 @@
     /// @return replies to send
     std::vector<AddressedPacket> receive(const wire::RaftPacket &packet, const wire::RaftMembership &membership, bool empty, TimePoint now = {});
 
+    /// @brief Notes that this member is about to stop: it joins no more, and asks for its vote to be handed over.
+    void leave()
+    {
+        m_leaves = true;
+    }
+
+    /// @brief Announcements that this member is about to stop, to all other members; none before leave() or in a log that is not open.
+    std::vector<AddressedPacket> leaveRequests(const wire::RaftMembership &membership) const;
+
     /// @brief Tells whether this member should send join requests: it belongs to no log, or no leader contacts it although it is
     /// a learner (a later leader may have replaced the entry that added it) or, in an open log, whatever its own log says.
     bool shouldJoin(const wire::RaftMembership &membership, bool hasLeader) const;
@@ -100,15 +110,18 @@
     bool isInitialAddress(const std::string &address) const;
     void handleJoin(const wire::RaftJoin &join, const wire::RaftMembership &membership, TimePoint now);
     void handleJoinReply(const wire::RaftJoinReply &reply);
+    bool isLeaving(MemberId id) const;
     std::size_t wantedVoters() const;
-    std::optional<RaftMembershipChange> nextReplacement(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
-                                                        TimePoint now) const;
+    std::optional<RaftMembershipChange> nextReplacement(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp, TimePoint now);
 
     std::string m_address;
     Options m_options;
     std::vector<std::string> m_initialMembers;
     std::set<std::string> m_reportedAddresses; ///< addresses of members, taken from join replies
     std::map<MemberId, TimePoint> m_silentSince;
+    std::map<MemberId, TimePoint> m_leavingAt; ///< last announcement of each member that is about to stop
+    std::optional<TimePoint> m_surplusSince; ///< since there is one voter more than wanted
+    bool m_leaves = false; ///< this member is about to stop
     MemberId m_id = 0;
     std::uint64_t m_nonce;
     std::map<std::string, MemberId> m_emptyMembers; ///< by address; from replies to requests of the current process
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -50,6 +50,8 @@
     if (!packet.has_join()) {
         if (packet.has_join_reply()) {
             handleJoinReply(packet.join_reply());
+        } else if (packet.has_leave() && findMember(membership, packet.leave().id()) != nullptr) {
+            m_leavingAt[packet.leave().id()] = now;
         }
         return {};
     }
@@ -100,8 +102,32 @@
     }
 }
 
+std::vector<LogMembership::AddressedPacket> LogMembership::leaveRequests(const wire::RaftMembership &membership) const
+{
+    std::vector<AddressedPacket> requests;
+    if (!m_leaves || !m_options.open) {
+        return requests;
+    }
+    for (const auto &member : membership.members()) {
+        if (member.id() != m_id) {
+            auto &request = requests.emplace_back(AddressedPacket {addressOf(member.id(), membership), {}});
+            request.packet.set_from_address(m_address);
+            request.packet.mutable_leave()->set_id(m_id);
+        }
+    }
+    return requests;
+}
+
+bool LogMembership::isLeaving(MemberId id) const
+{
+    return m_leavingAt.contains(id) || (m_leaves && id == m_id);
+}
+
 bool LogMembership::shouldJoin(const wire::RaftMembership &membership, bool hasLeader) const
 {
+    if (m_leaves) {
+        return false;
+    }
     const auto *self = findMember(membership, m_id);
     if (membership.members().empty()) {
         return true;
@@ -166,6 +192,10 @@
             m_silentSince.emplace(member.id(), now);
         }
     }
+    // An announcement counts until the silence of its member does.
+    std::erase_if(m_leavingAt, [&](const auto &item) {
+        return findMember(membership, item.first) == nullptr || now - item.second > m_options.silentVoterTimeout + m_options.joinRequestLifetime;
+    });
     // A delayed request of an earlier process must not remove the member that now runs at its address.
     std::erase_if(m_receivedJoins, [&](const auto &item) {
         return (m_options.open && now - item.second.receivedAt > m_options.joinRequestLifetime)
@@ -194,7 +224,7 @@
 }
 
 std::optional<RaftMembershipChange> LogMembership::nextReplacement(const wire::RaftMembership &membership, const std::function<bool(MemberId)> &isCaughtUp,
-                                                                   TimePoint now) const
+                                                                   TimePoint now)
 {
     const auto isSilent = [&](MemberId id) {
         const auto since = m_silentSince.find(id);
@@ -202,7 +232,9 @@
     };
     std::size_t voters = 0;
     MemberId silentVoter = 0;
+    MemberId leavingVoter = 0;
     MemberId otherVoter = 0;
+    bool isAnySilent = false;
     MemberId silentLearner = 0;
     std::vector<MemberId> candidates;
     for (const auto &member : membership.members()) {
@@ -210,8 +242,10 @@
         if (member.voter()) {
             ++voters;
             silentVoter = silent ? member.id() : silentVoter;
+            leavingVoter = isLeaving(member.id()) ? member.id() : leavingVoter;
             otherVoter = member.id() != m_id ? member.id() : otherVoter;
-        } else if (isCaughtUp(member.id())) {
+            isAnySilent = isAnySilent || m_silentSince.contains(member.id());
+        } else if (isCaughtUp(member.id()) && !isLeaving(member.id())) {
             candidates.push_back(member.id());
         } else if (silent) {
             silentLearner = member.id();
@@ -221,17 +255,24 @@
     const bool even = voters % 2 == 0;
     // An even number of voters bears no more losses than one voter less, and each entry has to reach one more member.
     const bool missing = voters < wanted && (even || candidates.size() > 1 || voters < minVoters);
-    // The replacement votes before the silent voter is removed: without both of them, the loss of one more voter would stop a log
-    // that has a majority.
-    const bool replaceable = silentVoter != 0 && !even && voters <= wanted;
+    // The replacement votes before the silent or leaving voter is removed: without both of them, the loss of one more voter would stop a
+    // log that has a majority.
+    const bool replaceable = (silentVoter != 0 || leavingVoter != 0) && !even && voters <= wanted;
     if (!candidates.empty() && (missing || replaceable)) {
         return RaftMembershipChange {RaftMembershipChange::Kind::Promote, candidates.front(), {}};
     }
     if (silentVoter != 0 && (even || voters > wanted)) {
         return RaftMembershipChange {RaftMembershipChange::Kind::Remove, silentVoter, {}};
     }
-    if (even && voters > wanted) {
-        // The silent voter has returned before it was removed.
+    if (leavingVoter != 0 && even && voters > minVoters) {
+        return RaftMembershipChange {RaftMembershipChange::Kind::Remove, leavingVoter, {}};
+    }
+    if (!even || voters <= wanted) {
+        m_surplusSince.reset();
+    } else if (!m_surplusSince) {
+        m_surplusSince = now;
+    } else if (!isAnySilent && now - *m_surplusSince >= m_options.silentVoterTimeout) {
+        // The silent voter has returned before it was removed. A new leader waits, since it doesn't know yet which voter is silent.
         return RaftMembershipChange {RaftMembershipChange::Kind::Remove, otherVoter, {}};
     }
     if (silentLearner != 0) {
--- a/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership_test.cpp
@@ -44,6 +44,17 @@
     return membership;
 }
 
+/// Tells the leader that a member is about to stop.
+void announceLeave(LogMembership &leader, MemberId id, const std::string &address, const wire::RaftMembership &membership, TimePoint now)
+{
+    LogMembership stopped(address, {}, {.open = true});
+    stopped.start(id);
+    stopped.leave();
+    for (const auto &request : stopped.leaveRequests(membership)) {
+        leader.receive(request.packet, membership, false, now);
+    }
+}
+
 } // namespace
 
 class LogMembershipTest : public CppUnit::TestFixture
@@ -56,6 +67,10 @@
     CPPUNIT_TEST(memberFromAnyAddressJoinsAnOpenLog);
     CPPUNIT_TEST(caughtUpLearnerReplacesSilentVoter);
     CPPUNIT_TEST(returnedVoterMakesRoomForItsReplacement);
+    CPPUNIT_TEST(stoppedVoterHandsItsVoteOver);
+    CPPUNIT_TEST(stoppedVoterWithoutALearnerKeepsItsVote);
+    CPPUNIT_TEST(newLeaderKeepsTheReplacementOfAStoppedVoter);
+    CPPUNIT_TEST(announcedStopEnds);
     CPPUNIT_TEST(learnersVoteUntilRequiredLossesAreBorne);
     CPPUNIT_TEST(silentVoterStaysUntilReplaced);
     CPPUNIT_TEST(smallerRequirementRemovesNoActiveVoter);
@@ -172,12 +187,90 @@
         LogMembership leader("a", {"a", "b", "c"}, {.open = true});
         leader.start(1);
         auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}});
-        const auto change = leader.nextChange(present, isTrue, isTrue, TimePoint(5s));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(5s)));
+        const auto change = leader.nextChange(present, isTrue, isTrue, TimePoint(7s));
         CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 4);
         present.mutable_members()->DeleteSubrange(3, 1);
         CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(5s)));
     }
 
+    // Guards against a member that leaves its vote behind when it is stopped: with its disk gone, the loss of one more stops the log.
+    void stoppedVoterHandsItsVoteOver()
+    {
+        for (const MemberId stopped : {2, 1}) { // a follower and the leader
+            LogMembership leader("a", {"a", "b", "c"}, {.open = true});
+            leader.start(1);
+            auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+            *present.add_members() = member(4, "d", false).members(0);
+            CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
+            if (stopped == 1) {
+                leader.leave();
+            } else {
+                announceLeave(leader, stopped, "b", present, TimePoint(1s));
+            }
+            CPPUNIT_ASSERT(!leader.nextChange(present, isFalse, isTrue, TimePoint(1s))); // nobody can take the vote
+            auto change = leader.nextChange(present, isTrue, isTrue, TimePoint(1s));
+            CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Promote && change->id == 4);
+            present.mutable_members(3)->set_voter(true);
+            change = leader.nextChange(present, isTrue, isTrue, TimePoint(1s));
+            CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == stopped);
+            present.mutable_members()->DeleteSubrange(static_cast<int>(stopped) - 1, 1);
+            CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
+        }
+    }
+
+    // Guards against fewer voters after a planned stop without a learner, and after two members were stopped one after the other.
+    void stoppedVoterWithoutALearnerKeepsItsVote()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true});
+        leader.start(1);
+        auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+        announceLeave(leader, 2, "b", present, TimePoint(1s));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
+        *present.add_members() = member(4, "d", false).members(0);
+        announceLeave(leader, 4, "d", present, TimePoint(1s));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s))); // the learner is stopped too
+        present.mutable_members(3)->set_voter(true);
+        announceLeave(leader, 3, "c", present, TimePoint(1s));
+        const auto change = leader.nextChange(present, isTrue, isTrue, TimePoint(1s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove);
+        present.mutable_members()->DeleteSubrange(3, 1);
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s)));
+    }
+
+    // Guards against a hand-over that a new leader finishes by removing a voter that works, while the stopped one is still in place.
+    void newLeaderKeepsTheReplacementOfAStoppedVoter()
+    {
+        LogMembership leader("b", {"a", "b", "c"}, {.open = true});
+        leader.start(2);
+        const auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}});
+        const auto isActive = [](MemberId id) {
+            return id != 1;
+        };
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(1s))); // its silence is not noticed yet
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isActive, TimePoint(2s)));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isActive, TimePoint(3s)));
+        const auto change = leader.nextChange(present, isTrue, isActive, TimePoint(4s));
+        CPPUNIT_ASSERT(change && change->kind == RaftMembershipChange::Kind::Remove && change->id == 1);
+    }
+
+    // Guards against a stopping member that joins again, and against an announcement that counts after the member has started again.
+    void announcedStopEnds()
+    {
+        LogMembership leader("a", {"a", "b", "c"}, {.open = true});
+        leader.start(1);
+        auto present = voters({{1, "a"}, {2, "b"}, {3, "c"}});
+        *present.add_members() = member(4, "d", false).members(0);
+        announceLeave(leader, 2, "b", present, TimePoint(1s));
+        CPPUNIT_ASSERT(!leader.nextChange(present, isTrue, isTrue, TimePoint(5s)));
+        leader.leave();
+        CPPUNIT_ASSERT(!leader.shouldJoin({}, false));
+        LogMembership closed("a", {"a", "b", "c"});
+        closed.start(1);
+        closed.leave();
+        CPPUNIT_ASSERT(closed.leaveRequests(present).empty());
+    }
+
     // Guards against a deployment that requires two losses to be borne and whose spare members never vote, so that two lost
     // disks are a majority of the voters for good.
     void learnersVoteUntilRequiredLossesAreBorne()
--- a/programs/control/serve_sessions.cpp
+++ b/programs/control/serve_sessions.cpp
@@ -57,7 +57,7 @@
 constexpr Duration raftLeaseDuration = 195ms; // 10% shorter than the shortest election timeout, to allow for clock drift
 constexpr Duration lossesCheckInterval = 500ms; // an election takes less
 constexpr Duration shortfallReportInterval = 5s;
-constexpr Duration drainTimeout = 1s; // for responses in flight when the process stops
+constexpr Duration drainTimeout = 1s; // for responses in flight and the hand-over of the vote when the process stops
 constexpr std::size_t maxConfigBytes = 4U << 20; // enough for a configuration of 10,000 routes
 constexpr LogIndex snapshotIntervalEntries = 100; // a configuration of 350 routes takes 80 KB, so the log stays below 10 MB
 constexpr std::size_t maxSmallBodyBytes = 64U << 10; // of heartbeats and all other requests; each text of a heartbeat has at most 256 bytes
@@ -478,6 +478,7 @@
                 log::write(log::Level::Info, "stopping");
                 m_stopping = true;
                 m_stopDeadline = Clock::now() + drainTimeout;
+                m_log.host().leave();
                 for (auto &server : m_servers) {
                     server.drain();
                 }
--- a/tools/log-check/log_simulation.cpp
+++ b/tools/log-check/log_simulation.cpp
@@ -23,6 +23,7 @@
 {
 
 constexpr std::int64_t millisecond = 1'000'000;
+constexpr std::int64_t drainTime = 1'000 * millisecond; // of a process that stops as planned
 constexpr std::int64_t faultPhase = 12'000 * millisecond;
 constexpr std::int64_t recoveryPhase = 8'000 * millisecond; ///< time for progress after the last fault
 constexpr std::int64_t membershipPhase = 5'000 * millisecond; ///< open logs: time after the last fault until the voters are checked
@@ -421,6 +422,9 @@
             auto &node = *process.node;
             auto &membership = *process.membership;
             const auto now = localTime(process);
+            for (auto &request : membership.leaveRequests(node.log().membership())) {
+                deliverJoin(std::move(request));
+            }
             if (isEmpty(node) && membership.canBootstrap()) {
                 count("new log formed");
                 node.bootstrap(now, membership.initialMembership());
@@ -843,7 +847,11 @@
     void injectOpenFault()
     {
         const auto place = m_random.between(0, m_members.size() - 1);
-        switch (m_random.between(0, 10)) {
+        switch (m_random.between(0, 12)) {
+        case 11:
+        case 12:
+            stopAsPlanned(place);
+            break;
         case 0:
         case 1:
         case 2:
@@ -887,6 +895,27 @@
         schedule(static_cast<std::int64_t>(m_random.between(1, 6000)) * millisecond, [this, place] { start(place); });
     }
 
+    /// A member announces its stop, and ends a second later for some seconds or for good.
+    void stopAsPlanned(std::size_t place)
+    {
+        if (!m_members[place].process || m_now + drainTime >= faultPhase) {
+            return;
+        }
+        count("planned stop");
+        const auto number = m_members[place].process->number;
+        m_members[place].process->membership->leave();
+        schedule(drainTime, [this, place, number] {
+            if (!m_members[place].process || m_members[place].process->number != number) {
+                return;
+            }
+            if (m_random.chance(0.3) && mayLoseDisk(place)) {
+                replace(place);
+            } else {
+                stopForSeconds(place, "end of a planned stop");
+            }
+        });
+    }
+
     /// A member at a new address and with an empty disk takes the place of another one.
     void replace(std::size_t place)
     {
