--- a/packages/coordination/include/waxwing/coordination/log_host.h
+++ b/packages/coordination/include/waxwing/coordination/log_host.h
@@ -148,12 +148,11 @@
         });
     }
 
-    /// @brief Announces that this process is about to stop, so that in an open log a learner takes over its vote. The process may stop at
-    /// any time; the sooner, the less likely is the hand-over.
+    /// @brief Announces that this process is about to stop, so that in an open log a learner takes over its vote. That takes two commits,
+    /// which are started at once and 200 ms later; the process may stop without waiting for them.
     void leave()
     {
         m_members.leave();
-        m_membershipTimer.cancel();
         maintainMembership();
     }
 
--- a/programs/control/primary_supervisor_test.cpp
+++ b/programs/control/primary_supervisor_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(formerPrimaryThatWasStartedAgainIsNotTrusted);
     CPPUNIT_TEST(commitsOnADatabaseThatControlDoesNotKnowAreAwaited);
     CPPUNIT_TEST(commitsThatMayBeAcknowledgedAreAwaitedForALimitedTime);
+    CPPUNIT_TEST(nextLeaderAwaitsTheSameCommits);
     CPPUNIT_TEST(absentReplicaIsForgottenOnceAnotherHasItsCommits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -677,6 +678,31 @@
         CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.primary() == "d"; }));
     }
 
+    // Guards against lost commits: the leader of control changes while it waits for them, and the next one does not know of them.
+    void nextLeaderAwaitsTheSameCommits()
+    {
+        SessionControlFixture fixture;
+        startService(fixture);
+        fixture.certainPosition = TermPosition {3, 102};
+        database(fixture, "a").holdAnswers(true);
+        CPPUNIT_ASSERT(waitsWithoutPromotion(fixture));
+        CPPUNIT_ASSERT(fixture.changeLeader());
+        for (const auto *id : {"b", "c"}) {
+            fixture.sendHeartbeat(database(fixture, id), false, false);
+        }
+        const auto commands = database(fixture, "b").commands().size();
+        CPPUNIT_ASSERT(fixture.runUntil([&] {
+            confirmWithoutEvidence(fixture);
+            return database(fixture, "b").commands().size() > commands + 4;
+        }));
+        CPPUNIT_ASSERT(fixture.orders.empty());
+        database(fixture, "c").setPosition(3, 102);
+        CPPUNIT_ASSERT(fixture.runUntil([&] {
+            confirmWithoutEvidence(fixture);
+            return fixture.primary() == "c";
+        }));
+    }
+
     // Guards against a service that waits without an end for a commit that perhaps nobody acknowledged, while the primary is lost for good.
     void commitsThatMayBeAcknowledgedAreAwaitedForALimitedTime()
     {
