Let an announced stop count for no longer than a restart takes

Cause: the announcement of a stop counted for 3 s. A member that was stopped and had started again within that time lost its vote to a learner although another voter was silent, so that four voters, one of them gone, bore no loss.

Change: an announcement counts for 0.5 s after its last repetition. If the member ends between the two changes, it is removed when it is silent for 2 s, as any voter.

--- a/packages/coordination/include/waxwing/coordination/log_membership.h
+++ b/packages/coordination/include/waxwing/coordination/log_membership.h
@@ -44,6 +44,9 @@
         /// Open only: a voter without replies for this long is replaced by a learner that has caught up. Longer than an
         /// election, and shorter than the 4 s within which a replacement VM must be in use.
         Duration silentVoterTimeout = 2s;
+        /// Open only: an announced stop counts for this long after its last repetition, of which there is one every 200 ms. A longer time
+        /// would outlive a quick restart of the member.
+        Duration leaveLifetime = 500ms;
         Duration joinRequestLifetime = 1s; ///< open only: older join requests are discarded; five times the join interval
     };
 
--- a/packages/coordination/src/waxwing/coordination/log_membership.cpp
+++ b/packages/coordination/src/waxwing/coordination/log_membership.cpp
@@ -192,10 +192,7 @@
             m_silentSince.emplace(member.id(), now);
         }
     }
-    // An announcement counts until the silence of its member does.
-    std::erase_if(m_leavingAt, [&](const auto &item) {
-        return findMember(membership, item.first) == nullptr || now - item.second > m_options.silentVoterTimeout + m_options.joinRequestLifetime;
-    });
+    std::erase_if(m_leavingAt, [&](const auto &item) { return findMember(membership, item.first) == nullptr || now - item.second > m_options.leaveLifetime; });
     // A delayed request of an earlier process must not remove the member that now runs at its address.
     std::erase_if(m_receivedJoins, [&](const auto &item) {
         return (m_options.open && now - item.second.receivedAt > m_options.joinRequestLifetime)
